--- /dev/null
+++ b/src/admit/fair.rs
@@ -0,0 +1,97 @@
+//! A queue that shares between callers by weight.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::id::AccountId;
+
+/// Scale from cost over share to whole virtual time.
+const TICKS: f64 = 1024.0;
+/// Smallest share that counts.
+const LEAST_SHARE: f64 = 0.01;
+
+type Key = (u64, u64);
+
+/// Start-time fair queue of items tagged by account.
+#[derive(Debug)]
+pub struct Fair<T> {
+    items: BTreeMap<Key, (AccountId, T)>,
+    finish: HashMap<AccountId, u64>,
+    virtual_time: u64,
+    sequence: u64,
+}
+
+impl<T> Default for Fair<T> {
+    fn default() -> Self {
+        Fair {
+            items: BTreeMap::new(),
+            finish: HashMap::new(),
+            virtual_time: 0,
+            sequence: 0,
+        }
+    }
+}
+
+impl<T> Fair<T> {
+    /// Adds an item of `account` with a cost, and returns its place among the others.
+    ///
+    /// ```
+    /// use pistachiohall::admit::fair::Fair;
+    /// let mut queue = Fair::default();
+    /// queue.push("a", 1.0, 10.0, 1);
+    /// queue.push("a", 1.0, 10.0, 2);
+    /// queue.push("b", 1.0, 10.0, 3);
+    /// let order: Vec<i32> = std::iter::from_fn(|| queue.pop()).collect();
+    /// assert_eq!(order, [1, 3, 2]);
+    /// ```
+    pub fn push(&mut self, account: &str, share: f64, cost: f64, item: T) -> usize {
+        let length = (cost.max(1.0) / share.max(LEAST_SHARE) * TICKS) as u64;
+        let last = self.finish.get(account).copied().unwrap_or(0);
+        let start = last.max(self.virtual_time);
+        self.finish.insert(account.into(), start + length);
+        self.sequence += 1;
+        let key = (start, self.sequence);
+        self.items.insert(key, (account.into(), item));
+        self.items.range(..key).count()
+    }
+
+    /// Takes the next item.
+    pub fn pop(&mut self) -> Option<T> {
+        let (key, (_, item)) = self.items.pop_first()?;
+        self.virtual_time = self.virtual_time.max(key.0);
+        if self.items.is_empty() {
+            self.finish.clear();
+            self.virtual_time = 0;
+        }
+        Some(item)
+    }
+
+    /// Takes out all items for which `hopeless` returns true, given their place.
+    pub fn remove_if<F>(&mut self, mut hopeless: F) -> Vec<T>
+    where
+        F: FnMut(usize, &T) -> bool,
+    {
+        let mut place = 0;
+        let mut keys = Vec::new();
+        for (key, (_, item)) in &self.items {
+            match hopeless(place, item) {
+                true => keys.push(*key),
+                false => place += 1,
+            }
+        }
+        keys.iter()
+            .filter_map(|key| self.items.remove(key))
+            .map(|(_, item)| item)
+            .collect()
+    }
+
+    /// Returns the number of items.
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,257 @@
+//! Command-line arguments.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::Args;
+use clap::Parser;
+use clap::Subcommand;
+use clap::ValueEnum;
+use clap_complete::Shell;
+
+/// Serves language models from a fixed fleet of engines.
+#[derive(Debug, Parser)]
+#[command(
+    version,
+    after_help = "Exit codes: 0 done, 1 error, 2 wrong arguments, 3 conflict, 4 outcome unknown."
+)]
+pub struct Arguments {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// How results are printed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, ValueEnum)]
+pub enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Run an entry host.
+    #[command(after_help = "Example: pistachiohall serve nottingham-1.ini")]
+    Serve(Serve),
+    /// Check settings and service files without using them.
+    #[command(after_help = "Example: pistachiohall check examples/trentside")]
+    Check(Check),
+    /// Put service files into force.
+    #[command(
+        after_help = "Example: pistachiohall publish --platform 127.0.0.1:9000 examples/trentside"
+    )]
+    Publish(Publish),
+    /// Show hosts, upstreams, lease and orders as an entry host knows them.
+    #[command(after_help = "Example: pistachiohall status --host 127.0.0.1:8181")]
+    Status(Status),
+    /// Take an upstream out of use, or back into it.
+    #[command(
+        after_help = "Example: pistachiohall drain --platform 127.0.0.1:9000 --domain derby engine-3"
+    )]
+    Drain(Drain),
+    /// Show latencies by class or caller.
+    #[command(after_help = "Example: pistachiohall histograms --host 127.0.0.1:8181 --callers")]
+    Histograms(Histograms),
+    /// Run a small deployment with faults on stand-ins, and check its promises.
+    #[command(after_help = "Example: pistachiohall demo")]
+    Demo(Demo),
+    /// Measure the policies on models and stand-ins.
+    #[command(after_help = "Example: pistachiohall experiment policy --seeds 5")]
+    Experiment(Experiment),
+    /// Run a stand-in for something that surrounds the system.
+    #[command(after_help = "Example: pistachiohall stand-in platform --listen 127.0.0.1:9000")]
+    StandIn(StandIn),
+    /// Print completions for a shell.
+    #[command(after_help = "Example: pistachiohall completions bash")]
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+}
+
+/// Arguments of `serve`.
+#[derive(Debug, Args)]
+pub struct Serve {
+    /// Settings file.
+    pub settings: PathBuf,
+    /// Log filter, such as `info` or `debug`.
+    #[arg(long, default_value = "info")]
+    pub log: String,
+}
+
+/// Arguments of `check`.
+#[derive(Debug, Args)]
+pub struct Check {
+    /// Settings files, service files, or folders of service files.
+    #[arg(required = true)]
+    pub paths: Vec<PathBuf>,
+    /// How results are printed.
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
+/// Arguments of `publish`.
+#[derive(Debug, Args)]
+pub struct Publish {
+    /// Where the platform is.
+    #[arg(long)]
+    pub platform: SocketAddr,
+    /// Service files or folders of them.
+    #[arg(required = true)]
+    pub paths: Vec<PathBuf>,
+    /// Remove services that have no file.
+    #[arg(long)]
+    pub prune: bool,
+    /// Show the difference and publish nothing.
+    #[arg(long)]
+    pub dry_run: bool,
+    /// Operator address of an entry host, to wait until each host has the revision.
+    #[arg(long, value_name = "HOST")]
+    pub wait: Option<SocketAddr>,
+    /// How results are printed.
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
+/// Arguments of `status`.
+#[derive(Debug, Args)]
+pub struct Status {
+    /// Operator address of an entry host.
+    #[arg(long)]
+    pub host: SocketAddr,
+    /// Show why roles were or were not changed.
+    #[arg(long)]
+    pub explain: bool,
+    /// How results are printed.
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
+/// Arguments of `drain`.
+#[derive(Debug, Args)]
+pub struct Drain {
+    /// Where the platform is.
+    #[arg(long)]
+    pub platform: SocketAddr,
+    /// Failure domain of the upstream.
+    #[arg(long)]
+    pub domain: String,
+    /// Upstream.
+    pub upstream: String,
+    /// Take it back into use.
+    #[arg(long)]
+    pub undo: bool,
+    /// How results are printed.
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
+/// Arguments of `histograms`.
+#[derive(Debug, Args)]
+pub struct Histograms {
+    /// Operator address of an entry host.
+    #[arg(long)]
+    pub host: SocketAddr,
+    /// Show callers in place of classes.
+    #[arg(long)]
+    pub callers: bool,
+    /// How results are printed.
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
+/// Arguments of `demo`.
+#[derive(Debug, Args)]
+pub struct Demo {
+    /// How results are printed.
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+    /// Seed of the callers' choices.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
+
+/// What to measure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Topic {
+    /// Role changes through shifts of the mix.
+    Policy,
+    /// Urgent requests at twice the capacity.
+    Admission,
+    /// Cache hits and latencies of routing.
+    Routing,
+    /// What an entry host adds to a stream.
+    Overhead,
+    /// What claims and tickets add to a call.
+    Once,
+    /// What control costs at growing sizes.
+    Cost,
+}
+
+/// Arguments of `experiment`.
+#[derive(Debug, Args)]
+pub struct Experiment {
+    /// What to measure.
+    #[arg(value_enum)]
+    pub topic: Topic,
+    /// Seeds to run.
+    #[arg(long, default_value_t = 20)]
+    pub seeds: u64,
+    /// File for a plot.
+    #[arg(long)]
+    pub plot: Option<PathBuf>,
+    /// How results are printed.
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
+/// Arguments of `stand-in`.
+#[derive(Debug, Args)]
+pub struct StandIn {
+    /// What to stand in for.
+    #[command(subcommand)]
+    pub part: Part,
+}
+
+/// What to stand in for.
+#[derive(Debug, Subcommand)]
+pub enum Part {
+    /// The platform's log and list.
+    Platform(Listen),
+    /// A model engine.
+    Engine(Upstream),
+    /// A plain service.
+    Service(Upstream),
+}
+
+/// Where a stand-in serves.
+#[derive(Debug, Args)]
+pub struct Listen {
+    /// Where it serves.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+}
+
+/// Where an upstream's stand-in serves, and as what it is listed.
+#[derive(Debug, Args)]
+pub struct Upstream {
+    /// Where it serves.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// Platform stand-in to be listed on.
+    #[arg(long)]
+    pub platform: SocketAddr,
+    /// Name on the list.
+    #[arg(long)]
+    pub name: String,
+    /// Failure domain.
+    #[arg(long)]
+    pub domain: String,
+    /// Service.
+    #[arg(long)]
+    pub service: String,
+}
--- /dev/null
+++ b/src/command/serve.rs
@@ -0,0 +1,63 @@
+//! `pistachiohall serve`.
+
+use std::fs;
+use std::process::ExitCode;
+
+use anyhow::Context;
+use anyhow::Result;
+use flexi_logger::DeferredNow;
+use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
+use log::Record;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+use crate::cli::Serve;
+use crate::clock::Real;
+use crate::platform::http::Http;
+use crate::serve::Process;
+use crate::settings::Settings;
+
+use super::EXIT_FAULT;
+
+/// Runs an entry host until a signal asks it to leave.
+pub fn run(arguments: &Serve) -> Result<ExitCode> {
+    let file = arguments.settings.display().to_string();
+    let text = fs::read_to_string(&file).with_context(|| format!("cannot read {file}"))?;
+    let settings = Settings::parse(&file, &text)?;
+    let _logger = start_logger(&arguments.log)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let platform = Http::new(settings.platform);
+    let process = Process::start(settings, Real, platform)?;
+    println!("callers={}", process.address());
+    if let Some(address) = process.operator() {
+        println!("operators={address}");
+    }
+    let _signal = signals.forever().next();
+    match process.shut_down() {
+        true => Ok(ExitCode::SUCCESS),
+        false => Ok(ExitCode::from(EXIT_FAULT)),
+    }
+}
+
+/// Starts logging to standard error, one structured line a record.
+fn start_logger(filter: &str) -> Result<LoggerHandle> {
+    let logger = Logger::try_with_str(filter)?.log_to_stderr().format(line);
+    Ok(logger.start()?)
+}
+
+fn line(
+    out: &mut dyn std::io::Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> std::io::Result<()> {
+    let time = now.now().to_rfc3339();
+    let target = record.target().trim_start_matches("pistachiohall::");
+    write!(
+        out,
+        "time={time} level={} part={target} {}",
+        record.level(),
+        record.args()
+    )
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,174 @@
+//! What the filters and duties of one entry process share.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use cadence::StatsdClient;
+use uuid::Uuid;
+
+use crate::admit::Gate;
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::duty::Stop;
+use crate::fold::claims;
+use crate::fold::config;
+use crate::fold::config::Config;
+use crate::histogram::Histograms;
+use crate::id::Incarnation;
+use crate::inherit::Inherited;
+use crate::lease::Authority;
+use crate::member::Members;
+use crate::once::Ledger;
+use crate::once::claim::Desk;
+use crate::once::ticket::Issuer;
+use crate::peer;
+use crate::platform::List;
+use crate::platform::Log;
+use crate::quarantine::Quarantine;
+use crate::replay::Replica;
+use crate::retry::Budget;
+use crate::route::Index;
+use crate::settings::Settings;
+use crate::upstream::Table;
+
+/// Most reasons kept.
+const MOST_EXPLANATIONS: usize = 50;
+
+/// What the filters and duties of one entry process share.
+#[derive(Debug)]
+pub struct Core<C, P>
+where
+    C: Clock,
+{
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// Time.
+    pub clock: C,
+    /// The platform.
+    pub platform: P,
+    /// Replayed configuration.
+    pub config: Arc<Replica<Config>>,
+    /// Services in force.
+    pub directory: RwLock<Arc<Directory>>,
+    /// Upstreams.
+    pub table: Table,
+    /// Admission.
+    pub gate: Arc<Gate<C>>,
+    /// Cached prefixes.
+    pub index: Index,
+    /// Retries.
+    pub budget: Budget,
+    /// Requests that crash upstreams.
+    pub quarantine: Quarantine,
+    /// One-time calls that only this process may run.
+    pub ledger: Ledger,
+    /// Tickets of this process.
+    pub issuer: Issuer,
+    /// Claims, by shard.
+    pub desks: Vec<Desk>,
+    /// One-time calls of processes that left in good order.
+    pub inherited: Inherited,
+    /// Other entry hosts.
+    pub members: Members,
+    /// Client of the peers, once their duty runs.
+    pub peers: OnceLock<peer::Client>,
+    /// Authority over the failure domain's engines.
+    pub authority: Authority,
+    /// Latencies and outcomes.
+    pub histograms: Histograms,
+    /// Metrics.
+    pub metrics: StatsdClient,
+    /// Why roles were or were not changed, newest last.
+    pub explanations: Mutex<VecDeque<String>>,
+    /// Requests in work.
+    pub open_requests: AtomicUsize,
+    /// Whether the process is about to end.
+    pub leaving: AtomicBool,
+    /// End of all duties.
+    pub stop: Stop,
+}
+
+impl<C, P> Core<C, P>
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    /// Returns the shared parts of a process that has just started.
+    pub fn new(settings: Settings, clock: C, platform: P, metrics: StatsdClient) -> Self {
+        let incarnation = Uuid::now_v7();
+        let desks = (0..settings.claim_shards).map(Desk::new).collect();
+        Core {
+            incarnation,
+            config: Arc::new(Replica::new(config::STREAM)),
+            directory: RwLock::default(),
+            table: Table::default(),
+            gate: Gate::new(clock.clone(), settings.limits.queued_requests),
+            index: Index::default(),
+            budget: Budget::default(),
+            quarantine: Quarantine::default(),
+            ledger: Ledger::default(),
+            issuer: Issuer::new(incarnation, clock.now()),
+            desks,
+            inherited: Inherited::default(),
+            members: Members::new(settings.name.clone()),
+            peers: OnceLock::new(),
+            authority: Authority::new(&settings.domain),
+            histograms: Histograms::default(),
+            metrics,
+            explanations: Mutex::default(),
+            open_requests: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            stop: Stop::default(),
+            settings,
+            clock,
+            platform,
+        }
+    }
+
+    /// Returns the services in force.
+    pub fn directory(&self) -> Arc<Directory> {
+        Arc::clone(&self.directory.read().expect("directory lock"))
+    }
+
+    /// Brings directory and upstreams up to the replayed configuration.
+    pub fn refresh_directory(&self) {
+        let old = self.directory();
+        let new = self.config.with(|config| Directory::build(config, &old));
+        *self.directory.write().expect("directory lock") = Arc::new(new);
+    }
+
+    /// Returns the desk for a key.
+    pub fn desk(&self, key: Uuid) -> &Desk {
+        let shards = self.settings.claim_shards;
+        &self.desks[usize::from(claims::shard(key, shards))]
+    }
+
+    /// Keeps a reason for operators to read.
+    pub fn explain(&self, reason: String) {
+        let mut explanations = self.explanations.lock().expect("explanation lock");
+        if explanations.back() != Some(&reason) {
+            explanations.push_back(reason);
+        }
+        if explanations.len() > MOST_EXPLANATIONS {
+            explanations.pop_front();
+        }
+    }
+
+    /// Returns whether the process is about to end.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether the balancer may send requests.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.directory().revision.is_some()
+    }
+}
--- /dev/null
+++ b/src/fold/orders.rs
@@ -0,0 +1,362 @@
+//! Authority over the engines of a failure domain, and the orders given under it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Fold;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::Offset;
+use crate::id::UpstreamId;
+use crate::upstream::Role;
+
+/// Returns the name of the stream of a failure domain.
+///
+/// ```
+/// assert_eq!(pistachiohall::fold::orders::stream("derby"), "orders.derby");
+/// ```
+pub fn stream(domain: &str) -> String {
+    format!("orders.{domain}")
+}
+
+/// Returns the name of the stream in which domains take turns at changing a service's roles.
+pub fn turn_stream(service: &str) -> String {
+    format!("turns.{service}")
+}
+
+/// What an engine is ordered to do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Take a role.
+    Role(Role),
+    /// Load a version of the model.
+    Version(CompactString),
+    /// Load an adapter.
+    Adapter(CompactString),
+}
+
+/// How an intent ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Close {
+    /// The engine reported the result.
+    Done,
+    /// It was given up; the engine's own report says what it is.
+    Abandoned,
+}
+
+/// A record of the stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Record {
+    /// Takes or renews the lease; void unless `predecessor` is the lease in force.
+    Lease {
+        /// Process that takes it.
+        holder: Incarnation,
+        /// Its host.
+        host: HostId,
+        /// Where its peers reach it.
+        peer: SocketAddr,
+        /// Offset of the lease that it follows.
+        predecessor: Option<Offset>,
+    },
+    /// Announces an order; void if the lease was superseded or the engine has an open one.
+    Intent {
+        /// Lease that it is given under.
+        lease: Offset,
+        /// Process that will send it.
+        holder: Incarnation,
+        /// Engine.
+        upstream: UpstreamId,
+        /// What to do.
+        action: Action,
+        /// Whether the engine refuses old fencing tokens.
+        checks_tokens: bool,
+    },
+    /// Closes an intent; void if the lease was superseded.
+    Closed {
+        /// Lease that it is closed under.
+        lease: Offset,
+        /// The intent.
+        intent: Offset,
+        /// How it ended.
+        close: Close,
+    },
+    /// Says that a process will send no further order, and gives up its lease.
+    Released {
+        /// The process, itself or proved gone.
+        holder: Incarnation,
+    },
+    /// Takes an upstream out of use, or back into it, as an operator wishes.
+    Drain {
+        /// Upstream.
+        upstream: UpstreamId,
+        /// Whether it is to be out of use.
+        drained: bool,
+    },
+    /// The state that all records up to `as_of` have built.
+    Snapshot {
+        /// Last offset included.
+        as_of: Offset,
+        /// The state.
+        state: Orders,
+    },
+}
+
+/// The lease in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Offset of its latest record: the fencing token.
+    pub token: Offset,
+    /// Offset of the record by which the holder first took it.
+    pub since: Offset,
+    /// Process that holds it.
+    pub holder: Incarnation,
+    /// Its host.
+    pub host: HostId,
+    /// Where its peers reach it.
+    pub peer: SocketAddr,
+}
+
+/// An order that was announced and not closed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Open {
+    /// Offset of the intent.
+    pub intent: Offset,
+    /// Process that announced it.
+    pub holder: Incarnation,
+    /// What to do.
+    pub action: Action,
+}
+
+/// Authority and orders of one failure domain.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Orders {
+    /// The lease in force.
+    pub lease: Option<Lease>,
+    /// Open orders by engine.
+    pub open: BTreeMap<UpstreamId, Open>,
+    /// Processes whose orders an engine that ignores tokens may still get.
+    pub bound: BTreeMap<UpstreamId, Incarnation>,
+    /// Upstreams that operators took out of use.
+    pub drained: BTreeMap<UpstreamId, Offset>,
+    /// Orders closed as done.
+    pub done: u64,
+}
+
+impl Orders {
+    /// Returns the token if `holder` holds the lease.
+    pub fn token_of(&self, holder: Incarnation) -> Option<Offset> {
+        let lease = self.lease.as_ref()?;
+        (lease.holder == holder).then_some(lease.token)
+    }
+
+    /// Returns upstreams that get no new work, each with the offset that says so.
+    pub fn out_of_use(&self) -> BTreeMap<UpstreamId, Offset> {
+        let mut all = self.drained.clone();
+        for (upstream, open) in &self.open {
+            all.insert(upstream.clone(), open.intent);
+        }
+        all
+    }
+
+    fn is_in_force(&self, lease: Offset) -> bool {
+        let held = self.lease.as_ref();
+        held.is_some_and(|held| (held.since..=held.token).contains(&lease))
+    }
+
+    fn take_lease(&mut self, offset: Offset, record: &Record) {
+        let Record::Lease {
+            holder,
+            host,
+            peer,
+            predecessor,
+        } = record
+        else {
+            return;
+        };
+        if self.lease.as_ref().map(|lease| lease.token) != *predecessor {
+            return;
+        }
+        let same = self.lease.as_ref().filter(|lease| lease.holder == *holder);
+        self.lease = Some(Lease {
+            token: offset,
+            since: same.map_or(offset, |lease| lease.since),
+            holder: *holder,
+            host: host.clone(),
+            peer: *peer,
+        });
+    }
+
+    fn take_intent(&mut self, offset: Offset, record: &Record) {
+        let Record::Intent {
+            lease,
+            holder,
+            upstream,
+            action,
+            checks_tokens,
+        } = record
+        else {
+            return;
+        };
+        let is_holder = self.token_of(*holder).is_some() && self.is_in_force(*lease);
+        let bound_elsewhere = self
+            .bound
+            .get(upstream)
+            .is_some_and(|other| other != holder);
+        if !is_holder || bound_elsewhere || self.open.contains_key(upstream) {
+            return;
+        }
+        if !checks_tokens {
+            self.bound.insert(upstream.clone(), *holder);
+        }
+        let open = Open {
+            intent: offset,
+            holder: *holder,
+            action: action.clone(),
+        };
+        self.open.insert(upstream.clone(), open);
+    }
+
+    fn take_close(&mut self, lease: Offset, intent: Offset, close: Close) {
+        if !self.is_in_force(lease) {
+            return;
+        }
+        let before = self.open.len();
+        let bound = &self.bound;
+        let holder = self.lease.as_ref().map(|lease| lease.holder);
+        self.open.retain(|upstream, open| {
+            let frozen = bound
+                .get(upstream)
+                .is_some_and(|other| Some(*other) != holder);
+            open.intent != intent || frozen
+        });
+        self.done += u64::from(close == Close::Done && self.open.len() < before);
+    }
+}
+
+impl Fold for Orders {
+    type Record = Record;
+
+    const NEEDS_SNAPSHOT: bool = true;
+
+    fn fold(&mut self, offset: Offset, record: &Record) {
+        match record {
+            Record::Lease { .. } => self.take_lease(offset, record),
+            Record::Intent { .. } => self.take_intent(offset, record),
+            Record::Closed {
+                lease,
+                intent,
+                close,
+            } => self.take_close(*lease, *intent, *close),
+            Record::Released { holder } => {
+                self.bound.retain(|_, other| other != holder);
+                self.lease.take_if(|lease| lease.holder == *holder);
+            }
+            Record::Drain { upstream, drained } => {
+                match drained {
+                    true => self.drained.insert(upstream.clone(), offset),
+                    false => self.drained.remove(upstream),
+                };
+            }
+            Record::Snapshot { .. } => {}
+        }
+    }
+
+    fn snapshot(record: &Record) -> Option<(Offset, Orders)> {
+        match record {
+            Record::Snapshot { as_of, state } => Some((*as_of, state.clone())),
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use uuid::Uuid;
+
+    use super::*;
+
+    fn lease(holder: u128, predecessor: Option<Offset>) -> Record {
+        Record::Lease {
+            holder: Uuid::from_u128(holder),
+            host: "n".into(),
+            peer: "127.0.0.1:1".parse().unwrap(),
+            predecessor,
+        }
+    }
+
+    fn intent(holder: u128, lease: Offset, checks_tokens: bool) -> Record {
+        Record::Intent {
+            lease,
+            holder: Uuid::from_u128(holder),
+            upstream: "e1".into(),
+            action: Action::Role(Role::Prefill),
+            checks_tokens,
+        }
+    }
+
+    fn closed(lease: Offset, intent: Offset) -> Record {
+        Record::Closed {
+            lease,
+            intent,
+            close: Close::Done,
+        }
+    }
+
+    fn folded(records: &[Record]) -> Orders {
+        let mut orders = Orders::default();
+        for (offset, record) in records.iter().enumerate() {
+            orders.fold(offset as Offset, record);
+        }
+        orders
+    }
+
+    #[test]
+    fn of_two_that_follow_the_same_lease_the_first_gets_it() {
+        let orders = folded(&[lease(1, None), lease(2, Some(0)), lease(3, Some(0))]);
+        assert_eq!(orders.lease.unwrap().holder, Uuid::from_u128(2));
+    }
+
+    #[test]
+    fn an_intent_under_a_superseded_lease_is_void() {
+        let orders = folded(&[lease(1, None), lease(2, Some(0)), intent(1, 0, true)]);
+        assert!(orders.open.is_empty());
+    }
+
+    #[test]
+    fn an_intent_cited_under_an_earlier_record_of_the_same_hold_counts() {
+        let orders = folded(&[lease(1, None), lease(1, Some(0)), intent(1, 0, true)]);
+        assert_eq!(orders.open.len(), 1);
+    }
+
+    #[test]
+    fn an_engine_has_one_open_order() {
+        let orders = folded(&[lease(1, None), intent(1, 0, true), intent(1, 0, true)]);
+        assert_eq!(orders.open["e1"].intent, 1);
+    }
+
+    #[test]
+    fn an_engine_that_ignores_tokens_is_frozen_until_its_holder_is_released() {
+        let mut records = vec![
+            lease(1, None),
+            intent(1, 0, false),
+            lease(2, Some(0)),
+            closed(2, 1),
+            intent(2, 2, false),
+        ];
+        assert_eq!(folded(&records).open["e1"].intent, 1);
+        let holder = Uuid::from_u128(1);
+        records.extend([
+            Record::Released { holder },
+            closed(2, 1),
+            intent(2, 2, false),
+        ]);
+        assert_eq!(folded(&records).open["e1"].intent, 7);
+    }
+}
--- /dev/null
+++ b/src/id/mod.rs
@@ -0,0 +1,25 @@
+//! Identifiers that the whole system shares.
+
+use compact_str::CompactString;
+use uuid::Uuid;
+
+/// Position of a record in a stream of the platform's log.
+pub type Offset = u64;
+/// Name of a host.
+pub type HostId = CompactString;
+/// Name of a failure domain.
+pub type DomainId = CompactString;
+/// Name of a service.
+pub type ServiceId = CompactString;
+/// Name of a class of requests.
+pub type ClassId = CompactString;
+/// Name of a caller's account.
+pub type AccountId = CompactString;
+/// Name of an upstream.
+pub type UpstreamId = CompactString;
+/// Identifier of one request, the same on every retry.
+pub type RequestId = Uuid;
+/// Identifier of one life of an entry process.
+pub type Incarnation = Uuid;
+/// Digest of a request's content.
+pub type Fingerprint = u64;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,36 @@
+//! pistachiohall: a serving system for a fixed fleet of model engines.
+
+pub mod admit;
+pub mod cli;
+pub mod clock;
+pub mod command;
+pub mod core;
+pub mod demo;
+pub mod directory;
+pub mod duty;
+pub mod experiment;
+pub mod fold;
+pub mod histogram;
+pub mod id;
+pub mod inherit;
+pub mod lease;
+pub mod listen;
+pub mod member;
+pub mod once;
+pub mod order;
+pub mod peer;
+pub mod pipeline;
+pub mod platform;
+pub mod problem;
+pub mod publish;
+pub mod quarantine;
+pub mod replay;
+pub mod retry;
+pub mod route;
+pub mod serve;
+pub mod service;
+pub mod settings;
+pub mod standin;
+pub mod status;
+pub mod upstream;
+pub mod wire;
--- /dev/null
+++ b/src/once/claim.rs
@@ -0,0 +1,193 @@
+//! Claims on callers' keys, many to one append.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use log::warn;
+use thiserror::Error;
+use uuid::Uuid;
+
+use crate::clock;
+use crate::clock::Clock;
+use crate::fold::claims;
+use crate::fold::claims::Claim;
+use crate::fold::claims::Claims;
+use crate::fold::claims::Held;
+use crate::id::Incarnation;
+use crate::platform::AppendError;
+use crate::platform::Log;
+use crate::replay::Replica;
+
+/// Claims that wait for the writer of a shard.
+const RING: usize = 1024;
+/// Most claims in one append.
+const MOST_IN_APPEND: usize = 256;
+/// Allowance for clocks that differ.
+pub const SKEW: Duration = Duration::from_secs(300);
+
+/// Why a key cannot be claimed.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Fault {
+    /// The key carries no time.
+    #[error("the idempotency key is no UUIDv7")]
+    Form,
+    /// The key's own record could be gone from the log, or could outlive it.
+    #[error("the time in the idempotency key is outside of the window that the log keeps")]
+    Window,
+}
+
+/// Why there is no verdict on a claim. The call has not run for it.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Failure {
+    /// The log did not take the claim.
+    #[error("the platform's log does not take the claim")]
+    Refused,
+    /// The claim was not read back in time.
+    #[error("the claim was not read back from the platform's log in time")]
+    TimedOut,
+    /// Too many claims wait.
+    #[error("too many claims wait for the platform's log")]
+    Full,
+}
+
+/// Checks that a key's own record cannot be gone from the log while the key is accepted.
+///
+/// ```
+/// use std::time::Duration;
+/// use pistachiohall::clock::Real;
+/// use pistachiohall::once::claim;
+/// let day = Duration::from_secs(86_400);
+/// assert!(claim::check_key(uuid::Uuid::now_v7(), day, &Real).is_ok());
+/// assert_eq!(claim::check_key(uuid::Uuid::new_v4(), day, &Real), Err(claim::Fault::Form));
+/// ```
+pub fn check_key<C>(key: Uuid, retention: Duration, clock: &C) -> Result<(), Fault>
+where
+    C: Clock,
+{
+    if key.get_version_num() != 7 {
+        return Err(Fault::Form);
+    }
+    let (seconds, nanos) = key.get_timestamp().ok_or(Fault::Form)?.to_unix();
+    let made_ms = u128::from(seconds) * 1000 + u128::from(nanos / 1_000_000);
+    let now_ms = u128::from(clock::wall_ms(clock));
+    let window = retention.saturating_sub(SKEW * 2);
+    let too_old = made_ms + window.as_millis() < now_ms;
+    let too_new = made_ms > now_ms + SKEW.as_millis();
+    match too_old || too_new {
+        true => Err(Fault::Window),
+        false => Ok(()),
+    }
+}
+
+#[derive(Debug)]
+struct Submitted {
+    claim: Claim,
+    refused: Sender<()>,
+}
+
+/// Claims keys in one shard.
+#[derive(Debug)]
+pub struct Desk {
+    replica: Arc<Replica<Claims>>,
+    submit: Sender<Submitted>,
+    submitted: Receiver<Submitted>,
+}
+
+impl Desk {
+    /// Returns the desk of `shard`.
+    ///
+    /// ```
+    /// let desk = pistachiohall::once::claim::Desk::new(0);
+    /// assert_eq!(desk.replica().stream(), "claims.0");
+    /// ```
+    pub fn new(shard: u16) -> Self {
+        let (submit, submitted) = channel::bounded(RING);
+        Desk {
+            replica: Arc::new(Replica::new(&claims::stream(shard))),
+            submit,
+            submitted,
+        }
+    }
+
+    /// Returns the replica that the claims are read back from.
+    pub fn replica(&self) -> &Arc<Replica<Claims>> {
+        &self.replica
+    }
+
+    /// Claims a key and returns who holds it, which may be another process.
+    pub fn claim(&self, claim: Claim, limit: Duration) -> Result<Held, Failure> {
+        let (account, key) = (claim.account.clone(), claim.key);
+        if let Some(held) = self.replica.with(|state| state.get(&account, key).cloned()) {
+            return Ok(held);
+        }
+        let (refused, is_refused) = channel::bounded(1);
+        self.submit
+            .try_send(Submitted { claim, refused })
+            .map_err(|_| Failure::Full)?;
+        let held = self.replica.wait_for(limit, |state| {
+            if is_refused.try_recv().is_ok() {
+                return Some(Err(Failure::Refused));
+            }
+            state.get(&account, key).cloned().map(Ok)
+        });
+        held.unwrap_or(Err(Failure::TimedOut))
+    }
+
+    /// Writes one append for all claims that wait; returns how many there were.
+    ///
+    /// Waits up to `wait` for a first one.
+    pub fn write_once<L>(&self, log: &L, from: Writer, wait: Duration) -> usize
+    where
+        L: Log,
+    {
+        let Ok(first) = self.submitted.recv_timeout(wait) else {
+            return 0;
+        };
+        let most = from.most_in_append.clamp(1, MOST_IN_APPEND);
+        let rest = self.submitted.try_iter().take(most - 1);
+        let group: Vec<Submitted> = std::iter::once(first).chain(rest).collect();
+        let record = claims::Record {
+            incarnation: from.incarnation,
+            peer: from.peer,
+            claims: group.iter().map(|one| one.claim.clone()).collect(),
+        };
+        let data = serde_json::to_value(&record).expect("claims are JSON");
+        match log.append(self.replica.stream(), &data) {
+            Ok(_) | Err(AppendError::Unknown(_)) => {}
+            Err(AppendError::Refused(cause)) => {
+                warn!("stream={} append refused: {cause}", self.replica.stream());
+                for one in &group {
+                    let _ = one.refused.send(());
+                }
+                self.replica.nudge();
+            }
+        }
+        group.len()
+    }
+}
+
+/// Who writes claims, and how many go into one append.
+#[derive(Debug, Clone, Copy)]
+pub struct Writer {
+    /// Process that claims.
+    pub incarnation: Incarnation,
+    /// Where its peers reach it.
+    pub peer: SocketAddr,
+    /// Most claims in one append; 1 turns grouping off.
+    pub most_in_append: usize,
+}
+
+impl Writer {
+    /// Returns a writer that groups as many claims as one append takes.
+    pub fn grouping(incarnation: Incarnation, peer: SocketAddr) -> Self {
+        Writer {
+            incarnation,
+            peer,
+            most_in_append: MOST_IN_APPEND,
+        }
+    }
+}
--- /dev/null
+++ b/src/order/officer.rs
@@ -0,0 +1,215 @@
+//! The duty that holds the lease and carries out orders under it.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use log::info;
+use log::warn;
+use uuid::Uuid;
+
+use crate::clock::Clock;
+use crate::core::Core;
+use crate::fold::orders::Close;
+use crate::fold::orders::Open;
+use crate::fold::orders::Orders;
+use crate::fold::orders::Record;
+use crate::id::Offset;
+use crate::id::UpstreamId;
+use crate::platform::List;
+use crate::platform::Log;
+use crate::serve;
+use crate::upstream::Upstream;
+use crate::upstream::poll;
+
+use super::Order;
+use super::Step;
+use super::View;
+use super::drive;
+
+/// What this process remembers of an open order.
+#[derive(Debug)]
+struct Course {
+    opened: Instant,
+    acknowledged: Option<Instant>,
+    boot_id: Option<Uuid>,
+    sent: Option<Instant>,
+    fenced: bool,
+}
+
+/// Holds the lease of the failure domain and carries out its orders.
+#[derive(Debug, Default)]
+pub struct Officer {
+    courses: HashMap<Offset, Course>,
+}
+
+impl Officer {
+    /// Takes one look at lease and orders, and does what is next.
+    pub fn step<C, P>(&mut self, core: &Core<C, P>)
+    where
+        C: Clock + Clone,
+        P: Log + List,
+    {
+        serve::keep_lease(core);
+        if core
+            .authority
+            .token(core.incarnation, core.clock.now())
+            .is_none()
+        {
+            self.courses.clear();
+            return;
+        }
+        let orders = core.authority.replica().with(Orders::clone);
+        self.courses
+            .retain(|intent, _| orders.open.values().any(|open| open.intent == *intent));
+        release_the_gone(core, &orders);
+        for (upstream, open) in &orders.open {
+            self.advance(core, upstream, open);
+        }
+    }
+
+    fn advance<C, P>(&mut self, core: &Core<C, P>, name: &UpstreamId, open: &Open)
+    where
+        C: Clock + Clone,
+        P: Log + List,
+    {
+        let now = core.clock.now();
+        let Some(upstream) = core.table.all().into_iter().find(|one| one.id == *name) else {
+            append(core, |lease| closed(lease, open.intent, Close::Abandoned));
+            return;
+        };
+        let course = self.courses.entry(open.intent).or_insert_with(|| Course {
+            opened: now,
+            acknowledged: None,
+            boot_id: upstream.report().map(|(load, _)| load.boot_id),
+            sent: None,
+            fenced: false,
+        });
+        match is_acknowledged(core, &upstream, open.intent) {
+            true => course.acknowledged.get_or_insert(now),
+            false => return course.acknowledged = None,
+        };
+        let engine = poll::report(upstream.address);
+        let view = View {
+            open,
+            own: core.incarnation,
+            now,
+            opened: course.opened,
+            acknowledged: course.acknowledged,
+            engine: engine.as_ref(),
+            boot_id: course.boot_id,
+            sent: course.sent,
+            fenced: course.fenced,
+        };
+        match drive(&view) {
+            Step::Wait => {}
+            Step::Send => {
+                let action = Some(open.action.clone());
+                give(core, &upstream, Some(open.intent), action);
+                course.sent = Some(now);
+            }
+            Step::Fence => course.fenced = give(core, &upstream, None, None),
+            Step::Close(close) => {
+                info!("upstream={name} intent={} closed={close:?}", open.intent);
+                append(core, |lease| closed(lease, open.intent, close));
+            }
+        }
+    }
+}
+
+fn closed(lease: Offset, intent: Offset, close: Close) -> Record {
+    Record::Closed {
+        lease,
+        intent,
+        close,
+    }
+}
+
+/// Sends an order if the lease still allows it; returns whether the engine took it.
+fn give<C, P>(
+    core: &Core<C, P>,
+    upstream: &Upstream,
+    intent: Option<Offset>,
+    action: Option<crate::fold::orders::Action>,
+) -> bool
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let Some(token) = core.authority.token(core.incarnation, core.clock.now()) else {
+        return false;
+    };
+    let order = Order {
+        token,
+        intent,
+        action,
+    };
+    let taken = super::send(upstream.address, &order);
+    info!(
+        "upstream={} token={token} intent={intent:?} taken={taken}",
+        upstream.id
+    );
+    taken
+}
+
+/// Appends a record under the own lease.
+pub fn append<C, P, F>(core: &Core<C, P>, record: F)
+where
+    C: Clock + Clone,
+    P: Log + List,
+    F: FnOnce(Offset) -> Record,
+{
+    let Some(token) = core.authority.token(core.incarnation, core.clock.now()) else {
+        return;
+    };
+    let data = serde_json::to_value(record(token)).expect("a record is JSON");
+    if let Err(cause) = core
+        .platform
+        .append(core.authority.replica().stream(), &data)
+    {
+        warn!("record not written: {cause}");
+    }
+}
+
+/// Returns whether every host of the failure domain sends an engine nothing new and has nothing
+/// in flight on it. A silent host counts as sending until it is proved gone.
+fn is_acknowledged<C, P>(core: &Core<C, P>, upstream: &Upstream, order: Offset) -> bool
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    use std::sync::atomic::Ordering;
+
+    let own = upstream.draining.load(Ordering::SeqCst)
+        && upstream.own_in_flight.load(Ordering::SeqCst) == 0;
+    let now = core.clock.now();
+    let acknowledged = |member: &crate::member::Member| {
+        member.is_heard(now)
+            && member.beat.as_ref().is_some_and(|(beat, _)| {
+                beat.acknowledgements.iter().any(|one| {
+                    one.upstream == upstream.id && one.order == order && one.in_flight == 0
+                })
+            })
+    };
+    own && core
+        .members
+        .all()
+        .iter()
+        .filter(|(_, member)| member.domain == core.settings.domain)
+        .all(|(_, member)| acknowledged(member))
+}
+
+/// Frees engines that ignore tokens from processes that are proved gone.
+fn release_the_gone<C, P>(core: &Core<C, P>, orders: &Orders)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let mut bound: Vec<Uuid> = orders.bound.values().copied().collect();
+    bound.sort_unstable();
+    bound.dedup();
+    for holder in bound {
+        if holder != core.incarnation && core.members.is_proved_gone(holder) {
+            append(core, |_| Record::Released { holder });
+        }
+    }
+}
--- /dev/null
+++ b/src/pipeline/mod.rs
@@ -0,0 +1,220 @@
+//! The path of a request: identify, admit, route, forward, deliver, account.
+//!
+//! Each filter is one file. A request runs through them on one thread of a bounded pool; what
+//! has to be decided for many requests together is done by duties that it meets over rings.
+
+pub mod account;
+pub mod call;
+pub mod deliver;
+pub mod forward;
+pub mod identify;
+pub mod model;
+pub mod once;
+pub mod own;
+
+use std::io::Write;
+use std::sync::atomic::Ordering;
+
+use tiny_http::Request;
+
+use crate::admit::Refusal;
+use crate::clock::Clock;
+use crate::core::Core;
+use crate::platform::List;
+use crate::platform::Log;
+use crate::problem::Outcome;
+use crate::problem::Problem;
+use crate::wire::Reply;
+
+pub use self::call::Call;
+
+use self::account::Course;
+use self::call::Completion;
+use self::call::Work;
+use self::identify::Parts;
+
+/// Serves one request, which the caller has counted as open, from first to last.
+pub fn serve<C, P>(core: &Core<C, P>, mut request: Request)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let _open = Open(core);
+    let arrived = core.clock.now();
+    let method = request.method().as_str().to_owned();
+    let body = identify::read_body(&mut request, &core.settings.limits, &core.clock);
+    let parts = Parts::of(&request, &method);
+    if let Some(reply) = own::answer(core, &parts) {
+        return write(core, request, uuid::Uuid::now_v7(), &reply);
+    }
+    let call = body.and_then(|body| identify::identify(&parts, body, &core.directory(), arrived));
+    match call {
+        Ok(call) => run(core, request, call),
+        Err(problem) => {
+            log::info!(
+                "outcome=not-run status={} title={:?}",
+                problem.status,
+                problem.title
+            );
+            write(core, request, uuid::Uuid::now_v7(), &problem.into());
+        }
+    }
+}
+
+struct Open<'a, C, P>(&'a Core<C, P>)
+where
+    C: Clock;
+
+impl<C, P> Drop for Open<'_, C, P>
+where
+    C: Clock,
+{
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn run<C, P>(core: &Core<C, P>, request: Request, call: Call)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    match &call.work {
+        Work::Completion(completion) => complete(core, request, &call, completion),
+        Work::Plain => {
+            let mut course = Course::default();
+            let reply = answer_plain(core, &call, &mut course);
+            let failed =
+                (reply.outcome != Outcome::Ran || reply.status == 502).then_some(reply.outcome);
+            account::account(core, &call, &course, failed);
+            write(core, request, call.request, &reply);
+        }
+    }
+}
+
+/// Answers a call of a plain service.
+pub fn answer_plain<C, P>(core: &Core<C, P>, call: &Call, course: &mut Course) -> Reply
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    if let Some(right) = call.right {
+        return once::run(core, call, right, course);
+    }
+    match core.gate.enter(&call.service.name, call.demand()) {
+        Ok(_permit) => forward::plain(core, call, course),
+        Err(refusal) => refused(refusal).into(),
+    }
+}
+
+fn complete<C, P>(core: &Core<C, P>, request: Request, call: &Call, completion: &Completion)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let mut permit = match core.gate.enter(&call.service.name, call.demand()) {
+        Ok(permit) => permit,
+        Err(refusal) => {
+            let problem = refused(refusal);
+            account::account(core, call, &Course::default(), Some(Outcome::NotRun));
+            return write(core, request, call.request, &problem.into());
+        }
+    };
+    let mut course = Course::default();
+    let out = request.into_writer();
+    let end = match completion.stream {
+        true => stream(core, call, completion, &mut course, out),
+        false => collect(core, call, completion, &mut course, out),
+    };
+    if let Some(seen) = course.observation(call) {
+        permit.observe(seen);
+    }
+    drop(permit);
+    let failed = match &end {
+        model::End::Whole => None,
+        model::End::Failed(problem) => Some(problem.outcome),
+        model::End::CallerGone => Some(Outcome::Ran),
+    };
+    account::account(core, call, &course, failed);
+}
+
+fn stream<C, P, W>(
+    core: &Core<C, P>,
+    call: &Call,
+    completion: &Completion,
+    course: &mut Course,
+    out: W,
+) -> model::End
+where
+    C: Clock + Clone,
+    P: Log + List,
+    W: Write,
+{
+    let mut stream = deliver::Stream::new(out, call.request, core.is_leaving());
+    let end = model::run(core, call, completion, course, &mut stream);
+    let written = match &end {
+        model::End::Whole => stream.finish(),
+        model::End::Failed(problem) => stream.fail(problem),
+        model::End::CallerGone => return end,
+    };
+    match written {
+        Ok(()) => end,
+        Err(_) => model::End::CallerGone,
+    }
+}
+
+fn collect<C, P, W>(
+    core: &Core<C, P>,
+    call: &Call,
+    completion: &Completion,
+    course: &mut Course,
+    mut out: W,
+) -> model::End
+where
+    C: Clock + Clone,
+    P: Log + List,
+    W: Write,
+{
+    let mut collected = deliver::Collected::default();
+    let end = model::run(core, call, completion, course, &mut collected);
+    let reply = match &end {
+        model::End::Whole => collected.reply(completion.chat),
+        model::End::Failed(problem) => problem.clone().into(),
+        model::End::CallerGone => return end,
+    };
+    match deliver::whole(&mut out, call.request, &reply, core.is_leaving()) {
+        Ok(()) => end,
+        Err(_) => model::End::CallerGone,
+    }
+}
+
+/// Returns the refusal of a request that the gate did not let in.
+pub fn refused(refusal: Refusal) -> Problem {
+    let (title, detail, wait) = match refusal {
+        Refusal::TooLate(wait) => ("too late", "the deadline of its class cannot be met", wait),
+        Refusal::Full(wait) => ("queue full", "too many requests wait", wait),
+    };
+    Problem::not_run(503, title, detail).retry_after(wait)
+}
+
+fn write<C, P>(core: &Core<C, P>, request: Request, id: uuid::Uuid, reply: &Reply)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let mut out = request.into_writer();
+    if let Err(cause) = deliver::whole(&mut out, id, reply, core.is_leaving()) {
+        log::debug!("request={id} caller gone: {cause}");
+    }
+}
+
+/// Writes a whole answer to a request that has no call behind it.
+pub fn answer_whole(request: Request, reply: &Reply) {
+    let mut out = request.into_writer();
+    let _ = deliver::whole(&mut out, uuid::Uuid::now_v7(), reply, false);
+}
+
+/// Refuses a request at once, without a thread of its own.
+pub fn turn_away(request: Request, problem: Problem) {
+    answer_whole(request, &problem.into());
+}
--- /dev/null
+++ b/src/pipeline/model.rs
@@ -0,0 +1,413 @@
+//! Runs completions on engines and keeps their streams whole.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::clock::Clock;
+use crate::core::Core;
+use crate::id::UpstreamId;
+use crate::platform::List;
+use crate::platform::Log;
+use crate::problem::Problem;
+use crate::quarantine::Verdict;
+use crate::route;
+use crate::route::Stage;
+use crate::route::Want;
+use crate::upstream::Role;
+use crate::upstream::Upstream;
+use crate::upstream::call;
+use crate::upstream::call::Answer;
+use crate::upstream::call::Failure;
+use crate::upstream::poll;
+
+use super::Call;
+use super::account::Course;
+use super::call::Completion;
+use super::deliver;
+use super::forward;
+use super::forward::Visit;
+
+/// Most times that one request is sent.
+const MOST_ATTEMPTS: usize = 8;
+/// Longest wait of a suspect for an upstream without another suspect.
+const APART_WAIT: Duration = Duration::from_secs(30);
+/// Pause between two looks for one.
+const APART_PAUSE: Duration = Duration::from_millis(20);
+
+/// Where the events of a completion go.
+pub trait Sink {
+    /// Takes one event; an error means that the caller is gone.
+    fn event(&mut self, data: &str, event: &Value) -> io::Result<()>;
+}
+
+impl<W> Sink for deliver::Stream<W>
+where
+    W: Write,
+{
+    fn event(&mut self, data: &str, _event: &Value) -> io::Result<()> {
+        deliver::Stream::event(self, data)
+    }
+}
+
+impl Sink for deliver::Collected {
+    fn event(&mut self, _data: &str, event: &Value) -> io::Result<()> {
+        self.add(event);
+        Ok(())
+    }
+}
+
+/// How a completion ended.
+#[derive(Debug)]
+pub enum End {
+    /// All of it was delivered to the sink.
+    Whole,
+    /// It was not, for this reason.
+    Failed(Problem),
+    /// The caller went away.
+    CallerGone,
+}
+
+enum Step {
+    End(End),
+    Failed(Failure),
+}
+
+/// What has been delivered of a completion.
+#[derive(Debug, Default)]
+struct Progress {
+    next_token: u64,
+    text: String,
+    finished: bool,
+}
+
+struct Run<'a, C, P, S>
+where
+    C: Clock,
+{
+    core: &'a Core<C, P>,
+    call: &'a Call,
+    completion: &'a Completion,
+    course: &'a mut Course,
+    sink: &'a mut S,
+    progress: Progress,
+    avoided: Vec<UpstreamId>,
+    resumes_on: Option<Arc<Upstream>>,
+}
+
+/// Runs a completion, resuming it elsewhere if an engine or a connection is lost.
+pub fn run<C, P, S>(
+    core: &Core<C, P>,
+    call: &Call,
+    completion: &Completion,
+    course: &mut Course,
+    sink: &mut S,
+) -> End
+where
+    C: Clock + Clone,
+    P: Log + List,
+    S: Sink,
+{
+    core.budget.earn();
+    let mut run = Run {
+        core,
+        call,
+        completion,
+        course,
+        sink,
+        progress: Progress::default(),
+        avoided: Vec::new(),
+        resumes_on: None,
+    };
+    for _ in 0..MOST_ATTEMPTS {
+        if let Some(end) = run.attempt() {
+            return end;
+        }
+    }
+    End::Failed(Problem::unknown("too many attempts failed"))
+}
+
+impl<C, P, S> Run<'_, C, P, S>
+where
+    C: Clock + Clone,
+    P: Log + List,
+    S: Sink,
+{
+    /// Sends the request once; returns none if it should be sent again.
+    fn attempt(&mut self) -> Option<End> {
+        let fingerprint = self.call.digest();
+        let verdict = self.core.quarantine.verdict(fingerprint);
+        if verdict == Verdict::Refused {
+            return Some(End::Failed(quarantined(self.course)));
+        }
+        let apart = verdict == Verdict::Apart;
+        let Some((upstream, _visit, mark)) = self.choose(apart) else {
+            return Some(End::Failed(forward::no_upstream(self.course)));
+        };
+        self.course.tried.push(upstream.id.clone());
+        let boot_id = upstream.report().map(|(load, _)| load.boot_id);
+        let failure = match self.send(&upstream) {
+            Step::End(end) => {
+                if apart && matches!(end, End::Whole) {
+                    self.core.quarantine.clear(fingerprint);
+                }
+                return Some(end);
+            }
+            Step::Failed(failure) => failure,
+        };
+        let next = self.recover(&upstream, boot_id, failure);
+        drop(mark);
+        next
+    }
+
+    fn recover(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        boot_id: Option<uuid::Uuid>,
+        failure: Failure,
+    ) -> Option<End> {
+        let now = self.core.clock.now();
+        match failure {
+            Failure::BeforeFirstByte(_) => {
+                upstream.note_failure(now);
+                self.avoided.push(upstream.id.clone());
+                return None;
+            }
+            Failure::Refused => {
+                upstream.leaving.store(true, Ordering::SeqCst);
+                self.avoided.push(upstream.id.clone());
+                return None;
+            }
+            Failure::Lost(_) | Failure::Silent(_) => {}
+        }
+        self.resumes_on = None;
+        match poll::report(upstream.address) {
+            Some(load) if Some(load.boot_id) == boot_id => {
+                upstream.take_report(load, now);
+                self.resumes_on = Some(Arc::clone(upstream));
+            }
+            report => self.note_loss(upstream, report.is_some(), &failure),
+        }
+        self.may_retry(&failure)
+    }
+
+    fn note_loss(&mut self, upstream: &Arc<Upstream>, restarted: bool, failure: &Failure) {
+        let now = self.core.clock.now();
+        self.avoided.push(upstream.id.clone());
+        if !restarted {
+            upstream.note_failure(now);
+        }
+        let is_crash = restarted || matches!(failure, Failure::Lost(_));
+        if is_crash {
+            let suspect = self.core.quarantine.note_crash(self.call.digest(), now);
+            if let Some(peers) = self.core.peers.get() {
+                peers.tell_suspects(&self.core.members.all(), &[suspect]);
+            }
+        }
+    }
+
+    fn may_retry(&self, failure: &Failure) -> Option<End> {
+        let is_late = self.course.first.is_none() && self.core.clock.now() >= self.call.start_by();
+        match !is_late && self.core.budget.try_spend() {
+            true => None,
+            false => Some(End::Failed(Problem::unknown(failure.to_string()))),
+        }
+    }
+
+    fn choose(&mut self, apart: bool) -> Option<(Arc<Upstream>, Visit, Option<Mark>)> {
+        if let Some(upstream) = self.resumes_on.take() {
+            let visit = Visit::new(&upstream);
+            return Some((upstream, visit, None));
+        }
+        if !apart {
+            let (upstream, visit) = self.choose_now(Stage::Decode, false)?;
+            return Some((upstream, visit, None));
+        }
+        let give_up = self.core.clock.now() + APART_WAIT;
+        while self.core.clock.now() < give_up {
+            let chosen = self.choose_now(Stage::Decode, true);
+            if let Some((upstream, visit)) = chosen
+                && let Some(mark) = Mark::set(&upstream)
+            {
+                return Some((upstream, visit, Some(mark)));
+            }
+            self.core.clock.sleep(APART_PAUSE);
+        }
+        None
+    }
+
+    fn choose_now(&self, stage: Stage, apart: bool) -> Option<(Arc<Upstream>, Visit)> {
+        let permitted = self.core.members.permitted(self.core.clock.now());
+        let want = Want {
+            stage,
+            domain: &self.core.settings.domain,
+            permitted: &permitted,
+            tried: &self.avoided,
+            prefix: self.call.prefix(),
+            apart,
+        };
+        let all = self.core.table.of(&self.call.service.name);
+        loop {
+            let upstream = route::choose(&all, &want, &self.core.index, &mut rand::rng())?;
+            if let Some(visit) = Visit::begin(&upstream) {
+                return Some((upstream, visit));
+            }
+        }
+    }
+
+    fn send(&mut self, upstream: &Arc<Upstream>) -> Step {
+        let mut body = self.completion.body.clone();
+        body["stream"] = Value::Bool(true);
+        if upstream.role() == Role::Decode && self.progress.next_token == 0 {
+            match self.prefill(&body) {
+                Ok(kv) => body["kv"] = kv,
+                Err(failure) => return Step::Failed(failure),
+            }
+        }
+        if self.progress.next_token > 0 {
+            body["resume"] = json!({
+                "from_token": self.progress.next_token,
+                "text": self.progress.text,
+            });
+        }
+        let answer = match self.post(upstream, &self.call.path, &body) {
+            Ok(answer) => answer,
+            Err(failure) => return Step::Failed(failure),
+        };
+        if let Some(prefix) = self.call.prefix() {
+            self.core.index.add(prefix, &upstream.id);
+        }
+        match answer.status {
+            200 => self.pump(answer),
+            status => pass_refusal(status, answer),
+        }
+    }
+
+    /// Has the prompt read by a prefill engine; the KV cache goes from engine to engine.
+    fn prefill(&mut self, body: &Value) -> Result<Value, Failure> {
+        let nobody = || Failure::BeforeFirstByte("no engine can read the prompt".to_owned());
+        let (upstream, _visit) = self.choose_now(Stage::Prefill, false).ok_or_else(nobody)?;
+        let answer = self.post(&upstream, "/v1/prefill", body).inspect_err(|_| {
+            upstream.note_failure(self.core.clock.now());
+        })?;
+        if answer.status != 200 {
+            return Err(Failure::Lost(format!("prefill answered {}", answer.status)));
+        }
+        let reply: Value = serde_json::from_slice(&answer.bytes()?)
+            .map_err(|cause| Failure::Lost(cause.to_string()))?;
+        Ok(reply["kv"].clone())
+    }
+
+    fn post(&mut self, upstream: &Upstream, path: &str, body: &Value) -> Result<Answer, Failure> {
+        let sent = self.core.clock.now();
+        let result = call::send(&call::Call {
+            address: upstream.address,
+            method: "POST",
+            path,
+            body: body.to_string().as_bytes(),
+            content_type: "application/json",
+            request: self.call.request,
+            rank: self.call.class.rank,
+            silence: self.core.settings.limits.silence,
+            limit: None,
+        });
+        if !matches!(result, Err(Failure::BeforeFirstByte(_) | Failure::Refused)) {
+            self.course.sent.get_or_insert(sent);
+        }
+        result
+    }
+
+    fn pump(&mut self, answer: Answer) -> Step {
+        let mut events = answer.events();
+        loop {
+            let data = match events.next_data() {
+                Ok(Some(data)) => data,
+                Ok(None) => return lost("the stream ended early"),
+                Err(cause) => return Step::Failed(cause.into()),
+            };
+            if data == "[DONE]" {
+                return match self.progress.finished {
+                    true => Step::End(End::Whole),
+                    false => lost("the stream ended without its last token"),
+                };
+            }
+            if let Some(step) = self.take_event(&data) {
+                return step;
+            }
+        }
+    }
+
+    fn take_event(&mut self, data: &str) -> Option<Step> {
+        let Ok(event) = serde_json::from_str::<Value>(data) else {
+            return Some(lost("an event is no JSON"));
+        };
+        let is_own = event["request_id"] == self.call.request.to_string();
+        let token = event["token_index"].as_u64();
+        match token {
+            Some(token) if is_own && token == self.progress.next_token => {}
+            Some(token) if is_own && token < self.progress.next_token => return None,
+            _ => return Some(lost("the stream skipped a token or is another request's")),
+        }
+        if self.sink.event(data, &event).is_err() {
+            return Some(Step::End(End::CallerGone));
+        }
+        self.progress.next_token += 1;
+        self.progress.text.push_str(deliver::text_of(&event));
+        self.progress.finished = !event["choices"][0]["finish_reason"].is_null();
+        let now: Instant = self.core.clock.now();
+        self.course.note_token(now);
+        None
+    }
+}
+
+fn lost(what: &str) -> Step {
+    Step::Failed(Failure::Lost(what.to_owned()))
+}
+
+fn pass_refusal(status: u16, answer: Answer) -> Step {
+    match answer.bytes() {
+        Ok(body) => {
+            let detail = String::from_utf8_lossy(&body).into_owned();
+            let problem = Problem {
+                status,
+                ..Problem::ran(detail)
+            };
+            Step::End(End::Failed(problem))
+        }
+        Err(failure) => Step::Failed(failure),
+    }
+}
+
+fn quarantined(course: &Course) -> Problem {
+    let detail = "upstreams were lost each time that this request ran";
+    match course.sent {
+        None => Problem::not_run(422, "quarantined", detail),
+        Some(_) => Problem {
+            status: 422,
+            title: "quarantined".into(),
+            ..Problem::ran(detail)
+        },
+    }
+}
+
+/// Marks an upstream as one that runs a suspect.
+struct Mark(Arc<Upstream>);
+
+impl Mark {
+    fn set(upstream: &Arc<Upstream>) -> Option<Self> {
+        let was_set = upstream.holds_suspect.swap(true, Ordering::SeqCst);
+        (!was_set).then(|| Mark(Arc::clone(upstream)))
+    }
+}
+
+impl Drop for Mark {
+    fn drop(&mut self) {
+        self.0.holds_suspect.store(false, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/src/platform/memory.rs
@@ -0,0 +1,174 @@
+//! A log and a list in memory, with the faults of the real ones.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::AppendError;
+use super::Batch;
+use super::Entry;
+use super::Host;
+use super::List;
+use super::Log;
+use super::ReadError;
+use crate::id::Offset;
+
+/// Records handed out by one read.
+const READ_LIMIT: usize = 512;
+
+/// A fault of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing answers.
+    Outage,
+    /// The next append takes effect, but its answer is lost.
+    LostAnswer,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first: Offset,
+    records: VecDeque<Value>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    streams: BTreeMap<String, Stream>,
+    fault: Option<Fault>,
+    retention: Option<usize>,
+    hosts: Vec<Host>,
+    appends: u64,
+}
+
+/// A log and a list held in memory.
+#[derive(Debug, Default)]
+pub struct Memory {
+    inner: Mutex<Inner>,
+    grown: Condvar,
+}
+
+impl Memory {
+    /// Returns a log that keeps at most `records` records of each stream.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use pistachiohall::platform::{memory::Memory, Log};
+    /// let log = Memory::with_retention(1);
+    /// log.append("s", &1.into()).unwrap();
+    /// log.append("s", &2.into()).unwrap();
+    /// let batch = log.read("s", 0, Duration::ZERO).unwrap();
+    /// assert_eq!((batch.first, batch.records.len()), (1, 1));
+    /// ```
+    pub fn with_retention(records: usize) -> Self {
+        let memory = Memory::default();
+        memory.inner.lock().expect("log lock").retention = Some(records);
+        memory
+    }
+
+    /// Puts a fault in force, or ends it.
+    pub fn set_fault(&self, fault: Option<Fault>) {
+        self.inner.lock().expect("log lock").fault = fault;
+        self.grown.notify_all();
+    }
+
+    /// Replaces the list of hosts.
+    pub fn set_hosts(&self, hosts: Vec<Host>) {
+        self.inner.lock().expect("log lock").hosts = hosts;
+    }
+
+    /// Changes the list of hosts in place.
+    pub fn edit_hosts<F>(&self, edit: F)
+    where
+        F: FnOnce(&mut Vec<Host>),
+    {
+        edit(&mut self.inner.lock().expect("log lock").hosts);
+    }
+
+    /// Returns how many appends took effect.
+    pub fn appends(&self) -> u64 {
+        self.inner.lock().expect("log lock").appends
+    }
+}
+
+impl Log for Memory {
+    fn append(&self, stream: &str, data: &Value) -> Result<Offset, AppendError> {
+        let mut inner = self.inner.lock().expect("log lock");
+        if inner.fault == Some(Fault::Outage) {
+            return Err(AppendError::Refused("outage".to_owned()));
+        }
+        let retention = inner.retention.unwrap_or(usize::MAX);
+        inner.appends += 1;
+        let kept = inner.streams.entry(stream.to_owned()).or_default();
+        kept.records.push_back(data.clone());
+        let offset = kept.first + kept.records.len() as u64 - 1;
+        while kept.records.len() > retention {
+            kept.records.pop_front();
+            kept.first += 1;
+        }
+        self.grown.notify_all();
+        if inner.fault == Some(Fault::LostAnswer) {
+            inner.fault = None;
+            return Err(AppendError::Unknown("answer lost".to_owned()));
+        }
+        Ok(offset)
+    }
+
+    fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let mut inner = self.inner.lock().expect("log lock");
+        let has_news = |inner: &Inner| {
+            inner
+                .streams
+                .get(stream)
+                .is_some_and(|kept| kept.first + kept.records.len() as u64 > from)
+        };
+        if !has_news(&inner) && inner.fault != Some(Fault::Outage) && !wait.is_zero() {
+            inner = self
+                .grown
+                .wait_timeout_while(inner, wait, |inner| {
+                    !has_news(inner) && inner.fault != Some(Fault::Outage)
+                })
+                .expect("log lock")
+                .0;
+        }
+        if inner.fault == Some(Fault::Outage) {
+            return Err(ReadError("outage".to_owned()));
+        }
+        Ok(inner
+            .streams
+            .get(stream)
+            .map_or_else(Batch::default, |kept| batch(kept, from)))
+    }
+}
+
+fn batch(kept: &Stream, from: Offset) -> Batch {
+    let skip = from.saturating_sub(kept.first) as usize;
+    Batch {
+        first: kept.first,
+        end: kept.first + kept.records.len() as u64,
+        records: kept
+            .records
+            .iter()
+            .enumerate()
+            .skip(skip)
+            .take(READ_LIMIT)
+            .map(|(index, data)| Entry {
+                offset: kept.first + index as u64,
+                data: data.clone(),
+            })
+            .collect(),
+    }
+}
+
+impl List for Memory {
+    fn hosts(&self) -> Result<Vec<Host>, ReadError> {
+        let inner = self.inner.lock().expect("log lock");
+        if inner.fault == Some(Fault::Outage) {
+            return Err(ReadError("outage".to_owned()));
+        }
+        Ok(inner.hosts.clone())
+    }
+}
--- /dev/null
+++ b/src/replay/reader.rs
@@ -0,0 +1,180 @@
+//! The state of one reader of a stream.
+
+use std::collections::VecDeque;
+
+use log::error;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::fold::Fold;
+use crate::id::Offset;
+use crate::platform::Batch;
+use crate::platform::Entry;
+
+/// Raw records kept to hand on to peers.
+const KEPT_RECORDS: usize = 256;
+
+/// What one reader hands to another.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Suffix {
+    /// Records in order, the first at the offset asked for.
+    Records(Vec<Entry>),
+    /// The state up to and including an offset.
+    State(Offset, Value),
+    /// Nothing newer.
+    Nothing,
+}
+
+/// Folds the records of one stream and joins late by snapshot.
+#[derive(Debug, Default)]
+pub struct Reader<S> {
+    state: S,
+    next: Offset,
+    ready: bool,
+    missing: bool,
+    held_back: Vec<Entry>,
+    kept: VecDeque<Entry>,
+    newest_snapshot: Option<Offset>,
+    first: Offset,
+}
+
+impl<S> Reader<S>
+where
+    S: Fold,
+{
+    /// Returns the state.
+    pub fn state(&self) -> &S {
+        &self.state
+    }
+
+    /// Returns the offset that follows the last record taken in.
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns whether the state is whole.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Returns the offset of the newest snapshot seen and of the oldest record kept by the log.
+    pub fn snapshot_age(&self) -> (Option<Offset>, Offset) {
+        (self.newest_snapshot, self.first)
+    }
+
+    /// Takes in a batch read from `next` on; returns whether the state moved.
+    pub fn take(&mut self, batch: &Batch) -> bool {
+        let before = (self.next, self.ready);
+        self.first = self.first.max(batch.first);
+        if batch.first > self.next {
+            self.next = batch.first;
+            self.ready = false;
+            self.missing = S::NEEDS_SNAPSHOT;
+            self.held_back.clear();
+        }
+        for entry in &batch.records {
+            self.take_entry(entry);
+        }
+        if !self.missing && self.next >= batch.end {
+            self.ready = true;
+        }
+        self.state.forget(batch.first);
+        (self.next, self.ready) != before
+    }
+
+    fn take_entry(&mut self, entry: &Entry) {
+        if entry.offset < self.next {
+            return;
+        }
+        self.next = entry.offset + 1;
+        self.keep(entry);
+        let record: S::Record = match serde_json::from_value(entry.data.clone()) {
+            Ok(record) => record,
+            Err(cause) => {
+                error!("offset={} is no record: {cause}", entry.offset);
+                return;
+            }
+        };
+        if let Some((as_of, state)) = S::snapshot(&record) {
+            self.newest_snapshot = Some(entry.offset);
+            if self.missing {
+                self.adopt(as_of, state);
+            }
+        } else if self.missing {
+            self.held_back.push(entry.clone());
+        } else {
+            self.state.fold(entry.offset, &record);
+        }
+    }
+
+    fn adopt(&mut self, as_of: Offset, state: S) {
+        if as_of + 1 < self.first {
+            return;
+        }
+        self.state = state;
+        self.missing = false;
+        for entry in std::mem::take(&mut self.held_back) {
+            let record = serde_json::from_value(entry.data.clone());
+            if let (true, Ok(record)) = (entry.offset > as_of, record) {
+                self.state.fold(entry.offset, &record);
+            }
+        }
+    }
+
+    fn keep(&mut self, entry: &Entry) {
+        self.kept.push_back(entry.clone());
+        if self.kept.len() > KEPT_RECORDS {
+            self.kept.pop_front();
+        }
+    }
+
+    /// Returns raw records from `from` on, or the whole state where they are gone.
+    pub fn suffix(&self, from: Offset) -> Suffix {
+        if !self.ready || from >= self.next {
+            return Suffix::Nothing;
+        }
+        match self.kept.front() {
+            Some(oldest) if oldest.offset <= from => {
+                let newer = self.kept.iter().filter(|entry| entry.offset >= from);
+                Suffix::Records(newer.cloned().collect())
+            }
+            _ => match serde_json::to_value(&self.state) {
+                Ok(state) => Suffix::State(self.next - 1, state),
+                Err(_) => Suffix::Nothing,
+            },
+        }
+    }
+
+    /// Takes in what a peer handed on; returns whether the state moved.
+    pub fn take_suffix(&mut self, suffix: Suffix) -> bool {
+        let before = self.next;
+        match suffix {
+            Suffix::Records(entries) => {
+                let continues = entries
+                    .first()
+                    .is_some_and(|entry| entry.offset <= self.next);
+                if continues && !self.missing {
+                    entries.iter().for_each(|entry| self.take_entry(entry));
+                    self.ready = true;
+                }
+            }
+            Suffix::State(as_of, state) if as_of >= self.next || !self.ready => {
+                if as_of + 1 < self.next {
+                    return false;
+                }
+                if let Ok(state) = serde_json::from_value(state) {
+                    self.state = state;
+                    self.next = as_of + 1;
+                    self.ready = true;
+                    self.missing = false;
+                    self.held_back.clear();
+                    self.kept.clear();
+                }
+            }
+            Suffix::State(..) | Suffix::Nothing => {}
+        }
+        self.next != before
+    }
+}
--- /dev/null
+++ b/src/serve/duties.rs
@@ -0,0 +1,187 @@
+//! The duties of an entry process that follow and poll.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::warn;
+
+use crate::clock::Clock;
+use crate::core::Core;
+use crate::duty;
+use crate::lease;
+use crate::once::claim;
+use crate::once::ticket;
+use crate::order;
+use crate::platform::List;
+use crate::platform::Log;
+use crate::upstream::poll;
+
+/// Pause between two readings of the platform's list.
+const LIST_PAUSE: Duration = Duration::from_millis(1000);
+/// Pause between two looks at lease and orders.
+const ORDER_PAUSE: Duration = Duration::from_millis(200);
+/// Longest wait of a claim writer before looking at the stop flag.
+const WRITER_WAIT: Duration = Duration::from_millis(200);
+/// Pause between two cleanings of the ledger.
+const LEDGER_PAUSE: Duration = Duration::from_secs(60);
+
+/// Starts the duties of an entry process.
+pub fn start<C, P>(core: &Arc<Core<C, P>>)
+where
+    C: Clock + Clone,
+    P: Log + List + Clone,
+{
+    spawn(core, "config", |core| {
+        let changed = || core.refresh_directory();
+        core.config
+            .follow(&core.platform, &core.clock, &core.stop, changed);
+    });
+    spawn(core, "orders", |core| {
+        let changed = || apply_orders(core);
+        let replica = core.authority.replica();
+        replica.follow(&core.platform, &core.clock, &core.stop, changed);
+    });
+    spawn(core, "list", |core| every(core, LIST_PAUSE, read_list));
+    spawn(core, "poll", |core| {
+        let restarted = |upstream: &crate::upstream::Upstream| core.index.forget(&upstream.id);
+        poll::run(&core.table, &core.clock, &core.stop, restarted);
+    });
+    spawn(core, "sweep", |core| core.gate.sweep(&core.stop));
+    spawn(core, "authority", |core| {
+        let mut officer = order::Officer::default();
+        every(core, ORDER_PAUSE, |core| officer.step(core));
+    });
+    spawn(core, "ledger", |core| {
+        every(core, LEDGER_PAUSE, clean_ledger)
+    });
+    for shard in 0..core.desks.len() {
+        spawn(core, "claims", move |core| {
+            let replica = core.desks[shard].replica();
+            replica.follow(&core.platform, &core.clock, &core.stop, || {});
+        });
+        spawn(core, "claim-writer", move |core| write_claims(core, shard));
+    }
+}
+
+fn spawn<C, P, F>(core: &Arc<Core<C, P>>, name: &str, work: F)
+where
+    C: Clock + Clone,
+    P: Log + List,
+    F: FnOnce(&Arc<Core<C, P>>) + Send + 'static,
+{
+    let core = Arc::clone(core);
+    duty::spawn(name, move || work(&core));
+}
+
+fn every<C, P, F>(core: &Arc<Core<C, P>>, pause: Duration, mut work: F)
+where
+    C: Clock + Clone,
+    P: Log + List,
+    F: FnMut(&Arc<Core<C, P>>),
+{
+    while !core.stop.asked() {
+        work(core);
+        core.clock.sleep(pause);
+    }
+}
+
+fn read_list<C, P>(core: &Arc<Core<C, P>>)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    match core.platform.hosts() {
+        Ok(hosts) => {
+            core.members.take_list(&hosts, core.clock.now());
+            core.table.refresh(&hosts, core.directory().services());
+            apply_orders(core);
+        }
+        Err(cause) => warn!("list not read: {cause}"),
+    }
+}
+
+/// Takes upstreams of the own failure domain out of use, or back into it, as the orders say.
+fn apply_orders<C, P>(core: &Arc<Core<C, P>>)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let out = core.authority.replica().with(|orders| orders.out_of_use());
+    for upstream in core.table.all() {
+        if upstream.domain == core.settings.domain {
+            let is_out = out.contains_key(&upstream.id);
+            upstream.draining.store(is_out, Ordering::SeqCst);
+        }
+    }
+}
+
+fn write_claims<C, P>(core: &Arc<Core<C, P>>, shard: usize)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let writer = claim::Writer::grouping(core.incarnation, core.settings.peer_listen);
+    while !core.stop.asked() {
+        core.desks[shard].write_once(&core.platform, writer, WRITER_WAIT);
+    }
+}
+
+fn clean_ledger<C, P>(core: &Arc<Core<C, P>>)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let kept = core.settings.retention.max(ticket::LIFETIME) + claim::SKEW;
+    if let Some(oldest) = core.clock.now().checked_sub(kept) {
+        core.ledger.forget_before(oldest);
+    }
+}
+
+/// Returns the rank of this host among the candidates for the lease, 0 first.
+pub fn rank<C, P>(core: &Core<C, P>) -> usize
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let own = &core.settings;
+    let before = |name: &str, domain: &str| domain == own.domain && name < own.name.as_str();
+    core.members
+        .all()
+        .iter()
+        .filter(|(name, member)| before(name, &member.domain))
+        .count()
+}
+
+/// Takes or renews the lease if it is time to.
+pub fn keep_lease<C, P>(core: &Core<C, P>)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let now = core.clock.now();
+    let decided = core.authority.decide(core.incarnation, rank(core), now);
+    let lease::Move::Take(predecessor) = decided else {
+        return;
+    };
+    if core.is_leaving() {
+        return;
+    }
+    let own = crate::fold::orders::Lease {
+        token: 0,
+        since: 0,
+        holder: core.incarnation,
+        host: core.settings.name.clone(),
+        peer: core.settings.peer_listen,
+    };
+    let record = lease::record(&own, predecessor);
+    let data = serde_json::to_value(&record).expect("a record is JSON");
+    core.authority.note_append(predecessor, now);
+    match core
+        .platform
+        .append(core.authority.replica().stream(), &data)
+    {
+        Ok(offset) => core.authority.note_offset(offset),
+        Err(cause) => warn!("lease not written: {cause}"),
+    }
+}
--- /dev/null
+++ b/tests/it.rs
@@ -0,0 +1,6 @@
+//! Tests of the whole program.
+
+mod common;
+mod once;
+mod path;
+mod streams;
--- /dev/null
+++ b/tests/streams.rs
@@ -0,0 +1,100 @@
+//! Streams stay whole through faults of engines and connections.
+
+use std::thread;
+use std::time::Duration;
+
+use pistachiohall::standin::caller::Got;
+use pistachiohall::standin::deployment::Deployment;
+use pistachiohall::standin::deployment::wait_until;
+use pistachiohall::standin::engine;
+
+use crate::common;
+use crate::common::DESK_KEY;
+use crate::common::MODEL;
+
+/// Tokens of a stream that is long enough to be met by a fault.
+const LONG: u64 = 250;
+
+fn stream(deployment: &Deployment, prompt: &str, tokens: u64) -> thread::JoinHandle<Got> {
+    let caller = deployment.caller("derby-h1", DESK_KEY);
+    let prompt = prompt.to_owned();
+    thread::spawn(move || caller.stream(MODEL, &prompt, tokens))
+}
+
+fn begun(deployment: &Deployment) -> usize {
+    let engines = deployment.engines.values();
+    engines
+        .map(|engine| engine.load().generated_tokens as usize)
+        .sum()
+}
+
+fn assert_whole(got: &Got, prompt: &str, tokens: u64) {
+    assert!(got.whole, "{got:?}");
+    assert_eq!(got.text, engine::expected(prompt, tokens));
+}
+
+#[test]
+fn streams_outlive_an_engine_crash() {
+    let deployment = common::two_domains();
+    let prompts: Vec<String> = (0..6).map(|number| format!("prompt {number}")).collect();
+    let streams: Vec<_> = prompts
+        .iter()
+        .map(|prompt| stream(&deployment, prompt, LONG))
+        .collect();
+    assert!(wait_until(|| begun(&deployment) > 60));
+    deployment.engines["derby-e1"].crash();
+    for (prompt, stream) in prompts.iter().zip(streams) {
+        assert_whole(&stream.join().unwrap(), prompt, LONG);
+    }
+}
+
+#[test]
+fn a_silent_connection_is_resumed_from_the_next_token() {
+    let deployment = common::two_domains();
+    let running = stream(&deployment, "quiet", LONG);
+    assert!(wait_until(|| begun(&deployment) > 20));
+    for engine in deployment.engines.values() {
+        engine.silence_open_streams();
+    }
+    assert_whole(&running.join().unwrap(), "quiet", LONG);
+}
+
+#[test]
+fn one_request_costs_at_most_two_engines_and_its_neighbours_are_answered() {
+    let deployment = common::two_domains();
+    let neighbours: Vec<String> = (0..4).map(|number| format!("neighbour {number}")).collect();
+    let streams: Vec<_> = neighbours
+        .iter()
+        .map(|prompt| stream(&deployment, prompt, LONG))
+        .collect();
+    assert!(wait_until(|| begun(&deployment) > 40));
+    let poison = format!("{} now", "<poison>");
+    for host in ["derby-h1", "leicester-h1", "derby-h1"] {
+        let got = deployment.caller(host, DESK_KEY).stream(MODEL, &poison, 5);
+        assert!(!got.whole);
+        assert_eq!(got.status, 422, "{got:?}");
+    }
+    let crashes: usize = deployment
+        .engines
+        .values()
+        .map(|engine| engine.book().crashes)
+        .sum();
+    assert!(crashes <= 2, "{crashes} engines were lost");
+    for (prompt, stream) in neighbours.iter().zip(streams) {
+        assert_whole(&stream.join().unwrap(), prompt, LONG);
+    }
+}
+
+#[test]
+fn a_graceful_shutdown_cuts_no_stream() {
+    let mut deployment = common::two_domains();
+    let running = stream(&deployment, "to the end", LONG);
+    assert!(wait_until(|| begun(&deployment) > 20));
+    let leaver = deployment.hosts.remove("derby-h1").unwrap();
+    let address = leaver.address();
+    assert!(leaver.shut_down());
+    assert_whole(&running.join().unwrap(), "to the end", LONG);
+    let late = pistachiohall::standin::caller::Caller::new(address, DESK_KEY);
+    thread::sleep(Duration::from_millis(1));
+    assert!(!late.stream(MODEL, "too late", 1).whole);
+}
