Give orders under the lease and change roles on certain shifts

Cause: roles were fixed, and an announced order was never sent: each renewal of the lease made the token look lost for the moment between its append and its replay, which cleared what the holder remembered of its open orders, so the four seconds that other domains get to learn of a drain never passed. Ruled out: missing acknowledgements and a stale boot identifier, both seen right in a trace of the holder's view.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -53,6 +53,11 @@
         after_help = "Example: pistachiohall drain --platform 127.0.0.1:9000 --domain derby engine-3"
     )]
     Drain(Drain),
+    /// Have an engine take a role, a version or an adapter.
+    #[command(
+        after_help = "Example: pistachiohall order --platform 127.0.0.1:9000 --domain derby engine-3 --role prefill"
+    )]
+    Order(Order),
     /// Show latencies by class or caller.
     #[command(after_help = "Example: pistachiohall histograms --host 127.0.0.1:8181 --callers")]
     Histograms(Histograms),
@@ -150,6 +155,51 @@
     pub format: Format,
 }
 
+/// Role that an engine is to take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum Role {
+    /// Read prompts.
+    Prefill,
+    /// Generate.
+    Decode,
+    /// Both.
+    Mixed,
+}
+
+/// Arguments of `order`.
+#[derive(Debug, Args)]
+pub struct Order {
+    /// Where the platform is.
+    #[arg(long)]
+    pub platform: SocketAddr,
+    /// Failure domain of the engine.
+    #[arg(long)]
+    pub domain: String,
+    /// Engine.
+    pub upstream: String,
+    /// What to do.
+    #[command(flatten)]
+    pub action: Action,
+    /// How results are printed.
+    #[arg(long, value_enum, default_value_t)]
+    pub format: Format,
+}
+
+/// What an engine is to do.
+#[derive(Debug, Args)]
+#[group(required = true, multiple = false)]
+pub struct Action {
+    /// Role to take.
+    #[arg(long, value_enum)]
+    pub role: Option<Role>,
+    /// Version of the model to load.
+    #[arg(long)]
+    pub version_of_model: Option<String>,
+    /// Adapter to load.
+    #[arg(long)]
+    pub adapter: Option<String>,
+}
+
 /// Arguments of `histograms`.
 #[derive(Debug, Args)]
 pub struct Histograms {
@@ -201,6 +251,9 @@
     /// Seeds to run.
     #[arg(long, default_value_t = 20)]
     pub seeds: u64,
+    /// Ordinary demand, as a share of what the fleet could do.
+    #[arg(long, default_value_t = 0.75)]
+    pub load: f64,
     /// File for a plot.
     #[arg(long)]
     pub plot: Option<PathBuf>,
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,7 +1,7 @@
 //! The commands behind the command line.
 
 mod check;
-mod drain;
+mod orders;
 mod publish;
 mod serve;
 mod show;
@@ -32,7 +32,8 @@
         Command::Check(check) => check::run(&check),
         Command::Publish(publish) => publish::run(&publish),
         Command::Status(status) => show::status(&status),
-        Command::Drain(drain) => drain::run(&drain),
+        Command::Drain(drain) => orders::drain(&drain),
+        Command::Order(order) => orders::order(&order),
         Command::Histograms(histograms) => show::histograms(&histograms),
         Command::Demo(demo) => demo::run(&demo),
         Command::Experiment(experiment) => experiment::run(&experiment),
--- a/src/fold/orders.rs
+++ b/src/fold/orders.rs
@@ -92,6 +92,13 @@
         /// The process, itself or proved gone.
         holder: Incarnation,
     },
+    /// Asks the holder of the lease for a change of an engine, as an operator wishes.
+    Asked {
+        /// Engine.
+        upstream: UpstreamId,
+        /// What to do.
+        action: Action,
+    },
     /// Takes an upstream out of use, or back into it, as an operator wishes.
     Drain {
         /// Upstream.
@@ -143,6 +150,9 @@
     pub open: BTreeMap<UpstreamId, Open>,
     /// Processes whose orders an engine that ignores tokens may still get.
     pub bound: BTreeMap<UpstreamId, Incarnation>,
+    /// Changes that operators asked for and that were not made yet.
+    #[serde(default)]
+    pub asked: BTreeMap<UpstreamId, Action>,
     /// Upstreams that operators took out of use.
     pub drained: BTreeMap<UpstreamId, Offset>,
     /// Orders closed as done.
@@ -258,6 +268,9 @@
                 self.bound.retain(|_, other| other != holder);
                 self.lease.take_if(|lease| lease.holder == *holder);
             }
+            Record::Asked { upstream, action } => {
+                self.asked.insert(upstream.clone(), action.clone());
+            }
             Record::Drain { upstream, drained } => {
                 match drained {
                     true => self.drained.insert(upstream.clone(), offset),
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -6,12 +6,17 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
+use log::warn;
+
+use crate::clock::Clock;
+use crate::core::Core;
 use crate::fold::orders;
-use crate::fold::orders::Lease;
 use crate::fold::orders::Orders;
 use crate::fold::orders::Record;
 use crate::id::Incarnation;
 use crate::id::Offset;
+use crate::platform::List;
+use crate::platform::Log;
 use crate::replay::Replica;
 
 pub use self::term::Term;
@@ -41,8 +46,13 @@
     /// assert_eq!(authority.replica().stream(), "orders.derby");
     /// ```
     pub fn new(domain: &str) -> Self {
+        Authority::on(&orders::stream(domain))
+    }
+
+    /// Returns an authority whose leases are records of `stream`.
+    pub fn on(stream: &str) -> Self {
         Authority {
-            replica: Arc::new(Replica::new(&orders::stream(domain))),
+            replica: Arc::new(Replica::new(stream)),
             term: Mutex::default(),
         }
     }
@@ -71,11 +81,8 @@
     }
 
     /// Notes that a lease record is about to be appended.
-    pub fn note_append(&self, predecessor: Option<Offset>, now: Instant) {
-        self.term
-            .lock()
-            .expect("term lock")
-            .note_append(predecessor, now);
+    pub fn note_append(&self, now: Instant) {
+        self.term.lock().expect("term lock").note_append(now);
     }
 
     /// Notes the offset that the appended record got.
@@ -84,12 +91,29 @@
     }
 }
 
-/// Returns the record by which a process takes or renews the lease.
-pub fn record(lease: &Lease, predecessor: Option<Offset>) -> Record {
-    Record::Lease {
-        holder: lease.holder,
-        host: lease.host.clone(),
-        peer: lease.peer,
+/// Takes or renews a lease if it is time to; a process that is about to end does not.
+pub fn keep<C, P>(authority: &Authority, core: &Core<C, P>, rank: usize)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let now = core.clock.now();
+    let Move::Take(predecessor) = authority.decide(core.incarnation, rank, now) else {
+        return;
+    };
+    if core.is_leaving() {
+        return;
+    }
+    let record = Record::Lease {
+        holder: core.incarnation,
+        host: core.settings.name.clone(),
+        peer: core.settings.peer_listen,
         predecessor,
+    };
+    let data = serde_json::to_value(&record).expect("a record is JSON");
+    authority.note_append(now);
+    match core.platform.append(authority.replica().stream(), &data) {
+        Ok(offset) => authority.note_offset(offset),
+        Err(cause) => warn!("lease not written: {cause}"),
     }
 }
--- a/src/lease/term.rs
+++ b/src/lease/term.rs
@@ -40,7 +40,7 @@
     }
 
     /// Notes that a record is about to be appended.
-    pub fn note_append(&mut self, _predecessor: Option<Offset>, now: Instant) {
+    pub fn note_append(&mut self, now: Instant) {
         self.appended = Some(now);
         self.pending = Some(now);
     }
@@ -58,7 +58,7 @@
     /// use std::time::{Duration, Instant};
     /// use pistachiohall::lease::Term;
     /// let (mut term, now) = (Term::default(), Instant::now());
-    /// term.note_append(None, now);
+    /// term.note_append(now);
     /// term.note_offset(4);
     /// assert!(term.may_order(4, now + Duration::from_secs(5)));
     /// assert!(!term.may_order(4, now + Duration::from_secs(9)));
@@ -118,7 +118,7 @@
         let own = Uuid::from_u128(2);
         let asked = Instant::now();
         let mut holder = Term::default();
-        holder.note_append(None, asked);
+        holder.note_append(asked);
         holder.note_offset(3);
         let mut other = Term::default();
         other.see(Some(3), asked);
@@ -133,7 +133,7 @@
     #[test]
     fn a_lost_answer_gives_no_right_to_order() {
         let mut term = Term::default();
-        term.note_append(None, Instant::now());
+        term.note_append(Instant::now());
         assert!(!term.may_order(3, Instant::now()));
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quarantine;
 pub mod replay;
 pub mod retry;
+pub mod role;
 pub mod route;
 pub mod serve;
 pub mod service;
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -189,7 +189,7 @@
 
     #[test]
     fn accepted_connections_inherit_the_limits() {
-        let timeout = Duration::from_millis(50);
+        let timeout = Duration::from_secs(1);
         let listener = open_with("127.0.0.1:0".parse().unwrap(), timeout).unwrap();
         let client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
         let (accepted, _) = listener.accept().unwrap();
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -2,6 +2,7 @@
 
 mod drive;
 mod officer;
+mod planner;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/order/officer.rs
+++ b/src/order/officer.rs
@@ -15,9 +15,9 @@
 use crate::fold::orders::Record;
 use crate::id::Offset;
 use crate::id::UpstreamId;
+use crate::lease;
 use crate::platform::List;
 use crate::platform::Log;
-use crate::serve;
 use crate::upstream::Upstream;
 use crate::upstream::poll;
 
@@ -25,6 +25,7 @@
 use super::Step;
 use super::View;
 use super::drive;
+use super::planner::Planner;
 
 /// What this process remembers of an open order.
 #[derive(Debug)]
@@ -40,6 +41,8 @@
 #[derive(Debug, Default)]
 pub struct Officer {
     courses: HashMap<Offset, Course>,
+    planner: Planner,
+    released: bool,
 }
 
 impl Officer {
@@ -49,22 +52,46 @@
         C: Clock + Clone,
         P: Log + List,
     {
-        serve::keep_lease(core);
-        if core
-            .authority
-            .token(core.incarnation, core.clock.now())
-            .is_none()
-        {
+        if core.is_leaving() {
+            return self.release(core);
+        }
+        lease::keep(&core.authority, core, rank(core));
+        let orders = core.authority.replica().with(Orders::clone);
+        if orders.token_of(core.incarnation).is_none() {
             self.courses.clear();
+        }
+        let token = core.authority.token(core.incarnation, core.clock.now());
+        if token.is_none() {
             return;
         }
-        let orders = core.authority.replica().with(Orders::clone);
         self.courses
             .retain(|intent, _| orders.open.values().any(|open| open.intent == *intent));
         release_the_gone(core, &orders);
         for (upstream, open) in &orders.open {
             self.advance(core, upstream, open);
         }
+        announce_asked(core, &orders);
+        self.planner.step(core, &orders);
+    }
+
+    /// Says once that this process sends no further order.
+    fn release<C, P>(&mut self, core: &Core<C, P>)
+    where
+        C: Clock + Clone,
+        P: Log + List,
+    {
+        if self.released {
+            return;
+        }
+        let holder = core.incarnation;
+        let data = serde_json::to_value(Record::Released { holder }).expect("a record is JSON");
+        match core
+            .platform
+            .append(core.authority.replica().stream(), &data)
+        {
+            Ok(_) => self.released = true,
+            Err(cause) => warn!("release not written: {cause}"),
+        }
     }
 
     fn advance<C, P>(&mut self, core: &Core<C, P>, name: &UpstreamId, open: &Open)
@@ -198,6 +225,42 @@
         .all(|(_, member)| acknowledged(member))
 }
 
+/// Announces the changes that operators asked for, one at a time for each engine.
+fn announce_asked<C, P>(core: &Core<C, P>, orders: &Orders)
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    for (upstream, action) in &orders.asked {
+        let known = core.table.all().into_iter().find(|one| one.id == *upstream);
+        let service = known.and_then(|one| core.directory().service(&one.service).cloned());
+        if let (Some(service), false) = (service, orders.open.contains_key(upstream)) {
+            append(core, |lease| Record::Intent {
+                lease,
+                holder: core.incarnation,
+                upstream: upstream.clone(),
+                action: action.clone(),
+                checks_tokens: service.checks_tokens,
+            });
+        }
+    }
+}
+
+/// Returns the rank of this host among the candidates for the lease, 0 first.
+fn rank<C, P>(core: &Core<C, P>) -> usize
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let own = &core.settings;
+    let before = |name: &str, domain: &str| domain == own.domain && name < own.name.as_str();
+    core.members
+        .all()
+        .iter()
+        .filter(|(name, member)| before(name, &member.domain))
+        .count()
+}
+
 /// Frees engines that ignore tokens from processes that are proved gone.
 fn release_the_gone<C, P>(core: &Core<C, P>, orders: &Orders)
 where
--- a/src/pipeline/model.rs
+++ b/src/pipeline/model.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -38,6 +39,8 @@
 const MOST_ATTEMPTS: usize = 8;
 /// Longest wait of a suspect for an upstream without another suspect.
 const APART_WAIT: Duration = Duration::from_secs(30);
+/// Time for which a stream stays on an engine that is taken out of use.
+const MOVE_AFTER: Duration = Duration::from_secs(3);
 /// Pause between two looks for one.
 const APART_PAUSE: Duration = Duration::from_millis(20);
 
@@ -76,6 +79,7 @@
 
 enum Step {
     End(End),
+    Moves,
     Failed(Failure),
 }
 
@@ -99,6 +103,8 @@
     progress: Progress,
     avoided: Vec<UpstreamId>,
     resumes_on: Option<Arc<Upstream>>,
+    moves_to: Option<(Arc<Upstream>, Visit)>,
+    moved_from: Option<SocketAddr>,
 }
 
 /// Runs a completion, resuming it elsewhere if an engine or a connection is lost.
@@ -124,11 +130,15 @@
         progress: Progress::default(),
         avoided: Vec::new(),
         resumes_on: None,
+        moves_to: None,
+        moved_from: None,
     };
-    for _ in 0..MOST_ATTEMPTS {
+    let mut failures = 0;
+    while failures < MOST_ATTEMPTS {
         if let Some(end) = run.attempt() {
             return end;
         }
+        failures += usize::from(run.moved_from.is_none());
     }
     End::Failed(Problem::unknown("too many attempts failed"))
 }
@@ -159,6 +169,10 @@
                 }
                 return Some(end);
             }
+            Step::Moves => {
+                self.moved_from = Some(upstream.address);
+                return None;
+            }
             Step::Failed(failure) => failure,
         };
         let next = self.recover(&upstream, boot_id, failure);
@@ -221,6 +235,9 @@
     }
 
     fn choose(&mut self, apart: bool) -> Option<(Arc<Upstream>, Visit, Option<Mark>)> {
+        if let Some((upstream, visit)) = self.moves_to.take() {
+            return Some((upstream, visit, None));
+        }
         if let Some(upstream) = self.resumes_on.take() {
             let visit = Visit::new(&upstream);
             return Some((upstream, visit, None));
@@ -276,6 +293,10 @@
                 "text": self.progress.text,
             });
         }
+        if let Some(address) = self.moved_from.take() {
+            let handle = self.call.request.to_string();
+            body["kv"] = json!({ "handle": handle, "address": address.to_string() });
+        }
         let answer = match self.post(upstream, &self.call.path, &body) {
             Ok(answer) => answer,
             Err(failure) => return Step::Failed(failure),
@@ -284,7 +305,7 @@
             self.core.index.add(prefix, &upstream.id);
         }
         match answer.status {
-            200 => self.pump(answer),
+            200 => self.pump(upstream, answer),
             status => pass_refusal(status, answer),
         }
     }
@@ -323,8 +344,9 @@
         result
     }
 
-    fn pump(&mut self, answer: Answer) -> Step {
+    fn pump(&mut self, upstream: &Upstream, answer: Answer) -> Step {
         let mut events = answer.events();
+        let mut leaves_at = None;
         loop {
             let data = match events.next_data() {
                 Ok(Some(data)) => data,
@@ -340,9 +362,25 @@
             if let Some(step) = self.take_event(&data) {
                 return step;
             }
+            if upstream.draining.load(Ordering::SeqCst) {
+                let now = self.core.clock.now();
+                let leaves_at = *leaves_at.get_or_insert(now + MOVE_AFTER);
+                if now >= leaves_at && self.finds_new_place() {
+                    return Step::Moves;
+                }
+            }
         }
     }
 
+    /// Finds an engine for a stream that has to move, or leaves it where it is.
+    fn finds_new_place(&mut self) -> bool {
+        self.moves_to = match self.progress.finished {
+            true => None,
+            false => self.choose_now(Stage::Decode, false),
+        };
+        self.moves_to.is_some()
+    }
+
     fn take_event(&mut self, data: &str) -> Option<Step> {
         let Ok(event) = serde_json::from_str::<Value>(data) else {
             return Some(lost("an event is no JSON"));
--- a/src/serve/duties.rs
+++ b/src/serve/duties.rs
@@ -9,7 +9,6 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::duty;
-use crate::lease;
 use crate::once::claim;
 use crate::once::ticket;
 use crate::order;
@@ -137,51 +136,3 @@
         core.ledger.forget_before(oldest);
     }
 }
-
-/// Returns the rank of this host among the candidates for the lease, 0 first.
-pub fn rank<C, P>(core: &Core<C, P>) -> usize
-where
-    C: Clock + Clone,
-    P: Log + List,
-{
-    let own = &core.settings;
-    let before = |name: &str, domain: &str| domain == own.domain && name < own.name.as_str();
-    core.members
-        .all()
-        .iter()
-        .filter(|(name, member)| before(name, &member.domain))
-        .count()
-}
-
-/// Takes or renews the lease if it is time to.
-pub fn keep_lease<C, P>(core: &Core<C, P>)
-where
-    C: Clock + Clone,
-    P: Log + List,
-{
-    let now = core.clock.now();
-    let decided = core.authority.decide(core.incarnation, rank(core), now);
-    let lease::Move::Take(predecessor) = decided else {
-        return;
-    };
-    if core.is_leaving() {
-        return;
-    }
-    let own = crate::fold::orders::Lease {
-        token: 0,
-        since: 0,
-        holder: core.incarnation,
-        host: core.settings.name.clone(),
-        peer: core.settings.peer_listen,
-    };
-    let record = lease::record(&own, predecessor);
-    let data = serde_json::to_value(&record).expect("a record is JSON");
-    core.authority.note_append(predecessor, now);
-    match core
-        .platform
-        .append(core.authority.replica().stream(), &data)
-    {
-        Ok(offset) => core.authority.note_offset(offset),
-        Err(cause) => warn!("lease not written: {cause}"),
-    }
-}
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -29,8 +29,6 @@
 use crate::problem::Problem;
 use crate::settings::Settings;
 
-pub use self::duties::keep_lease;
-
 /// Prefix of all metrics.
 const METRIC_PREFIX: &str = "pistachiohall";
 /// Pause between two looks at what still runs.
--- a/src/standin/deployment.rs
+++ b/src/standin/deployment.rs
@@ -12,6 +12,7 @@
 use anyhow::bail;
 
 use crate::clock::Real;
+use crate::id::DomainId;
 use crate::platform::Host;
 use crate::platform::Kind;
 use crate::platform::State;
@@ -204,16 +205,19 @@
             .edit_hosts(|hosts| hosts.retain(|host| host.name != name));
     }
 
-    /// Waits until every entry host serves, has heard `peers` others, and can reach `upstreams`
-    /// upstreams.
+    /// Waits until every entry host serves, has exchanged heartbeats with `peers` others, and can
+    /// reach `upstreams` upstreams.
     pub fn settle(&self, peers: usize, upstreams: usize) -> Result<()> {
         let is_settled = |entry: &Entry| {
             let core = entry.core();
             let now = Instant::now();
-            let heard = core.members.all();
-            let heard = heard
+            let members = core.members.all();
+            let permitted = core.members.permitted(now);
+            let is_near = |domain: &DomainId| *domain == core.settings.domain;
+            let heard = members
                 .iter()
                 .filter(|(_, member)| member.is_heard(now))
+                .filter(|(_, member)| is_near(&member.domain) || permitted.contains(&member.domain))
                 .count();
             let all = core.table.all();
             let live = all
--- a/tests/it.rs
+++ b/tests/it.rs
@@ -2,5 +2,6 @@
 
 mod common;
 mod once;
+mod orders;
 mod path;
 mod streams;
