--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod serve;
 pub mod service;
 pub mod settings;
+pub mod snapshot;
 pub mod standin;
 pub mod status;
 pub mod upstream;
--- a/src/order/officer.rs
+++ b/src/order/officer.rs
@@ -18,6 +18,8 @@
 use crate::lease;
 use crate::platform::List;
 use crate::platform::Log;
+use crate::snapshot;
+use crate::snapshot::Watch;
 use crate::upstream::Upstream;
 use crate::upstream::poll;
 
@@ -43,6 +45,8 @@
     courses: HashMap<Offset, Course>,
     planner: Planner,
     released: bool,
+    config_watch: Watch,
+    orders_watch: Watch,
 }
 
 impl Officer {
@@ -70,10 +74,24 @@
         for (upstream, open) in &orders.open {
             self.advance(core, upstream, open);
         }
+        self.keep_snapshots(core);
         announce_asked(core, &orders);
         self.planner.step(core, &orders);
     }
 
+    fn keep_snapshots<C, P>(&mut self, core: &Core<C, P>)
+    where
+        C: Clock + Clone,
+        P: Log + List,
+    {
+        let retention = core.settings.retention;
+        let now = core.clock.now();
+        let log = &core.platform;
+        snapshot::keep(&mut self.config_watch, &core.config, log, retention, now);
+        let orders = core.authority.replica();
+        snapshot::keep(&mut self.orders_watch, orders, log, retention, now);
+    }
+
     /// Says once that this process sends no further order.
     fn release<C, P>(&mut self, core: &Core<C, P>)
     where
--- a/src/role/gauge.rs
+++ b/src/role/gauge.rs
@@ -1,7 +1,6 @@
 //! Turns engines' counters into reports for the policy.
 
 use std::collections::HashMap;
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::id::UpstreamId;
@@ -10,14 +9,12 @@
 
 use super::Seen;
 
-/// Prompt tokens that an engine reads in one second, before any was measured.
-const FIRST_PROMPT_RATE: f64 = 10_000.0;
-/// Tokens that an engine generates in one second, before any was measured.
-const FIRST_ANSWER_RATE: f64 = 2_000.0;
-/// Weight of a measured rate that is below the highest known.
-const RATE_DECAY: f64 = 0.001;
-/// Prompt tokens that wait from which an engine reads as fast as it can.
-const BUSY_BACKLOG: u64 = 1_000;
+/// Prompt tokens that an engine reads in one second, if it does not say.
+const USUAL_PROMPT_RATE: f64 = 10_000.0;
+/// Tokens that make up a request, as an estimate.
+const TOKENS_OF_REQUEST: f64 = 500.0;
+/// Tokens that an engine generates in one second, if it does not say.
+const USUAL_ANSWER_RATE: f64 = 2_000.0;
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Counters {
@@ -27,25 +24,11 @@
 }
 
 /// Measures the work that arrives at the engines of one service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Gauge {
     start: Option<Instant>,
     last: Option<Instant>,
     counters: HashMap<UpstreamId, (uuid::Uuid, Counters)>,
-    prompt_rate: f64,
-    answer_rate: f64,
-}
-
-impl Default for Gauge {
-    fn default() -> Self {
-        Gauge {
-            start: None,
-            last: None,
-            counters: HashMap::new(),
-            prompt_rate: FIRST_PROMPT_RATE,
-            answer_rate: FIRST_ANSWER_RATE,
-        }
-    }
 }
 
 impl Gauge {
@@ -62,10 +45,12 @@
         let span = now.saturating_duration_since(last?);
         let mut prompt = 0.0;
         let mut answer = 0.0;
+        let mut tokens = 0.0;
         for (name, load, _) in engines {
-            let (read, generated) = self.grown(name, load, span);
-            prompt += read;
-            answer += generated;
+            let (read, generated) = self.grown(name, load);
+            prompt += read / rate(load.prompt_rate, USUAL_PROMPT_RATE);
+            answer += generated / rate(load.answer_rate, USUAL_ANSWER_RATE);
+            tokens += read + generated;
         }
         let seconds = span.as_secs_f64().max(0.001);
         let count = |role| {
@@ -78,13 +63,13 @@
             prefill: count(Role::Prefill),
             decode: count(Role::Decode),
             changing: engines.iter().filter(|one| one.2).count(),
-            prompt_work: prompt / self.prompt_rate / seconds,
-            answer_work: answer / self.answer_rate / seconds,
-            requests: (prompt + answer) / 500.0,
+            prompt_work: prompt / seconds,
+            answer_work: answer / seconds,
+            requests: tokens / TOKENS_OF_REQUEST,
         })
     }
 
-    fn grown(&mut self, name: &UpstreamId, load: &Load, span: Duration) -> (f64, f64) {
+    fn grown(&mut self, name: &UpstreamId, load: &Load) -> (f64, f64) {
         let new = Counters {
             prompt: load.prompt_tokens,
             backlog: load.prompt_backlog,
@@ -96,26 +81,14 @@
         };
         let read = new.prompt.saturating_sub(old.prompt) as f64;
         let generated = new.answer.saturating_sub(old.answer) as f64;
-        self.learn(old, read, generated, span);
         let waiting = new.backlog as f64 - old.backlog as f64;
         ((read + waiting).max(0.0), generated)
     }
+}
 
-    /// Learns how fast engines are from the fastest seen while they were busy.
-    fn learn(&mut self, old: Counters, read: f64, generated: f64, span: Duration) {
-        let seconds = span.as_secs_f64();
-        if seconds < 0.2 {
-            return;
-        }
-        let follow = |rate: &mut f64, seen: f64| match seen > *rate {
-            true => *rate = seen,
-            false => *rate += RATE_DECAY * (seen - *rate),
-        };
-        if old.backlog > BUSY_BACKLOG {
-            follow(&mut self.prompt_rate, read / seconds);
-        }
-        if generated > 0.0 {
-            follow(&mut self.answer_rate, generated / seconds);
-        }
+fn rate(said: f64, usual: f64) -> f64 {
+    match said > 0.0 {
+        true => said,
+        false => usual,
     }
 }
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -7,11 +7,13 @@
 
 use attohttpc::Method;
 use attohttpc::RequestBuilder;
+use attohttpc::header::HeaderMap;
 use serde_json::Value;
 use serde_json::json;
 
 use crate::pipeline::deliver::text_of;
 use crate::upstream::call::OUTCOME;
+use crate::upstream::call::REQUEST_ID;
 use crate::upstream::sse;
 
 /// Longest wait for a byte.
@@ -38,6 +40,8 @@
     pub gaps: Vec<Duration>,
     /// Answer to a plain call.
     pub body: Value,
+    /// Identifier that the entry host gave the request.
+    pub request: String,
 }
 
 /// A caller with its key.
@@ -90,8 +94,9 @@
         if !is_stream {
             return whole(response);
         }
-        let (status, _, reader) = response.split();
+        let (status, headers, reader) = response.split();
         let mut got = Got {
+            request: text_of_header(&headers, REQUEST_ID),
             status: status.as_u16(),
             ..Got::default()
         };
@@ -125,17 +130,16 @@
 }
 
 fn whole(response: attohttpc::Response) -> Got {
-    let header = |name: &str| {
-        let value = response.headers().get(name)?;
-        value.to_str().ok().map(str::to_owned)
-    };
-    let outcome = header(OUTCOME).unwrap_or_default();
-    let retry_after_s = header("retry-after").and_then(|value| value.parse().ok());
+    let header = |name: &str| text_of_header(response.headers(), name);
+    let outcome = header(OUTCOME);
+    let request = header(REQUEST_ID);
+    let retry_after_s = header("retry-after").parse().ok();
     let status = response.status().as_u16();
     let body = response.bytes().unwrap_or_default();
     Got {
         status,
         outcome,
+        request,
         retry_after_s,
         whole: (200..300).contains(&status),
         body: serde_json::from_slice(&body).unwrap_or_default(),
@@ -143,6 +147,11 @@
     }
 }
 
+fn text_of_header(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
 fn read_events(got: &mut Got, reader: attohttpc::ResponseReader, began: Instant) {
     let mut events = sse::Reader::new(BufReader::new(reader));
     let mut last = began;
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -48,6 +48,15 @@
     pub restart: Duration,
 }
 
+impl Speed {
+    /// Returns the tokens generated in one second by a full batch.
+    pub fn answer_rate(&self) -> f64 {
+        let others = (self.batch.max(1) - 1) as f64;
+        let step = self.step.as_secs_f64() * (1.0 + others * self.step_growth);
+        self.batch as f64 / step
+    }
+}
+
 impl Default for Speed {
     fn default() -> Self {
         Speed {
@@ -123,6 +132,8 @@
             prompt_backlog: self.prompt_backlog.load(Ordering::SeqCst),
             prompt_tokens: self.prompt_tokens.load(Ordering::SeqCst),
             generated_tokens: self.generated_tokens.load(Ordering::SeqCst),
+            prompt_rate: self.speed.prompt_tokens_per_s,
+            answer_rate: self.speed.answer_rate(),
             leaving: self.faults.leaving.load(Ordering::SeqCst),
             version: desk.version().into(),
             busy_with: desk.busy_with(),
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -58,6 +58,12 @@
     /// Tokens generated since its start.
     #[serde(default)]
     pub generated_tokens: u64,
+    /// Prompt tokens that it can read in one second; 0 if it does not say.
+    #[serde(default)]
+    pub prompt_rate: f64,
+    /// Tokens that it can generate in one second, all streams together; 0 if it does not say.
+    #[serde(default)]
+    pub answer_rate: f64,
     /// Whether it asks for no new work.
     #[serde(default)]
     pub leaving: bool,
