Say unknown, not not-run, where an earlier try may have run

Cause: a repeat of a key during a log outage, or past the retention, was refused as not-run though an earlier try with the key had run; a caller who trusts that sends the action again under a new key. A fresh host in a cut-off domain also had no list and no upstreams. Measured: the new test (a key that ran, a fresh host started during the outage, the same key again) failed with not-run before and passes.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,6 +28,7 @@
 use crate::once::claim::Desk;
 use crate::once::ticket::Issuer;
 use crate::peer;
+use crate::platform::Host;
 use crate::platform::List;
 use crate::platform::Log;
 use crate::quarantine::Quarantine;
@@ -58,6 +59,8 @@
     pub config: Arc<Replica<Config>>,
     /// Services in force.
     pub directory: RwLock<Arc<Directory>>,
+    /// The platform's list as last read, by this host or by a peer.
+    pub hosts: RwLock<Vec<Host>>,
     /// Upstreams.
     pub table: Table,
     /// Admission.
@@ -109,6 +112,7 @@
             incarnation,
             config: Arc::new(Replica::new(config::STREAM)),
             directory: RwLock::default(),
+            hosts: RwLock::default(),
             table: Table::default(),
             gate: Gate::new(clock.clone(), settings.limits.queued_requests),
             index: Index::default(),
@@ -145,6 +149,25 @@
         *self.directory.write().expect("directory lock") = Arc::new(new);
     }
 
+    /// Takes in the platform's list.
+    pub fn take_hosts(&self, hosts: Vec<Host>) {
+        self.members.take_list(&hosts, self.clock.now());
+        self.table.refresh(&hosts, self.directory().services());
+        *self.hosts.write().expect("host lock") = hosts;
+        self.apply_orders();
+    }
+
+    /// Takes upstreams of the own failure domain out of use, or back into it, as the orders say.
+    pub fn apply_orders(&self) {
+        let out = self.authority.replica().with(|orders| orders.out_of_use());
+        for upstream in self.table.all() {
+            if upstream.domain == self.settings.domain {
+                let is_out = out.contains_key(&upstream.id);
+                upstream.draining.store(is_out, Ordering::SeqCst);
+            }
+        }
+    }
+
     /// Returns the desk for a key.
     pub fn desk(&self, key: Uuid) -> &Desk {
         let shards = self.settings.claim_shards;
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -80,6 +80,18 @@
 }
 
 impl Member {
+    /// Returns a member of which nothing was heard yet.
+    pub fn new(peer: SocketAddr, domain: DomainId) -> Self {
+        Member {
+            peer,
+            domain,
+            listed: false,
+            leaving: false,
+            beat: None,
+            missed_since: None,
+        }
+    }
+
     /// Returns whether a heartbeat came lately.
     pub fn is_heard(&self, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < HEARD;
@@ -127,14 +139,9 @@
             let Some(peer) = host.peer.filter(|_| host.name != self.own) else {
                 continue;
             };
-            let member = members.entry(host.name.clone()).or_insert_with(|| Member {
-                peer,
-                domain: host.domain.clone(),
-                listed: true,
-                leaving: false,
-                beat: None,
-                missed_since: None,
-            });
+            let member = members
+                .entry(host.name.clone())
+                .or_insert_with(|| Member::new(peer, host.domain.clone()));
             member.listed = true;
             member.missed_since = None;
             member.leaving = host.state == State::Leaving;
@@ -165,12 +172,8 @@
         }
         let mut members = self.members.lock().expect("member lock");
         let member = members.entry(beat.host.clone()).or_insert_with(|| Member {
-            peer: beat.peer,
-            domain: beat.domain.clone(),
-            listed: false,
-            leaving: false,
-            beat: None,
             missed_since: Some(now),
+            ..Member::new(beat.peer, beat.domain.clone())
         });
         if let Some((old, _)) = &member.beat
             && old.peer == beat.peer
--- a/src/once/claim.rs
+++ b/src/once/claim.rs
@@ -35,9 +35,12 @@
     /// The key carries no time.
     #[error("the idempotency key is no UUIDv7")]
     Form,
-    /// The key's own record could be gone from the log, or could outlive it.
-    #[error("the time in the idempotency key is outside of the window that the log keeps")]
-    Window,
+    /// The key's own record could be gone from the log, with a run that it stands for.
+    #[error("the idempotency key is older than what the log keeps")]
+    Old,
+    /// The key would be accepted after its own record is gone from the log.
+    #[error("the time in the idempotency key lies in the future")]
+    New,
 }
 
 /// Why there is no verdict on a claim. The call has not run for it.
@@ -75,10 +78,11 @@
     let made_ms = u128::from(seconds) * 1000 + u128::from(nanos / 1_000_000);
     let now_ms = u128::from(clock::wall_ms(clock));
     let window = retention.saturating_sub(SKEW * 2);
-    let too_old = made_ms + window.as_millis() < now_ms;
-    let too_new = made_ms > now_ms + SKEW.as_millis();
-    match too_old || too_new {
-        true => Err(Fault::Window),
+    if made_ms + window.as_millis() < now_ms {
+        return Err(Fault::Old);
+    }
+    match made_ms > now_ms + SKEW.as_millis() {
+        true => Err(Fault::New),
         false => Ok(()),
     }
 }
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod claim;
 pub mod ledger;
+pub mod run;
 pub mod ticket;
 
 use serde::Deserialize;
@@ -13,6 +14,7 @@
 use uuid::Uuid;
 
 pub use self::ledger::Ledger;
+pub use self::run::Right;
 pub use self::ticket::Ticket;
 
 /// What names a one-time call within an account.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use tokio::runtime::Handle;
 use tonic::Code;
 use tonic::Status;
@@ -16,14 +17,12 @@
 use crate::id::Incarnation;
 use crate::id::Offset;
 use crate::member::Member;
-use crate::once::Name;
-use crate::once::Ticket;
+use crate::once::Right;
 use crate::once::ledger::Stored;
 use crate::once::ticket::Secret;
 use crate::pipeline::Call;
 use crate::problem::Problem;
 use crate::quarantine::Suspect;
-use crate::replay::Suffix;
 use crate::wire::Reply;
 
 use super::convert;
@@ -106,8 +105,11 @@
             .await
     }
 
-    /// Asks for the records of a stream from an offset.
-    pub async fn suffix(&self, address: SocketAddr, stream: &str, from: Offset) -> Option<Suffix> {
+    /// Asks for the records of a stream from an offset, or for what else has a stream's name.
+    pub async fn suffix<T>(&self, address: SocketAddr, stream: &str, from: Offset) -> Option<T>
+    where
+        T: DeserializeOwned,
+    {
         let mut peer = self.peer(address);
         let request = generated::SuffixRequest {
             stream: stream.to_owned(),
@@ -158,30 +160,16 @@
         self.runtime.block_on(call).is_ok()
     }
 
-    /// Has the issuer of a ticket run a call.
-    pub fn relay_ticket(
-        &self,
-        address: SocketAddr,
-        call: &Call,
-        ticket: &Ticket,
-        limit: Duration,
-    ) -> Reply {
-        let name = Name::Ticket(ticket.number);
-        let mut request = relay_request(call, ticket.incarnation, name);
-        request.ticket_text = ticket.to_string();
-        self.relay_request(address, request, limit)
-    }
-
-    /// Has the holder of a claim run a call.
+    /// Has the process that may run a call run it, or repeat its answer.
     pub fn relay(
         &self,
         address: SocketAddr,
         call: &Call,
-        incarnation: Incarnation,
-        name: Name,
+        to: Incarnation,
+        right: Right,
         limit: Duration,
     ) -> Reply {
-        self.relay_request(address, relay_request(call, incarnation, name), limit)
+        self.relay_request(address, relay_request(call, to, right), limit)
     }
 
     fn relay_request(
@@ -204,8 +192,11 @@
     }
 }
 
-fn relay_request(call: &Call, incarnation: Incarnation, name: Name) -> generated::RelayRequest {
-    let (key, ticket) = convert::to_name(name);
+fn relay_request(call: &Call, to: Incarnation, right: Right) -> generated::RelayRequest {
+    let (key, ticket, ticket_text) = match right {
+        Right::Key(key) => (key.as_bytes().to_vec(), 0, String::new()),
+        Right::Ticket(ticket) => (Vec::new(), ticket.number, ticket.to_string()),
+    };
     generated::RelayRequest {
         service: call.service.name.to_string(),
         account: call.account.name.to_string(),
@@ -217,7 +208,7 @@
         body: call.body.clone(),
         digest: call.digest(),
         request: call.request.as_bytes().to_vec(),
-        incarnation: incarnation.as_bytes().to_vec(),
-        ticket_text: String::new(),
+        incarnation: to.as_bytes().to_vec(),
+        ticket_text,
     }
 }
--- a/src/peer/duty.rs
+++ b/src/peer/duty.rs
@@ -36,6 +36,8 @@
 use super::generated::peer_server::PeerServer;
 use super::server::Server;
 
+/// Name under which peers hand on the platform's list.
+pub const HOSTS: &str = "hosts";
 /// Shortest pause between rounds.
 const LEAST_ROUND: Duration = Duration::from_millis(500);
 /// Longest pause between rounds.
@@ -212,7 +214,7 @@
             .map(|(_, member)| {
                 let is_near = member.domain == core.settings.domain;
                 let beat = if is_near { &near_beat } else { &far_beat };
-                tokio::spawn(exchange(Arc::clone(core), member, beat.clone()))
+                tokio::spawn(exchange(Arc::clone(core), member.peer, beat.clone()))
             })
             .collect();
         for call in calls {
@@ -243,6 +245,9 @@
             .or_default()
             .push((name, member));
     }
+    if by_domain.is_empty() {
+        return seeds(core);
+    }
     let mut partners = by_domain.remove(own).unwrap_or_default();
     let (after, before): (Vec<_>, Vec<_>) = by_domain.into_iter().partition(|(name, _)| name > own);
     let ring: Vec<_> = after.into_iter().chain(before).collect();
@@ -255,7 +260,24 @@
     partners
 }
 
-async fn exchange<C, P>(core: Arc<Core<C, P>>, member: Member, beat: generated::Heartbeat)
+/// Returns the peers of the settings, for a host that knows no other yet.
+fn seeds<C, P>(core: &Core<C, P>) -> Vec<(HostId, Member)>
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let seeds = core.settings.seeds.iter();
+    seeds
+        .map(|seed| {
+            (
+                HostId::default(),
+                Member::new(*seed, core.settings.domain.clone()),
+            )
+        })
+        .collect()
+}
+
+async fn exchange<C, P>(core: Arc<Core<C, P>>, peer: SocketAddr, beat: generated::Heartbeat)
 where
     C: Clock + Clone,
     P: Log + List,
@@ -264,18 +286,23 @@
         return;
     };
     let began = core.clock.now();
-    let Ok(answer) = client.exchange(member.peer, beat).await else {
+    let Ok(answer) = client.exchange(peer, beat).await else {
         return;
     };
     take_heartbeat(&core, &answer);
-    core.members.note_exchange(&member.domain, began);
-    if answer.config_next > core.config.next() && catch_up(client, member.peer, &core.config).await
-    {
+    let domain = DomainId::from(answer.domain.as_str());
+    core.members.note_exchange(&domain, began);
+    if answer.config_next > core.config.next() && catch_up(client, peer, &core.config).await {
         core.refresh_directory();
     }
     let orders = core.authority.replica();
-    if member.domain == core.settings.domain && answer.orders_next > orders.next() {
-        catch_up(client, member.peer, orders).await;
+    let is_near = domain == core.settings.domain;
+    if is_near && answer.orders_next > orders.next() && catch_up(client, peer, orders).await {
+        core.apply_orders();
+    }
+    let knows_none = core.hosts.read().expect("host lock").is_empty();
+    if knows_none && let Some(hosts) = client.suffix(peer, HOSTS, 0).await {
+        core.take_hosts(hosts);
     }
 }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -68,7 +68,7 @@
     }
 
     fn call_of(&self, request: generated::RelayRequest) -> Result<(Call, Name), Problem> {
-        let refuse = |detail: &str| Problem::not_run(409, "relay refused", detail);
+        let refuse = |detail: &str| Problem::unknown(format!("relay refused: {detail}"));
         if convert::uuid(&request.incarnation) != Some(self.core.incarnation) {
             return Err(Problem::unknown(
                 "the process that may run the call is gone",
@@ -107,7 +107,7 @@
     }
 
     fn check(&self, call: &Call, name: Name, text: &str) -> Result<(), Problem> {
-        let refuse = |detail: String| Problem::not_run(403, "ticket refused", detail);
+        let refuse = |detail: String| Problem::unknown(format!("ticket refused: {detail}"));
         match name {
             Name::Key(key) => {
                 let held = self
@@ -161,7 +161,7 @@
             Ok((call, name)) => {
                 let (answer, answered) = oneshot::channel();
                 match self.relays.submit(Relayed { call, name, answer }) {
-                    Err(_) => Problem::not_run(503, "too busy", "too many relayed calls").into(),
+                    Err(_) => Problem::unknown("too many relayed calls").into(),
                     Ok(()) => answered
                         .await
                         .unwrap_or_else(|_| Problem::unknown("the call failed").into()),
@@ -182,6 +182,9 @@
             suffix_of(&core.config, request.from)
         } else if request.stream == core.authority.replica().stream() {
             suffix_of(core.authority.replica(), request.from)
+        } else if request.stream == duty::HOSTS {
+            let hosts = core.hosts.read().expect("host lock").clone();
+            serde_json::to_vec(&hosts).unwrap_or_default()
         } else {
             return Err(Status::not_found("stream not followed here"));
         };
--- a/src/pipeline/call.rs
+++ b/src/pipeline/call.rs
@@ -9,13 +9,12 @@
 use serde_json::Value;
 use sha2::Digest;
 use sha2::Sha256;
-use uuid::Uuid;
 
 use crate::admit::Demand;
 use crate::id::AccountId;
 use crate::id::Fingerprint;
 use crate::id::RequestId;
-use crate::once::Ticket;
+use crate::once::Right;
 use crate::service::Account;
 use crate::service::Class;
 use crate::service::Service;
@@ -29,15 +28,6 @@
 /// Shortest prompt whose start may be cached, in bytes.
 const PREFIX_BYTES: usize = 1024;
 
-/// What names a one-time call, as the caller sent it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Right {
-    /// An idempotency key to be claimed.
-    Key(Uuid),
-    /// A ticket.
-    Ticket(Ticket),
-}
-
 /// What is asked of a model.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Completion {
--- a/src/pipeline/identify.rs
+++ b/src/pipeline/identify.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::Clock;
 use crate::directory::Directory;
+use crate::once::Right;
 use crate::once::Ticket;
 use crate::problem::Problem;
 use crate::service::Kind;
@@ -20,7 +21,6 @@
 
 use super::Call;
 use super::call::Completion;
-use super::call::Right;
 use super::call::Work;
 
 /// Path below which plain services are reached.
--- a/src/serve/duties.rs
+++ b/src/serve/duties.rs
@@ -1,7 +1,6 @@
 //! The duties of an entry process that follow and poll.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::warn;
@@ -37,7 +36,7 @@
             .follow(&core.platform, &core.clock, &core.stop, changed);
     });
     spawn(core, "orders", |core| {
-        let changed = || apply_orders(core);
+        let changed = || core.apply_orders();
         let replica = core.authority.replica();
         replica.follow(&core.platform, &core.clock, &core.stop, changed);
     });
@@ -91,30 +90,11 @@
     P: Log + List,
 {
     match core.platform.hosts() {
-        Ok(hosts) => {
-            core.members.take_list(&hosts, core.clock.now());
-            core.table.refresh(&hosts, core.directory().services());
-            apply_orders(core);
-        }
+        Ok(hosts) => core.take_hosts(hosts),
         Err(cause) => warn!("list not read: {cause}"),
     }
 }
 
-/// Takes upstreams of the own failure domain out of use, or back into it, as the orders say.
-fn apply_orders<C, P>(core: &Arc<Core<C, P>>)
-where
-    C: Clock + Clone,
-    P: Log + List,
-{
-    let out = core.authority.replica().with(|orders| orders.out_of_use());
-    for upstream in core.table.all() {
-        if upstream.domain == core.settings.domain {
-            let is_out = out.contains_key(&upstream.id);
-            upstream.draining.store(is_out, Ordering::SeqCst);
-        }
-    }
-}
-
 fn write_claims<C, P>(core: &Arc<Core<C, P>>, shard: usize)
 where
     C: Clock + Clone,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -50,6 +50,8 @@
     pub listen: SocketAddr,
     /// Where peers are served.
     pub peer_listen: SocketAddr,
+    /// Peers to ask while the platform's list cannot be read.
+    pub seeds: Vec<SocketAddr>,
     /// Where operators are served; nowhere if absent.
     pub operator_listen: Option<SocketAddr>,
     /// Where the platform is.
@@ -88,6 +90,7 @@
         let listen = source.required("host", "listen", unit::address);
         let peer_listen = source.required("host", "peer_listen", unit::address);
         let platform = source.required("host", "platform", unit::address);
+        let seeds = source.optional("host", "seeds", unit::addresses);
         let operator_listen = source.optional("host", "operator_listen", unit::address);
         let metrics = source.optional("host", "metrics", unit::address);
         let retention = source.optional("platform", "retention", unit::duration);
@@ -101,6 +104,7 @@
             listen: listen.unwrap_or(unit::UNSPECIFIED),
             peer_listen: peer_listen.unwrap_or(unit::UNSPECIFIED),
             platform: platform.unwrap_or(unit::UNSPECIFIED),
+            seeds: seeds.unwrap_or_default(),
             operator_listen,
             metrics,
             retention: retention.unwrap_or(defaults(24 * 3600)),
--- a/src/settings/unit.rs
+++ b/src/settings/unit.rs
@@ -98,6 +98,16 @@
         .map_err(|_| "an IP address and port, such as `127.0.0.1:8080`")
 }
 
+/// Parses IP addresses and ports, parted by commas.
+///
+/// ```
+/// use pistachiohall::settings::unit;
+/// assert_eq!(unit::addresses("127.0.0.1:1, 127.0.0.1:2").unwrap().len(), 2);
+/// ```
+pub fn addresses(text: &str) -> Parsed<Vec<SocketAddr>> {
+    text.split(',').map(|part| address(part.trim())).collect()
+}
+
 /// Parses a name of letters, digits, `-`, `_` and `.`.
 pub fn name(text: &str) -> Parsed<CompactString> {
     let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
--- a/src/standin/deployment.rs
+++ b/src/standin/deployment.rs
@@ -152,6 +152,7 @@
             domain: domain.into(),
             listen: ANY,
             peer_listen: ANY,
+            seeds: Vec::new(),
             operator_listen: Some(ANY),
             platform: self.platform.address(),
             metrics: None,
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pistachiohall::platform::memory::Fault;
+use pistachiohall::settings::Settings;
 use pistachiohall::standin::caller::Caller;
 use pistachiohall::standin::caller::Got;
 use pistachiohall::standin::deployment::wait_until;
@@ -82,13 +83,39 @@
         9_000_000_000,
         0,
     ));
-    for key in [old, new, Uuid::new_v4()] {
+    let cases = [
+        (old, "unknown"),
+        (new, "not-run"),
+        (Uuid::new_v4(), "not-run"),
+    ];
+    for (key, outcome) in cases {
         let got = with_key(&caller, "cue-1", key);
-        assert_eq!((got.status, got.outcome.as_str()), (400, "not-run"));
+        assert_eq!((got.status, got.outcome.as_str()), (400, outcome));
     }
     assert_eq!(runs(&deployment, "cue-1"), 0);
 }
 
+#[test]
+fn a_fresh_host_in_an_outage_serves_and_does_not_call_a_repeat_not_run() {
+    let mut deployment = common::two_domains();
+    let key = Uuid::now_v7();
+    let here = deployment.caller("derby-h1", DESK_KEY);
+    assert_eq!(with_key(&here, "cue-1", key).outcome, "ran");
+    deployment.platform.memory().set_fault(Some(Fault::Outage));
+    let peer = deployment.hosts["derby-h1"].core().settings.peer_listen;
+    let settings = Settings {
+        seeds: vec![peer],
+        ..deployment.settings("derby-h2", "derby")
+    };
+    deployment.add_host(settings).unwrap();
+    deployment.settle(1, 6).unwrap();
+    let fresh = deployment.caller("derby-h2", DESK_KEY);
+    assert!(fresh.stream(common::MODEL, "from a fresh host", 5).whole);
+    let repeat = with_key(&fresh, "cue-1", key);
+    assert_eq!((repeat.status, repeat.outcome.as_str()), (503, "unknown"));
+    assert_eq!(runs(&deployment, "cue-1"), 1);
+}
+
 #[test]
 fn without_the_log_claims_are_refused_and_tickets_work() {
     let deployment = common::two_domains();
