--- a/src/once/claim.rs
+++ b/src/once/claim.rs
@@ -17,6 +17,7 @@
 use crate::fold::claims::Claim;
 use crate::fold::claims::Claims;
 use crate::fold::claims::Held;
+use crate::id::AccountId;
 use crate::id::Incarnation;
 use crate::platform::AppendError;
 use crate::platform::Log;
@@ -93,6 +94,25 @@
     refused: Sender<()>,
 }
 
+/// A claim that waits for its verdict.
+#[derive(Debug)]
+pub struct Pending {
+    account: AccountId,
+    key: Uuid,
+    is_refused: Receiver<()>,
+}
+
+impl Pending {
+    /// Returns who holds the key, or the failure, once either is known.
+    pub fn verdict(&self, state: &Claims) -> Option<Result<Held, Failure>> {
+        if let Some(held) = state.get(&self.account, self.key) {
+            return Some(Ok(held.clone()));
+        }
+        let is_refused = self.is_refused.try_recv().is_ok();
+        is_refused.then_some(Err(Failure::Refused))
+    }
+}
+
 /// Claims keys in one shard.
 #[derive(Debug)]
 pub struct Desk {
@@ -124,21 +144,26 @@
 
     /// Claims a key and returns who holds it, which may be another process.
     pub fn claim(&self, claim: Claim, limit: Duration) -> Result<Held, Failure> {
-        let (account, key) = (claim.account.clone(), claim.key);
-        if let Some(held) = self.replica.with(|state| state.get(&account, key).cloned()) {
-            return Ok(held);
-        }
+        let pending = self.submit(claim)?;
+        self.replica
+            .wait_for(limit, |state| pending.verdict(state))
+            .unwrap_or(Err(Failure::TimedOut))
+    }
+
+    /// Puts a claim before the writer, unless the key is held already.
+    pub fn submit(&self, claim: Claim) -> Result<Pending, Failure> {
         let (refused, is_refused) = channel::bounded(1);
-        self.submit
-            .try_send(Submitted { claim, refused })
-            .map_err(|_| Failure::Full)?;
-        let held = self.replica.wait_for(limit, |state| {
-            if is_refused.try_recv().is_ok() {
-                return Some(Err(Failure::Refused));
-            }
-            state.get(&account, key).cloned().map(Ok)
-        });
-        held.unwrap_or(Err(Failure::TimedOut))
+        let pending = Pending {
+            account: claim.account.clone(),
+            key: claim.key,
+            is_refused,
+        };
+        if self.replica.with(|state| pending.verdict(state)).is_none() {
+            self.submit
+                .try_send(Submitted { claim, refused })
+                .map_err(|_| Failure::Full)?;
+        }
+        Ok(pending)
     }
 
     /// Writes one append for all claims that wait; returns how many there were.
--- a/src/once/ledger.rs
+++ b/src/once/ledger.rs
@@ -8,6 +8,7 @@
 
 use crate::id::AccountId;
 use crate::id::Fingerprint;
+use crate::problem::Problem;
 use crate::wire::Reply;
 
 use super::Name;
@@ -194,27 +195,25 @@
             .sum();
     }
 
-    /// Lets no further call start, for good, and returns all calls that are not busy.
+    /// Lets no further call start, for good, and returns all calls.
     ///
-    /// What did not run by now never will, so peers may say so.
+    /// What did not start by now never will, so peers may say so; of one that still runs they
+    /// can only say that its outcome is unknown.
     pub fn close(&self) -> Vec<Stored> {
         let mut inner = self.inner.lock().expect("ledger lock");
         inner.closed = true;
         inner
             .calls
             .iter()
-            .filter_map(|((account, name), call)| {
-                let ran = match &call.state {
-                    State::Busy => return None,
+            .map(|((account, name), call)| Stored {
+                account: account.clone(),
+                name: *name,
+                digest: call.digest,
+                ran: match &call.state {
+                    State::Busy => Some(Some(Problem::unknown("it ran as its host left").into())),
                     State::Idle => None,
                     State::Done(reply) => Some(reply.clone()),
-                };
-                Some(Stored {
-                    account: account.clone(),
-                    name: *name,
-                    digest: call.digest,
-                    ran,
-                })
+                },
             })
             .collect()
     }
--- a/src/platform/memory.rs
+++ b/src/platform/memory.rs
@@ -75,6 +75,17 @@
         self.grown.notify_all();
     }
 
+    /// Drops the records of a stream before an offset, as the end of their retention does.
+    pub fn trim(&self, stream: &str, first: Offset) {
+        let mut inner = self.inner.lock().expect("log lock");
+        let Some(kept) = inner.streams.get_mut(stream) else {
+            return;
+        };
+        while kept.first < first && kept.records.pop_front().is_some() {
+            kept.first += 1;
+        }
+    }
+
     /// Replaces the list of hosts.
     pub fn set_hosts(&self, hosts: Vec<Host>) {
         self.inner.lock().expect("log lock").hosts = hosts;
--- a/src/replay/reader.rs
+++ b/src/replay/reader.rs
@@ -73,6 +73,7 @@
             self.ready = false;
             self.missing = S::NEEDS_SNAPSHOT;
             self.held_back.clear();
+            self.kept.clear();
         }
         for entry in &batch.records {
             self.take_entry(entry);
@@ -178,3 +179,35 @@
         self.next != before
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use crate::fold::config::Config;
+
+    use super::*;
+
+    fn batch(first: Offset, data: Vec<Value>) -> Batch {
+        let entry = |(index, data)| Entry {
+            offset: first + index as u64,
+            data,
+        };
+        Batch {
+            first,
+            end: first + data.len() as u64,
+            records: data.into_iter().enumerate().map(entry).collect(),
+        }
+    }
+
+    #[test]
+    fn records_from_before_a_gap_are_not_handed_on() {
+        let mut reader = Reader::<Config>::default();
+        reader.take(&batch(0, vec![json!({ "noise": 0 })]));
+        let state = serde_json::to_value(Config::default()).unwrap();
+        let snapshot = json!({ "snapshot": { "as_of": 1, "state": state } });
+        reader.take(&batch(2, vec![snapshot]));
+        assert!(reader.is_ready());
+        assert!(matches!(reader.suffix(0), Suffix::State(2, _)));
+    }
+}
--- /dev/null
+++ b/tests/fuzz/config.rs
@@ -0,0 +1,234 @@
+//! Configuration: racing publishers, lost answers, snapshots, retention, peers, restarts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pistachiohall::fold::config::Config;
+use pistachiohall::fold::config::Edit;
+use pistachiohall::fold::config::Record;
+use pistachiohall::fold::config::STREAM;
+use pistachiohall::id::Offset;
+use pistachiohall::id::ServiceId;
+use pistachiohall::platform::Log;
+use pistachiohall::platform::memory::Memory;
+use pistachiohall::publish;
+use pistachiohall::replay::Replica;
+use proptest::prelude::*;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use serde_json::Value;
+use serde_json::json;
+
+const HOSTS: usize = 3;
+const PUBLISHERS: usize = 2;
+const SERVICES: [&str; 2] = ["lm", "desk"];
+
+#[derive(Debug, Clone)]
+pub enum Transition {
+    Read(usize),
+    Publish {
+        publisher: usize,
+        service: usize,
+        text: Option<u8>,
+        late: bool,
+    },
+    DeliverLate,
+    Poll(usize),
+    Restart(usize),
+    Peer {
+        from: usize,
+        to: usize,
+    },
+    Snapshot {
+        host: usize,
+        late: bool,
+    },
+    Trim(u64),
+}
+
+type Services = BTreeMap<ServiceId, (Offset, Option<String>)>;
+
+/// Hosts, publishers and log, with the oracle's history.
+pub struct World {
+    log: Memory,
+    hosts: Vec<Replica<Config>>,
+    highest: Vec<Option<Offset>>,
+    views: Vec<Config>,
+    late: Vec<Value>,
+    history: Vec<Services>,
+    next: Offset,
+}
+
+impl World {
+    fn append(&mut self, data: &Value) {
+        self.log.append(STREAM, data).unwrap();
+        let before = self.history.last().cloned().unwrap_or_default();
+        let after = oracle(before, self.next, data);
+        self.history.push(after);
+        self.next += 1;
+    }
+
+    fn write(&mut self, data: Value, late: bool) {
+        match late {
+            true => self.late.push(data),
+            false => self.append(&data),
+        }
+    }
+
+    fn check(&mut self) {
+        for (host, highest) in self.hosts.iter().zip(&mut self.highest) {
+            let revision = host.with(|config| config.revision);
+            assert!(revision >= *highest, "the revision went back");
+            *highest = revision;
+            if !host.is_ready() || host.next() == 0 {
+                continue;
+            }
+            let expected = &self.history[host.next() as usize - 1];
+            let services: Services = host.with(|config| {
+                let all = config.services.iter();
+                all.map(|(name, version)| (name.clone(), (version.revision, version.text.clone())))
+                    .collect()
+            });
+            assert_eq!(&services, expected, "at offset {}", host.next());
+        }
+    }
+}
+
+/// Applies one record by the rule alone: all edits take force if each names the latest revision.
+fn oracle(mut services: Services, offset: Offset, data: &Value) -> Services {
+    let edits = data["publication"]["edits"]
+        .as_object()
+        .cloned()
+        .unwrap_or_default();
+    let fits = edits.iter().all(|(name, edit)| {
+        let latest = services.get(name.as_str()).map(|(revision, _)| *revision);
+        edit["based_on"].as_u64() == latest
+    });
+    if fits {
+        for (name, edit) in edits {
+            let text = edit["text"].as_str().map(str::to_owned);
+            services.insert(name.into(), (offset, text));
+        }
+    }
+    services
+}
+
+/// The reference keeps nothing: the oracle is in the world's history.
+pub struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = ();
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Transition> {
+        let publish = (
+            0..PUBLISHERS,
+            0..SERVICES.len(),
+            any::<Option<u8>>(),
+            any::<bool>(),
+        );
+        prop_oneof![
+            4 => (0..PUBLISHERS).prop_map(Transition::Read),
+            6 => publish.prop_map(|(publisher, service, text, late)| {
+                Transition::Publish { publisher, service, text, late }
+            }),
+            2 => Just(Transition::DeliverLate),
+            6 => (0..HOSTS).prop_map(Transition::Poll),
+            1 => (0..HOSTS).prop_map(Transition::Restart),
+            3 => (0..HOSTS, 0..HOSTS).prop_map(|(from, to)| Transition::Peer { from, to }),
+            2 => (0..HOSTS, any::<bool>()).prop_map(|(host, late)| Transition::Snapshot { host, late }),
+            2 => (1..6u64).prop_map(Transition::Trim),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: (), _transition: &Transition) {
+        state
+    }
+}
+
+impl StateMachineTest for World {
+    type SystemUnderTest = World;
+    type Reference = Reference;
+
+    fn init_test(_state: &()) -> World {
+        World {
+            log: Memory::default(),
+            hosts: (0..HOSTS).map(|_| Replica::new(STREAM)).collect(),
+            highest: vec![None; HOSTS],
+            views: vec![Config::default(); PUBLISHERS],
+            late: Vec::new(),
+            history: Vec::new(),
+            next: 0,
+        }
+    }
+
+    fn apply(mut world: World, _state: &(), transition: Transition) -> World {
+        match transition {
+            Transition::Read(publisher) => {
+                if let Ok(replica) = publish::read(&world.log) {
+                    world.views[publisher] = replica.with(Config::clone);
+                }
+            }
+            Transition::Publish {
+                publisher,
+                service,
+                text,
+                late,
+            } => {
+                let name = ServiceId::from(SERVICES[service]);
+                let version = world.views[publisher].services.get(&name);
+                let edit = Edit {
+                    based_on: version.map(|version| version.revision),
+                    text: text.map(|text| text.to_string()),
+                };
+                let id = uuid::Uuid::now_v7();
+                let edits = BTreeMap::from([(name, edit)]);
+                let record = Record::Publication { id, edits };
+                world.write(serde_json::to_value(record).unwrap(), late);
+            }
+            Transition::DeliverLate => {
+                for data in std::mem::take(&mut world.late) {
+                    world.append(&data);
+                }
+            }
+            Transition::Poll(host) => {
+                world.hosts[host].poll(&world.log, Duration::ZERO).unwrap();
+            }
+            Transition::Restart(host) => {
+                world.hosts[host] = Replica::new(STREAM);
+                world.highest[host] = None;
+            }
+            Transition::Peer { from, to } => {
+                let suffix = world.hosts[from].suffix(world.hosts[to].next());
+                world.hosts[to].take_suffix(suffix);
+            }
+            Transition::Snapshot { host, late } => {
+                if let Some((as_of, state)) = world.hosts[host].export() {
+                    let data = json!({ "snapshot": { "as_of": as_of, "state": state } });
+                    world.write(data, late);
+                }
+            }
+            Transition::Trim(kept) => {
+                world.log.trim(STREAM, world.next.saturating_sub(kept));
+            }
+        }
+        world.check();
+        world
+    }
+}
+
+proptest! {
+    #![proptest_config(super::configuration())]
+
+    #[test]
+    fn hosts_hold_what_the_log_says_and_never_go_back(
+        (state, transitions, seen) in Reference::sequential_strategy(1..80)
+    ) {
+        World::test_sequential(super::configuration(), state, transitions, seen);
+    }
+}
--- /dev/null
+++ b/tests/fuzz/mod.rs
@@ -0,0 +1,24 @@
+//! Stateful fuzzing of the decisions against plain oracles, on fake clocks and networks.
+//!
+//! `PISTACHIOHALL_CASES` sets the number of cases, `PISTACHIOHALL_SEED` the seed.
+
+mod config;
+mod once;
+mod orders;
+
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+
+/// Cases run where nothing else is asked for.
+const CASES: u32 = 512;
+
+/// Returns a configuration that gives the same verdict every time.
+pub fn configuration() -> Config {
+    let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
+    Config {
+        cases: number("PISTACHIOHALL_CASES").map_or(CASES, |cases| cases as u32),
+        rng_seed: RngSeed::Fixed(number("PISTACHIOHALL_SEED").unwrap_or(7)),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
--- /dev/null
+++ b/tests/fuzz/once.rs
@@ -0,0 +1,561 @@
+//! One-time calls: claims, tickets, relays, kills, cuts, lost and late answers.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use pistachiohall::clock::Clock;
+use pistachiohall::clock::Mock;
+use pistachiohall::fold::claims::Claim;
+use pistachiohall::fold::claims::Held;
+use pistachiohall::id::Incarnation;
+use pistachiohall::id::Offset;
+use pistachiohall::inherit::Inherited;
+use pistachiohall::once::Ledger;
+use pistachiohall::once::Name;
+use pistachiohall::once::Right;
+use pistachiohall::once::Ticket;
+use pistachiohall::once::claim;
+use pistachiohall::once::claim::Desk;
+use pistachiohall::once::claim::Writer;
+use pistachiohall::once::run;
+use pistachiohall::once::run::Matter;
+use pistachiohall::once::run::Reach;
+use pistachiohall::once::ticket;
+use pistachiohall::once::ticket::Issuer;
+use pistachiohall::platform::AppendError;
+use pistachiohall::platform::Batch;
+use pistachiohall::platform::Log;
+use pistachiohall::platform::ReadError;
+use pistachiohall::platform::memory::Memory;
+use pistachiohall::problem::Outcome;
+use pistachiohall::problem::Problem;
+use pistachiohall::wire::Reply;
+use proptest::prelude::*;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use serde_json::Value;
+use uuid::NoContext;
+use uuid::Timestamp;
+use uuid::Uuid;
+
+const HOSTS: usize = 3;
+const RIGHTS: usize = 4;
+const RETENTION: Duration = Duration::from_secs(3600);
+const STREAM: &str = "claims.0";
+const PEER: &str = "127.0.0.1:1";
+
+/// What the upstream, or the host in front of it, does with a run.
+#[derive(Debug, Clone, Copy)]
+enum Run {
+    Answers,
+    LosesAnswer,
+    Refuses,
+    HostDies,
+    HostLeaves,
+    SameCallAt(usize),
+}
+
+/// What the log does with an append.
+#[derive(Debug, Clone, Copy)]
+enum Append {
+    Answers,
+    LosesAnswer,
+    Late,
+    Out,
+    SameCallAt(usize),
+}
+
+/// What the network does with a relay.
+#[derive(Debug, Clone, Copy)]
+enum Relay {
+    Answers,
+    LosesAnswer,
+    Late,
+    Cut,
+}
+
+#[derive(Debug, Clone)]
+enum Transition {
+    Call {
+        host: usize,
+        right: usize,
+        content: u8,
+        faults: (Append, Relay, Run),
+    },
+    Issue {
+        host: usize,
+        right: usize,
+    },
+    Kill(usize),
+    Leave(usize),
+    CutLog(usize, bool),
+    DeliverLate,
+    Pass(u64),
+}
+
+struct Host {
+    incarnation: Incarnation,
+    desk: Desk,
+    ledger: Ledger,
+    issuer: Issuer,
+    inherited: Inherited,
+    cut: Cell<bool>,
+}
+
+impl Host {
+    fn new(now: Instant) -> Self {
+        let incarnation = Uuid::now_v7();
+        Host {
+            incarnation,
+            desk: Desk::new(0),
+            ledger: Ledger::default(),
+            issuer: Issuer::new(incarnation, now),
+            inherited: Inherited::default(),
+            cut: Cell::new(false),
+        }
+    }
+}
+
+type LateRelay = (Incarnation, Matter, Right);
+
+/// The log, with the appends that have not reached it yet.
+struct Stream {
+    clock: Mock,
+    memory: Memory,
+    appended: Mutex<Vec<(Offset, Instant)>>,
+    late: Mutex<Vec<Value>>,
+}
+
+impl Stream {
+    fn append(&self, data: &Value) -> Offset {
+        let offset = self.memory.append(STREAM, data).unwrap();
+        self.appended
+            .lock()
+            .unwrap()
+            .push((offset, self.clock.now()));
+        offset
+    }
+
+    /// Drops what is older than the retention.
+    fn trim(&self) {
+        let now = self.clock.now();
+        let mut appended = self.appended.lock().unwrap();
+        let is_gone = |at: Instant| now.duration_since(at) > RETENTION;
+        let gone = appended.iter().filter(|(_, at)| is_gone(*at)).count();
+        if gone > 0 {
+            self.memory.trim(STREAM, appended[gone - 1].0 + 1);
+            appended.drain(..gone);
+        }
+    }
+}
+
+/// The log as one host reaches it.
+struct Wire {
+    stream: Arc<Stream>,
+    append: Append,
+    cut: bool,
+}
+
+impl Log for Wire {
+    fn append(&self, _stream: &str, data: &Value) -> Result<Offset, AppendError> {
+        let unknown = || AppendError::Unknown("lost".to_owned());
+        match self.append {
+            _ if self.cut => Err(AppendError::Refused("cut".to_owned())),
+            Append::Out => Err(AppendError::Refused("out".to_owned())),
+            Append::Answers | Append::SameCallAt(_) => Ok(self.stream.append(data)),
+            Append::LosesAnswer => {
+                self.stream.append(data);
+                Err(unknown())
+            }
+            Append::Late => {
+                self.stream.late.lock().unwrap().push(data.clone());
+                Err(unknown())
+            }
+        }
+    }
+
+    fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        match self.cut || matches!(self.append, Append::Out) {
+            true => Err(ReadError("out".to_owned())),
+            false => self.stream.memory.read(stream, from, wait),
+        }
+    }
+}
+
+/// Hosts, log and upstream, with the oracle's book of runs.
+struct World {
+    clock: Mock,
+    stream: Arc<Stream>,
+    hosts: Vec<RefCell<Rc<Host>>>,
+    rights: RefCell<HashMap<usize, Right>>,
+    late_relays: RefCell<Vec<LateRelay>>,
+    runs: RefCell<HashMap<String, Vec<u64>>>,
+    depth: Cell<usize>,
+}
+
+/// One request at one host.
+struct Request<'a> {
+    world: &'a World,
+    host: Rc<Host>,
+    place: usize,
+    matter: Matter,
+    right: Right,
+    faults: (Append, Relay, Run),
+}
+
+fn name(right: Right) -> String {
+    match right {
+        Right::Key(key) => key.to_string(),
+        Right::Ticket(ticket) => ticket.to_string(),
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        let start = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000);
+        let clock = Mock::new(start);
+        let host = || RefCell::new(Rc::new(Host::new(clock.now())));
+        World {
+            hosts: (0..HOSTS).map(|_| host()).collect(),
+            stream: Arc::new(Stream {
+                clock: clock.clone(),
+                memory: Memory::default(),
+                appended: Mutex::default(),
+                late: Mutex::default(),
+            }),
+            rights: RefCell::default(),
+            late_relays: RefCell::default(),
+            runs: RefCell::default(),
+            depth: Cell::new(0),
+            clock,
+        }
+    }
+
+    fn host(&self, place: usize) -> Rc<Host> {
+        self.hosts[place].borrow().clone()
+    }
+
+    fn right(&self, index: usize) -> Right {
+        let fresh = || {
+            let now = self
+                .clock
+                .wall()
+                .duration_since(SystemTime::UNIX_EPOCH)
+                .unwrap();
+            let stamp = Timestamp::from_unix(NoContext, now.as_secs(), now.subsec_nanos());
+            Right::Key(Uuid::new_v7(stamp))
+        };
+        *self.rights.borrow_mut().entry(index).or_insert_with(fresh)
+    }
+
+    fn call(&self, place: usize, right: Right, content: u8, faults: (Append, Relay, Run)) -> Reply {
+        let matter = Matter {
+            scope: "desk".into(),
+            digest: u64::from(content),
+        };
+        let mut request = Request {
+            world: self,
+            host: self.host(place),
+            place,
+            matter: matter.clone(),
+            right,
+            faults,
+        };
+        let reply = run::run(&mut request, &matter, right);
+        self.check(&reply, right, &matter);
+        reply
+    }
+
+    /// The oracle: what was said must agree with what ran.
+    fn check(&self, reply: &Reply, right: Right, matter: &Matter) {
+        let runs = self.runs.borrow();
+        let ran = runs.get(&name(right)).cloned().unwrap_or_default();
+        assert!(ran.len() <= 1, "{right:?} ran {} times", ran.len());
+        match (reply.outcome, reply.status) {
+            (Outcome::NotRun, 422) => assert!(!ran.contains(&matter.digest), "{reply:?}"),
+            (Outcome::NotRun, _) => assert!(ran.is_empty(), "said not-run, but it ran: {reply:?}"),
+            (Outcome::Ran, 200) => {
+                assert_eq!(ran, [matter.digest]);
+                assert_eq!(
+                    *reply.body,
+                    *matter.digest.to_string().as_bytes(),
+                    "another's answer"
+                );
+            }
+            (Outcome::Ran | Outcome::Unknown, _) => {}
+        }
+    }
+
+    fn restart(&self, place: usize) {
+        let fresh = Host::new(self.clock.now());
+        *self.hosts[place].borrow_mut() = Rc::new(fresh);
+    }
+
+    /// Closes the ledger and hands it over; the process lingers until it is killed.
+    fn leave(&self, place: usize) {
+        let leaver = self.host(place);
+        let calls = leaver.ledger.close();
+        for other in (0..HOSTS).filter(|other| *other != place) {
+            let (incarnation, secret) = (leaver.incarnation, leaver.issuer.secret());
+            self.host(other)
+                .inherited
+                .take(incarnation, secret, calls.clone());
+        }
+    }
+
+    fn find(&self, incarnation: Incarnation) -> Option<usize> {
+        (0..HOSTS).find(|place| self.host(*place).incarnation == incarnation)
+    }
+
+    fn run_relayed(
+        &self,
+        to: Incarnation,
+        matter: &Matter,
+        right: Right,
+        run: Run,
+    ) -> Option<Reply> {
+        let place = self.find(to)?;
+        let mut request = Request {
+            world: self,
+            host: self.host(place),
+            place,
+            matter: matter.clone(),
+            right,
+            faults: (Append::Answers, Relay::Answers, run),
+        };
+        let name = match right {
+            Right::Key(key) => Name::Key(key),
+            Right::Ticket(ticket) => Name::Ticket(ticket.number),
+        };
+        Some(run::run_own(&mut request, matter, name))
+    }
+
+    fn deliver_late(&self) {
+        for data in std::mem::take(&mut *self.stream.late.lock().unwrap()) {
+            self.stream.append(&data);
+        }
+        for (to, matter, right) in self.late_relays.take() {
+            self.run_relayed(to, &matter, right, Run::Answers);
+        }
+    }
+
+    fn pass(&self, seconds: u64) {
+        self.clock.advance(Duration::from_secs(seconds));
+        self.stream.trim();
+    }
+
+    /// Sends the same call through another host in the middle of one.
+    fn interleave(&self, place: usize, right: Right, matter: &Matter) {
+        if self.depth.get() == 0 {
+            self.depth.set(1);
+            let faults = (Append::Answers, Relay::Answers, Run::Answers);
+            self.call(place % HOSTS, right, matter.digest as u8, faults);
+            self.depth.set(0);
+        }
+    }
+}
+
+impl Reach for Request<'_> {
+    fn incarnation(&self) -> Incarnation {
+        self.host.incarnation
+    }
+
+    fn now(&self) -> Instant {
+        self.world.clock.now()
+    }
+
+    fn ledger(&self) -> &Ledger {
+        &self.host.ledger
+    }
+
+    fn inherited(&self) -> &Inherited {
+        &self.host.inherited
+    }
+
+    fn patience(&self) -> Duration {
+        Duration::ZERO
+    }
+
+    fn check_key(&self, key: Uuid) -> Result<(), claim::Fault> {
+        claim::check_key(key, RETENTION, &self.world.clock)
+    }
+
+    fn check_ticket(&self, ticket: &Ticket, scope: &str) -> Result<(), ticket::Fault> {
+        self.host.issuer.check(ticket, scope, self.now())
+    }
+
+    fn claim(&mut self, claim: Claim) -> Result<Held, claim::Failure> {
+        let wire = Wire {
+            stream: Arc::clone(&self.world.stream),
+            append: self.faults.0,
+            cut: self.host.cut.get(),
+        };
+        let pending = self.host.desk.submit(claim)?;
+        let writer = Writer::grouping(self.host.incarnation, PEER.parse().unwrap());
+        self.host.desk.write_once(&wire, writer, Duration::ZERO);
+        if let Append::SameCallAt(place) = self.faults.0 {
+            self.world.interleave(place, self.right, &self.matter);
+        }
+        let replica = self.host.desk.replica();
+        let _ = replica.poll(&wire, Duration::ZERO);
+        let verdict = replica.with(|state| pending.verdict(state));
+        verdict.unwrap_or(Err(claim::Failure::TimedOut))
+    }
+
+    fn relay(&mut self, to: Incarnation, _hint: Option<SocketAddr>, right: Right) -> Reply {
+        let unknown = || Problem::unknown("not reached").into();
+        let reply = match self.faults.1 {
+            Relay::Cut => None,
+            Relay::Late => {
+                let late = (to, self.matter.clone(), right);
+                self.world.late_relays.borrow_mut().push(late);
+                None
+            }
+            Relay::Answers => self
+                .world
+                .run_relayed(to, &self.matter, right, self.faults.2),
+            Relay::LosesAnswer => {
+                self.world
+                    .run_relayed(to, &self.matter, right, self.faults.2);
+                None
+            }
+        };
+        reply.unwrap_or_else(unknown)
+    }
+
+    fn execute(&mut self) -> Reply {
+        if let Run::Refuses = self.faults.2 {
+            return Problem::not_run(503, "refused", "by the upstream").into();
+        }
+        let book = &self.world.runs;
+        book.borrow_mut()
+            .entry(name(self.right))
+            .or_default()
+            .push(self.matter.digest);
+        match self.faults.2 {
+            Run::LosesAnswer => return Problem::unknown("answer lost").into(),
+            Run::HostDies => {
+                self.world.restart(self.place);
+                return Problem::unknown("the host died").into();
+            }
+            Run::HostLeaves => self.world.leave(self.place),
+            Run::SameCallAt(place) => self.world.interleave(place, self.right, &self.matter),
+            Run::Answers | Run::Refuses => {}
+        }
+        Reply::ran(
+            200,
+            "text/plain",
+            self.matter.digest.to_string().into_bytes(),
+        )
+    }
+}
+
+/// The reference keeps nothing: the oracle is in the world's book.
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = ();
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Transition> {
+        let host = 0..HOSTS;
+        let run = prop_oneof![
+            4 => Just(Run::Answers),
+            1 => Just(Run::LosesAnswer),
+            1 => Just(Run::Refuses),
+            1 => Just(Run::HostDies),
+            1 => Just(Run::HostLeaves),
+            1 => host.clone().prop_map(Run::SameCallAt),
+        ];
+        let append = prop_oneof![
+            4 => Just(Append::Answers),
+            1 => Just(Append::LosesAnswer),
+            1 => Just(Append::Late),
+            1 => Just(Append::Out),
+            1 => host.clone().prop_map(Append::SameCallAt),
+        ];
+        let relay = prop_oneof![
+            4 => Just(Relay::Answers),
+            1 => Just(Relay::LosesAnswer),
+            1 => Just(Relay::Late),
+            1 => Just(Relay::Cut),
+        ];
+        let call = (host.clone(), 0..RIGHTS, 0..2u8, (append, relay, run));
+        prop_oneof![
+            12 => call.prop_map(|(host, right, content, faults)| {
+                Transition::Call { host, right, content, faults }
+            }),
+            2 => (host.clone(), 0..RIGHTS).prop_map(|(host, right)| Transition::Issue { host, right }),
+            1 => host.clone().prop_map(Transition::Kill),
+            1 => host.clone().prop_map(Transition::Leave),
+            1 => (host, any::<bool>()).prop_map(|(host, cut)| Transition::CutLog(host, cut)),
+            2 => Just(Transition::DeliverLate),
+            1 => prop_oneof![Just(60u64), Just(1700), Just(3000), Just(50_000)].prop_map(Transition::Pass),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: (), _transition: &Transition) {
+        state
+    }
+}
+
+impl StateMachineTest for World {
+    type SystemUnderTest = World;
+    type Reference = Reference;
+
+    fn init_test(_state: &()) -> World {
+        World::new()
+    }
+
+    fn apply(world: World, _state: &(), transition: Transition) -> World {
+        match transition {
+            Transition::Call {
+                host,
+                right,
+                content,
+                faults,
+            } => {
+                let right = world.right(right);
+                world.call(host, right, content, faults);
+            }
+            Transition::Issue { host, right } => {
+                let ticket = world.host(host).issuer.issue("desk", world.clock.now());
+                world
+                    .rights
+                    .borrow_mut()
+                    .entry(right)
+                    .or_insert(Right::Ticket(ticket));
+            }
+            Transition::Kill(place) => world.restart(place),
+            Transition::Leave(place) => world.leave(place),
+            Transition::CutLog(place, cut) => world.host(place).cut.set(cut),
+            Transition::DeliverLate => world.deliver_late(),
+            Transition::Pass(seconds) => world.pass(seconds),
+        }
+        world
+    }
+}
+
+proptest! {
+    #![proptest_config(super::configuration())]
+
+    #[test]
+    fn one_time_calls_run_at_most_once_and_not_run_is_true(
+        (state, transitions, seen) in Reference::sequential_strategy(1..60)
+    ) {
+        World::test_sequential(super::configuration(), state, transitions, seen);
+    }
+}
--- a/tests/it.rs
+++ b/tests/it.rs
@@ -1,6 +1,7 @@
 //! Tests of the whole program.
 
 mod common;
+mod fuzz;
 mod once;
 mod orders;
 mod path;
