Add the fault matrix with entry hosts as real processes

Cause: faults were tested at some steps only. Engines can skip a token or send another request's. Conclusion: in the cells where the struck process stands in front of the caller only honesty is asked for, since nobody else can answer there.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -7,6 +7,8 @@
 mod show;
 mod stand_in;
 
+pub use self::stand_in::put_host;
+
 use std::process::ExitCode;
 
 use anyhow::Result;
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -31,6 +31,7 @@
     let platform = Http::new(settings.platform);
     let process = Process::start(settings, Real, platform)?;
     println!("callers={}", process.address());
+    println!("peers={}", process.core().settings.peer_listen);
     if let Some(address) = process.operator() {
         println!("operators={address}");
     }
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -77,6 +77,10 @@
     pub leaving: AtomicBool,
     /// Open streams get no further byte; new ones work.
     pub silent_before: AtomicU64,
+    /// Leaves a token out of the next stream.
+    pub skips_token: AtomicBool,
+    /// Sends another request's token on the next stream.
+    pub crosses: AtomicBool,
     /// Carries out an order, but breaks the connection instead of answering.
     pub loses_order_answers: AtomicBool,
 }
--- a/src/standin/engine/serve.rs
+++ b/src/standin/engine/serve.rs
@@ -31,6 +31,8 @@
 const DEFAULT_TOKENS: u64 = 16;
 /// Share of the reading time that a cached prefix leaves.
 const CACHED_SHARE: f64 = 0.2;
+/// Token at which a stream goes wrong, if it is to.
+const FAULTY_TOKEN: u64 = 5;
 /// A prompt with this text in it crashes the engine.
 pub const POISON: &str = "<poison>";
 
@@ -232,7 +234,15 @@
             if !self.is_alive() {
                 return Ok(());
             }
-            let event = self.event(index, index + 1 == limit);
+            let faults = &self.shared.faults;
+            if index == FAULTY_TOKEN && faults.skips_token.swap(false, Ordering::SeqCst) {
+                continue;
+            }
+            let mut event = self.event(index, index + 1 == limit);
+            if index == FAULTY_TOKEN && faults.crosses.swap(false, Ordering::SeqCst) {
+                event["request_id"] = json!("another");
+                event["choices"][0]["text"] = json!("another's ");
+            }
             self.write(out, &format!("data: {event}\n\n"))?;
             self.shared.generated_tokens.fetch_add(1, Ordering::SeqCst);
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! What the whole-program tests share.
 
+pub mod process;
+
 use std::time::Duration;
 
 use pistachiohall::standin::deployment::Deployment;
--- a/tests/it.rs
+++ b/tests/it.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod fuzz;
+mod matrix;
 mod once;
 mod orders;
 mod path;
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -1,5 +1,6 @@
 //! Streams stay whole through faults of engines and connections.
 
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -59,6 +60,20 @@
     assert_whole(&running.join().unwrap(), "quiet", LONG);
 }
 
+#[test]
+fn a_stream_that_skips_or_crosses_is_not_passed_on() {
+    let deployment = common::two_domains();
+    let caller = deployment.caller("derby-h1", DESK_KEY);
+    for engine in deployment.engines.values() {
+        engine.faults().skips_token.store(true, Ordering::SeqCst);
+    }
+    assert_whole(&caller.stream(MODEL, "skipped", 20), "skipped", 20);
+    for engine in deployment.engines.values() {
+        engine.faults().crosses.store(true, Ordering::SeqCst);
+    }
+    assert_whole(&caller.stream(MODEL, "crossed", 20), "crossed", 20);
+}
+
 #[test]
 fn one_request_costs_at_most_two_engines_and_its_neighbours_are_answered() {
     let deployment = common::two_domains();
