Learn admission limits from how far latencies are from their targets

Three causes, found one by one in experiment admission: growth far too slow for long streams; urgent requests waiting for places held by lesser ones; waiting requests started at the very end of their deadline, since the predicted wait used the pace of all classes for the lesser one. Change: growth and shrinking by the distance from the target (aim 0.97), a quarter of overshoot for the most urgent, waits predicted by the pace of the own rank, and starts refused a first-token target before the deadline. The two tests of the old rule were replaced by ones of the new: a third less after as many half-length misses as requests run.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -71,15 +71,15 @@
         let mut lanes = self.gate.lanes.lock().expect("gate lock");
         if let Some(lane) = lanes.get_mut(&self.service) {
             lane.leave(held, self.seen, now);
-            start(lane);
+            start(lane, now);
         }
     }
 }
 
-fn start(lane: &mut Lane<Sender<Word>>) {
-    for waiter in lane.start() {
+fn start(lane: &mut Lane<Sender<Word>>, now: Instant) {
+    for waiter in lane.start(now) {
         if waiter.send(Ok(())).is_err() {
-            lane.leave(Duration::ZERO, None, Instant::now());
+            lane.leave(Duration::ZERO, None, now);
         }
     }
 }
@@ -138,6 +138,13 @@
         lanes.get_mut(service).expect("the lane was just put in")
     }
 
+    /// Sets the limit from which a service's learning starts.
+    pub fn set_start_limit(&self, service: &str, limit: f64) {
+        let mut lanes = self.lanes.lock().expect("gate lock");
+        let lane = Lane::new(Limit::new(limit, limit.max(MOST_LIMIT)), self.most_queued);
+        lanes.insert(service.into(), lane);
+    }
+
     /// Returns how many requests of a service run and wait.
     pub fn load(&self, service: &str) -> (usize, usize) {
         let lanes = self.lanes.lock().expect("gate lock");
@@ -156,11 +163,12 @@
 
     fn sweep_once(&self) {
         let mut lanes = self.lanes.lock().expect("gate lock");
+        let now = self.clock.now();
         for lane in lanes.values_mut() {
-            for (waiter, refusal) in lane.give_up(self.clock.now()) {
+            for (waiter, refusal) in lane.give_up(now) {
                 let _ = waiter.send(Err(refusal));
             }
-            start(lane);
+            start(lane, now);
         }
     }
 }
--- a/src/admit/lane.rs
+++ b/src/admit/lane.rs
@@ -10,6 +10,8 @@
 use super::limit::Limit;
 use super::limit::Observation;
 
+/// Weight of the newest sample in the mean time between starts of a rank.
+const PACE_GAIN: f64 = 0.1;
 /// Weight of the newest sample in the mean time that a request holds its place.
 const HOLD_GAIN: f64 = 0.1;
 /// Mean time that a request holds its place before any was seen.
@@ -17,6 +19,13 @@
 /// Least time after which a refused caller is told to come back.
 const LEAST_RETRY: Duration = Duration::from_secs(1);
 
+/// Mean time between the starts of one rank's waiting requests.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    mean: Duration,
+    last: Instant,
+}
+
 #[derive(Debug)]
 struct Waiter<T> {
     demand: Demand,
@@ -41,6 +50,7 @@
     running: usize,
     hold: Duration,
     queues: BTreeMap<u8, Fair<Waiter<T>>>,
+    paces: BTreeMap<u8, Pace>,
     most_queued: usize,
 }
 
@@ -57,6 +67,7 @@
             running: 0,
             hold: FIRST_HOLD,
             queues: BTreeMap::new(),
+            paces: BTreeMap::new(),
             most_queued,
         }
     }
@@ -72,13 +83,8 @@
     }
 
     /// Returns the learned limit.
-    pub fn limit_mut(&mut self) -> &mut Limit {
-        &mut self.limit
-    }
-
-    /// Returns how many may run for `rank`.
-    pub fn limit_of(&self, rank: u8) -> usize {
-        self.limit.of_rank(rank)
+    pub fn limit(&self) -> usize {
+        self.limit.value()
     }
 
     /// Decides on a request that has just come; `ticket` is kept while it waits.
@@ -88,7 +94,7 @@
             self.running += 1;
             return Entry::Runs;
         }
-        let wait = self.wait_behind(ahead, demand.rank);
+        let wait = self.wait(demand.rank, ahead + 1);
         if self.queued() >= self.most_queued {
             return Entry::Refused(Refusal::Full(wait.max(LEAST_RETRY)));
         }
@@ -114,16 +120,25 @@
     }
 
     /// Starts what may start now.
-    pub fn start(&mut self) -> Vec<T> {
+    pub fn start(&mut self, now: Instant) -> Vec<T> {
         let mut started = Vec::new();
+        let per_place = self.per_place();
         for (rank, queue) in &mut self.queues {
             while self.running < self.limit.of_rank(*rank) {
                 let Some(waiter) = queue.pop() else { break };
                 self.running += 1;
                 started.push(waiter.ticket);
+                let pace = self.paces.entry(*rank).or_insert(Pace {
+                    mean: per_place,
+                    last: now,
+                });
+                let since = now.saturating_duration_since(pace.last);
+                pace.mean = pace.mean.mul_f64(1.0 - PACE_GAIN) + since.mul_f64(PACE_GAIN);
+                pace.last = now;
             }
-            if !queue.is_empty() {
-                break;
+            match queue.is_empty() {
+                true => drop(self.paces.remove(rank)),
+                false => break,
             }
         }
         started
@@ -131,19 +146,20 @@
 
     /// Gives up on what can no longer start in time.
     pub fn give_up(&mut self, now: Instant) -> Vec<(T, Refusal)> {
-        let per_place = self.per_place(0);
-        let mut ahead = 0;
         let mut refused = Vec::new();
-        for queue in self.queues.values_mut() {
+        let ranks: Vec<u8> = self.queues.keys().copied().collect();
+        for rank in ranks {
+            let per_start = self.wait(rank, 1);
+            let Some(queue) = self.queues.get_mut(&rank) else {
+                continue;
+            };
             let hopeless = |place: usize, waiter: &Waiter<T>| {
-                let wait = per_place.mul_f64((ahead + place) as f64);
-                now + wait > waiter.demand.start_by
+                now + per_start.mul_f64(place as f64) > waiter.demand.start_by
             };
-            let wait = per_place.mul_f64((ahead + queue.len()) as f64);
+            let wait = per_start.mul_f64(queue.len() as f64);
             let refusal = Refusal::TooLate(wait.max(LEAST_RETRY));
             let gone = queue.remove_if(hopeless);
             refused.extend(gone.into_iter().map(|waiter| (waiter.ticket, refusal)));
-            ahead += queue.len();
         }
         refused
     }
@@ -155,12 +171,16 @@
             .sum()
     }
 
-    fn per_place(&self, rank: u8) -> Duration {
-        self.hold.div_f64(self.limit.of_rank(rank).max(1) as f64)
+    /// Returns the time in which `starts` waiting requests of a rank start, as things go.
+    fn wait(&self, rank: u8, starts: usize) -> Duration {
+        let pace = self.paces.get(&rank);
+        let per_start = pace.map_or_else(|| self.per_place(), |pace| pace.mean);
+        per_start.mul_f64(starts as f64)
     }
 
-    fn wait_behind(&self, ahead: usize, rank: u8) -> Duration {
-        self.per_place(rank).mul_f64((ahead + 1) as f64)
+    /// Returns the mean time after which a place becomes free.
+    fn per_place(&self) -> Duration {
+        self.hold.div_f64(self.limit.value().max(1) as f64)
     }
 }
 
@@ -185,12 +205,13 @@
         let mut lane = Lane::new(Limit::new(1.0, 1.0), 10);
         assert_eq!(lane.enter(demand(1, later), "first", now), Entry::Runs);
         assert_eq!(lane.enter(demand(1, later), "lesser", now), Entry::Waits);
+        assert_eq!(lane.enter(demand(0, later), "over", now), Entry::Runs);
         assert_eq!(lane.enter(demand(0, later), "urgent", now), Entry::Waits);
         let soon = now + Duration::from_millis(100);
         let refused = lane.enter(demand(1, soon), "late", now);
         assert!(matches!(refused, Entry::Refused(Refusal::TooLate(_))));
         lane.leave(Duration::from_millis(500), None, now);
-        assert_eq!(lane.start(), ["urgent"]);
+        assert_eq!(lane.start(now), ["urgent"]);
         let given_up = lane.give_up(later + Duration::from_secs(1));
         assert_eq!(given_up.len(), 1);
         assert_eq!(given_up[0].0, "lesser");
--- a/src/admit/limit.rs
+++ b/src/admit/limit.rs
@@ -3,12 +3,21 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Factor on the limit when a target is missed.
-const DECREASE: f64 = 0.85;
+/// Share of a target that is aimed at, so that most requests keep it.
+const AIM: f64 = 0.97;
+/// Requests by which the limit grows for each one seen, if latency were nothing.
+const GROWTH: f64 = 0.5;
+/// Share by which the limit shrinks, for each one seen of those running, if a target is missed by
+/// its whole length.
+const SHRINK: f64 = 1.0;
+/// Largest latency that counts, as a share of its target.
+const MOST_RATIO: f64 = 2.0;
+/// Share by which the most urgent requests may exceed the limit.
+const OVERSHOOT: f64 = 0.25;
 /// Smallest limit.
 const LEAST: f64 = 1.0;
-/// Pause between two decreases.
-const DECREASE_PAUSE: Duration = Duration::from_millis(500);
+/// Time after an urgent request during which lesser ones do not raise the limit.
+const URGENT_MEMORY: Duration = Duration::from_secs(5);
 
 /// Latencies of one request against the targets of its class.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -22,22 +31,22 @@
 }
 
 impl Observation {
-    fn missed(&self) -> bool {
-        self.first_token > 1.0 || self.between_tokens > 1.0
+    fn ratio(&self) -> f64 {
+        self.first_token.max(self.between_tokens).min(MOST_RATIO)
     }
 }
 
-/// A limit that grows while targets are met and shrinks when one is missed.
+/// A limit that grows while latencies are below what is aimed at, and shrinks above it.
 ///
-/// Each host learns its own; hosts that share engines come to share them fairly, since all
-/// see the same latencies.
+/// It grows by steps and shrinks by shares, so that hosts that share engines, and see the same
+/// latencies, come to share them fairly. While urgent requests run, theirs are the latencies that
+/// decide.
 #[derive(Debug, Clone)]
 pub struct Limit {
-    all: f64,
-    lesser: f64,
+    value: f64,
     most: f64,
     top_rank: u8,
-    last_decrease: Option<Instant>,
+    urgent_seen: Option<Instant>,
 }
 
 impl Limit {
@@ -45,60 +54,47 @@
     ///
     /// ```
     /// use pistachiohall::admit::limit::Limit;
-    /// assert_eq!(Limit::new(8.0, 64.0).of_rank(0), 8);
+    /// assert_eq!(Limit::new(8.0, 64.0).value(), 8);
     /// ```
     pub fn new(start: f64, most: f64) -> Self {
         Limit {
-            all: start,
-            lesser: start,
+            value: start,
             most,
             top_rank: 0,
-            last_decrease: None,
+            urgent_seen: None,
         }
     }
 
-    /// Returns how many requests may run in all for one of `rank` to start.
+    /// Returns how many requests may run.
+    pub fn value(&self) -> usize {
+        self.value as usize
+    }
+
+    /// Returns how many requests may run for one of `rank` to start.
+    ///
+    /// The most urgent may overshoot: they then wait for no other, and the latencies that they
+    /// see lower the limit for the lesser.
     pub fn of_rank(&self, rank: u8) -> usize {
         match rank <= self.top_rank {
-            true => self.all as usize,
-            false => self.all.min(self.lesser) as usize,
+            true => (self.value * (1.0 + OVERSHOOT)) as usize + 1,
+            false => self.value(),
         }
     }
 
-    /// Sets the most that the limit may grow to.
-    pub fn set_most(&mut self, most: f64) {
-        self.most = most.max(LEAST);
-        self.all = self.all.min(self.most);
-    }
-
     /// Learns from a finished request, of `running` that were open with it.
     pub fn observe(&mut self, seen: Observation, running: usize, now: Instant) {
-        if seen.missed() {
-            self.decrease(seen.rank, now);
-        } else {
-            self.increase(seen.rank, running);
-        }
-    }
-
-    fn decrease(&mut self, rank: u8, now: Instant) {
-        let recent = |last: Instant| now.saturating_duration_since(last) < DECREASE_PAUSE;
-        if self.last_decrease.is_some_and(recent) {
-            return;
-        }
-        self.last_decrease = Some(now);
-        let lesser_run = self.lesser > LEAST;
-        self.lesser = (self.lesser.min(self.all) * DECREASE).max(LEAST);
-        if rank > self.top_rank || !lesser_run {
-            self.all = (self.all * DECREASE).max(LEAST);
+        let is_urgent = seen.rank <= self.top_rank;
+        if is_urgent {
+            self.urgent_seen = Some(now);
         }
-    }
-
-    fn increase(&mut self, rank: u8, running: usize) {
-        if running + 1 >= self.all as usize {
-            self.all = (self.all + 1.0 / self.all).min(self.most);
-        }
-        if rank > self.top_rank || running + 1 >= self.lesser as usize {
-            self.lesser = (self.lesser + 1.0 / self.lesser.max(1.0)).min(self.all);
+        let over = seen.ratio() - AIM;
+        let recent = |at: Instant| now.saturating_duration_since(at) < URGENT_MEMORY;
+        let decides = is_urgent || !self.urgent_seen.is_some_and(recent);
+        if over > 0.0 {
+            let share = SHRINK * over / running.max(1) as f64;
+            self.value = (self.value * (1.0 - share.min(0.5))).max(LEAST);
+        } else if decides && running + 1 >= self.value() {
+            self.value = (self.value - GROWTH * over).min(self.most);
         }
     }
 }
@@ -116,11 +112,27 @@
     }
 
     #[test]
-    fn a_missed_urgent_target_first_takes_room_from_lesser_classes() {
+    fn a_missed_target_shrinks_the_limit_and_a_kept_one_lets_it_grow() {
+        let mut limit = Limit::new(20.0, 64.0);
+        for _ in 0..20 {
+            limit.observe(seen(0, 1.5), 20, Instant::now());
+        }
+        assert!(limit.value() <= 20 * 2 / 3);
+        for _ in 0..400 {
+            limit.observe(seen(0, 0.5), limit.value(), Instant::now());
+        }
+        assert_eq!(limit.value(), 64);
+    }
+
+    #[test]
+    fn lesser_classes_do_not_raise_what_urgent_ones_need_low() {
         let mut limit = Limit::new(20.0, 64.0);
-        limit.observe(seen(0, 1.5), 20, Instant::now());
-        assert_eq!(limit.of_rank(0), 20);
-        assert_eq!(limit.of_rank(1), 17);
+        let now = Instant::now();
+        limit.observe(seen(0, AIM), 20, now);
+        limit.observe(seen(1, 0.1), 20, now);
+        assert_eq!(limit.value(), 20);
+        limit.observe(seen(1, 0.1), 20, now + URGENT_MEMORY);
+        assert_eq!(limit.value(), 20 + usize::from(GROWTH * (AIM - 0.1) >= 1.0));
     }
 
     #[test]
@@ -129,6 +141,6 @@
         for _ in 0..100 {
             limit.observe(seen(0, 0.1), 2, Instant::now());
         }
-        assert_eq!(limit.of_rank(0), 20);
+        assert_eq!(limit.value(), 20);
     }
 }
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -1,9 +1,13 @@
 //! Measurements of the policies, on models and on stand-ins.
 
+pub mod admission;
 pub mod clairvoyant;
+pub mod once;
+pub mod overhead;
 pub mod plot;
 pub mod policy;
 pub mod queue;
+pub mod routing;
 pub mod trace;
 
 use std::process::ExitCode;
@@ -27,6 +31,22 @@
                 policy::draw(&rows, path)?;
             }
         }
+        Topic::Admission => {
+            let rows = admission::run(arguments.seeds);
+            print(arguments.format, &rows, |rows| admission::render(rows))?;
+        }
+        Topic::Routing => {
+            let rows = routing::run(arguments.seeds);
+            print(arguments.format, &rows, |rows| routing::render(rows))?;
+        }
+        Topic::Overhead => {
+            let rows = overhead::run()?;
+            print(arguments.format, &rows, |rows| overhead::render(rows))?;
+        }
+        Topic::Once => {
+            let rows = once::run()?;
+            print(arguments.format, &rows, |rows| once::render(rows))?;
+        }
         _ => anyhow::bail!("not measured yet"),
     }
     Ok(ExitCode::SUCCESS)
--- a/src/pipeline/call.rs
+++ b/src/pipeline/call.rs
@@ -110,11 +110,16 @@
         prefix_of(prompt(&completion.body)?)
     }
 
-    /// Returns when a start becomes worth nothing.
-    pub fn start_by(&self) -> Instant {
+    /// Returns when a first token becomes worth nothing.
+    pub fn deadline(&self) -> Instant {
         self.arrived + self.class.deadline
     }
 
+    /// Returns when a start becomes worth nothing: a first token takes its time.
+    pub fn start_by(&self) -> Instant {
+        self.deadline() - self.class.first_token
+    }
+
     /// Returns what the admission needs to know.
     pub fn demand(&self) -> Demand {
         Demand {
--- a/src/pipeline/forward.rs
+++ b/src/pipeline/forward.rs
@@ -71,7 +71,7 @@
             Err(Failure::Refused) => upstream.leaving.store(true, Ordering::SeqCst),
             Err(failure @ (Failure::Lost(_) | Failure::Silent(_))) => {
                 course.sent.get_or_insert(call.arrived);
-                let in_time = core.clock.now() < call.start_by();
+                let in_time = core.clock.now() < call.deadline();
                 let again = call.is_idempotent() && in_time && core.budget.try_spend();
                 if !again {
                     return Problem::unknown(failure.to_string()).into();
@@ -109,7 +109,7 @@
     C: Clock + Clone,
     P: Log + List,
 {
-    let left = call.start_by().saturating_duration_since(core.clock.now());
+    let left = call.deadline().saturating_duration_since(core.clock.now());
     let limit = left.max(core.settings.limits.silence);
     let answer = call::send(&call::Call {
         address: upstream.address,
--- a/src/pipeline/model.rs
+++ b/src/pipeline/model.rs
@@ -227,7 +227,7 @@
     }
 
     fn may_retry(&self, failure: &Failure) -> Option<End> {
-        let is_late = self.course.first.is_none() && self.core.clock.now() >= self.call.start_by();
+        let is_late = self.course.first.is_none() && self.core.clock.now() >= self.call.deadline();
         match !is_late && self.core.budget.try_spend() {
             true => None,
             false => Some(End::Failed(Problem::unknown(failure.to_string()))),
