--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod clairvoyant;
+pub mod cost;
 pub mod once;
 pub mod overhead;
 pub mod plot;
@@ -47,7 +48,10 @@
             let rows = once::run()?;
             print(arguments.format, &rows, |rows| once::render(rows))?;
         }
-        _ => anyhow::bail!("not measured yet"),
+        Topic::Cost => {
+            let rows = cost::run()?;
+            print(arguments.format, &rows, |rows| cost::render(rows))?;
+        }
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod memory;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -102,6 +103,28 @@
     pub state: State,
 }
 
+impl<L> Log for Arc<L>
+where
+    L: Log,
+{
+    fn append(&self, stream: &str, data: &Value) -> Result<Offset, AppendError> {
+        (**self).append(stream, data)
+    }
+
+    fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        (**self).read(stream, from, wait)
+    }
+}
+
+impl<L> List for Arc<L>
+where
+    L: List,
+{
+    fn hosts(&self) -> Result<Vec<Host>, ReadError> {
+        (**self).hosts()
+    }
+}
+
 /// The lagging list of hosts.
 pub trait List: Send + Sync + 'static {
     /// Returns the list as the platform shows it now.
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -10,6 +10,7 @@
 use attohttpc::header::HeaderMap;
 use serde_json::Value;
 use serde_json::json;
+use uuid::Uuid;
 
 use crate::pipeline::deliver::text_of;
 use crate::upstream::call::OUTCOME;
@@ -71,6 +72,7 @@
         RequestBuilder::new(method, format!("http://{}{path}", self.address))
             .connect_timeout(CONNECT_TIMEOUT)
             .read_timeout(SILENCE)
+            .header(REQUEST_ID, Uuid::now_v7().to_string())
             .header("authorization", format!("Bearer {}", self.key))
     }
 
