Let the order fuzzer reach takeovers

Cause: four mutants survived; closing an inherited order without fencing, and unfreezing an engine that ignores tokens, take a dozen steps in order, which random single steps hardly ever reach.

--- a/tests/fuzz/orders.rs
+++ b/tests/fuzz/orders.rs
@@ -55,6 +55,12 @@
         append: Append,
     },
     Poll(usize),
+    /// One whole look of a host at lease and orders, as its duty takes it.
+    Look {
+        host: usize,
+        engine: usize,
+        send: Send,
+    },
     Intend {
         host: usize,
         engine: usize,
@@ -251,6 +257,22 @@
         }
     }
 
+    fn poll(&self, host: usize) {
+        let one = &self.hosts[host];
+        let replica = one.authority.replica();
+        replica.poll(&self.log, Duration::ZERO).unwrap();
+        one.authority.decide(one.incarnation, 0, self.clock.now());
+    }
+
+    fn look(&mut self, host: usize, engine: usize, send: Send) {
+        self.poll(host);
+        self.lease(host, Append::Answers);
+        self.poll(host);
+        self.intend(host, engine, Append::Answers);
+        self.poll(host);
+        self.drive(host, engine, send, Append::Answers);
+    }
+
     fn send(&mut self, engine: usize, order: Order, send: Send) -> bool {
         match send {
             Send::Arrives => self.obey(engine, &order),
@@ -355,15 +377,16 @@
                 1 => Just(Append::Out),
             ]
         };
-        let send =
-            prop_oneof![4 => Just(Send::Arrives), 3 => Just(Send::Pauses), 1 => Just(Send::Lost)];
+        let send = || prop_oneof![4 => Just(Send::Arrives), 3 => Just(Send::Pauses), 1 => Just(Send::Lost)];
         let engine = 0..ENGINES.len();
         prop_oneof![
             6 => (0..HOSTS, append()).prop_map(|(host, append)| Transition::Lease { host, append }),
+            12 => (0..HOSTS, engine.clone(), send())
+                .prop_map(|(host, engine, send)| Transition::Look { host, engine, send }),
             8 => (0..HOSTS).prop_map(Transition::Poll),
             4 => (0..HOSTS, engine.clone(), append())
                 .prop_map(|(host, engine, append)| Transition::Intend { host, engine, append }),
-            8 => (0..HOSTS, engine.clone(), send, append())
+            8 => (0..HOSTS, engine.clone(), send(), append())
                 .prop_map(|(host, engine, send, append)| Transition::Drive { host, engine, send, append }),
             1 => Just(Transition::Wake),
             3 => engine.clone().prop_map(Transition::Finish),
@@ -411,12 +434,8 @@
     fn apply(mut world: World, _state: &(), transition: Transition) -> World {
         match transition {
             Transition::Lease { host, append } => world.lease(host, append),
-            Transition::Poll(host) => {
-                let replica = world.hosts[host].authority.replica();
-                replica.poll(&world.log, Duration::ZERO).unwrap();
-                let (now, one) = (world.clock.now(), &world.hosts[host]);
-                one.authority.decide(one.incarnation, 0, now);
-            }
+            Transition::Poll(host) => world.poll(host),
+            Transition::Look { host, engine, send } => world.look(host, engine, send),
             Transition::Intend {
                 host,
                 engine,
