Feed routing from cache events, pace loads, and keep both halves served

Cause: the index of cached prefixes knew only the host's own routes; asked role changes were all announced at once, three of three engines in a test, so that nobody was left to generate. Change: cache events polled with a cursor, everything forgotten at a gap; one load from the weight store at a time in a domain, one role change at a time in a service, none that leaves a half of the work to nobody.

--- a/src/order/officer.rs
+++ b/src/order/officer.rs
@@ -9,17 +9,21 @@
 
 use crate::clock::Clock;
 use crate::core::Core;
+use crate::fold::orders::Action;
 use crate::fold::orders::Close;
 use crate::fold::orders::Open;
 use crate::fold::orders::Orders;
 use crate::fold::orders::Record;
 use crate::id::Offset;
+use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::lease;
 use crate::platform::List;
 use crate::platform::Log;
+use crate::route::Stage;
 use crate::snapshot;
 use crate::snapshot::Watch;
+use crate::upstream::Role;
 use crate::upstream::Upstream;
 use crate::upstream::poll;
 
@@ -174,7 +178,7 @@
     core: &Core<C, P>,
     upstream: &Upstream,
     intent: Option<Offset>,
-    action: Option<crate::fold::orders::Action>,
+    action: Option<Action>,
 ) -> bool
 where
     C: Clock + Clone,
@@ -244,24 +248,83 @@
 }
 
 /// Announces the changes that operators asked for, one at a time for each engine.
+///
+/// Loads from the rate-limited weight store go one at a time in the failure domain, role changes
+/// one at a time in each service. A role is not given to the last engine of a service that can do
+/// the other half.
 fn announce_asked<C, P>(core: &Core<C, P>, orders: &Orders)
 where
     C: Clock + Clone,
     P: Log + List,
 {
-    for (upstream, action) in &orders.asked {
-        let known = core.table.all().into_iter().find(|one| one.id == *upstream);
-        let service = known.and_then(|one| core.directory().service(&one.service).cloned());
-        if let (Some(service), false) = (service, orders.open.contains_key(upstream)) {
-            append(core, |lease| Record::Intent {
-                lease,
-                holder: core.incarnation,
-                upstream: upstream.clone(),
-                action: action.clone(),
-                checks_tokens: service.checks_tokens,
-            });
+    let loads = |action: &Action| !matches!(action, Action::Role(_));
+    let mut is_loading = orders.open.values().any(|open| loads(&open.action));
+    let directory = core.directory();
+    let upstreams = core.table.all();
+    let service_of = |name: &UpstreamId| {
+        let known = upstreams.iter().find(|one| one.id == *name);
+        known.map(|one| one.service.clone())
+    };
+    let mut changing: Vec<ServiceId> = orders
+        .open
+        .iter()
+        .filter(|(_, open)| !loads(&open.action))
+        .filter_map(|(name, _)| service_of(name))
+        .collect();
+    for (name, action) in &orders.asked {
+        let known = upstreams.iter().find(|one| one.id == *name);
+        let Some(upstream) = known.filter(|_| !orders.open.contains_key(name)) else {
+            continue;
+        };
+        let Some(service) = directory.service(&upstream.service) else {
+            continue;
+        };
+        let has_to_wait = match loads(action) {
+            true => is_loading,
+            false => changing.contains(&service.name),
+        };
+        if has_to_wait || leaves_a_half(core, upstream, action) {
+            continue;
         }
+        match loads(action) {
+            true => is_loading = true,
+            false => changing.push(service.name.clone()),
+        }
+        append(core, |lease| Record::Intent {
+            lease,
+            holder: core.incarnation,
+            upstream: name.clone(),
+            action: action.clone(),
+            checks_tokens: service.checks_tokens,
+        });
+    }
+}
+
+/// Returns whether a role change would leave the failure domain without an engine of the service
+/// that can read prompts, or without one that can generate.
+fn leaves_a_half<C, P>(core: &Core<C, P>, upstream: &Upstream, action: &Action) -> bool
+where
+    C: Clock + Clone,
+    P: Log + List,
+{
+    let Action::Role(role) = action else {
+        return false;
+    };
+    let all = core.table.of(&upstream.service);
+    let others: Vec<Role> = all
+        .iter()
+        .filter(|one| one.domain == upstream.domain && one.id != upstream.id && one.takes_work())
+        .map(|one| one.role())
+        .collect();
+    let covers = |stage: Stage| stage.fits(*role) || others.iter().any(|role| stage.fits(*role));
+    let leaves = !covers(Stage::Prefill) || !covers(Stage::Decode);
+    if leaves {
+        core.explain(format!(
+            "{}: {role:?} would leave half of the work to nobody",
+            upstream.id
+        ));
     }
+    leaves
 }
 
 /// Returns the rank of this host among the candidates for the lease, 0 first.
--- a/src/route/affinity.rs
+++ b/src/route/affinity.rs
@@ -6,6 +6,7 @@
 
 use crate::id::Fingerprint;
 use crate::id::UpstreamId;
+use crate::upstream::poll::Event;
 
 /// Most prefixes remembered.
 const MOST_PREFIXES: usize = 16_384;
@@ -69,6 +70,33 @@
         }
     }
 
+    /// Takes in an upstream's cache events, of which the next was to be `from`; returns the next.
+    ///
+    /// After a gap nothing earlier is known to be held.
+    ///
+    /// ```
+    /// use pistachiohall::route::Index;
+    /// use pistachiohall::upstream::poll::Event;
+    /// let index = Index::default();
+    /// let held = |number, prefix| Event { number, prefix, held: true };
+    /// assert_eq!(index.take_events(&"e1".into(), 0, &[held(0, 7)]), 1);
+    /// assert_eq!(index.take_events(&"e1".into(), 1, &[held(5, 8)]), 6);
+    /// assert!(index.holders(7).is_empty());
+    /// assert_eq!(index.holders(8), ["e1"]);
+    /// ```
+    pub fn take_events(&self, upstream: &UpstreamId, from: u64, events: &[Event]) -> u64 {
+        if events.first().is_some_and(|event| event.number > from) {
+            self.forget(upstream);
+        }
+        for event in events {
+            match event.held {
+                true => self.add(event.prefix, upstream),
+                false => self.remove(event.prefix, upstream),
+            }
+        }
+        events.last().map_or(from, |event| event.number + 1)
+    }
+
     /// Returns the upstreams that hold a prefix.
     pub fn holders(&self, prefix: Fingerprint) -> Vec<UpstreamId> {
         let known = self.known.lock().expect("index lock");
--- a/src/serve/duties.rs
+++ b/src/serve/duties.rs
@@ -42,8 +42,7 @@
     });
     spawn(core, "list", |core| every(core, LIST_PAUSE, read_list));
     spawn(core, "poll", |core| {
-        let restarted = |upstream: &crate::upstream::Upstream| core.index.forget(&upstream.id);
-        poll::run(&core.table, &core.clock, &core.stop, restarted);
+        poll::run(&core.table, &core.index, &core.clock, &core.stop);
     });
     spawn(core, "sweep", |core| core.gate.sweep(&core.stop));
     spawn(core, "authority", |core| {
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -210,3 +210,56 @@
     }
     assert_eq!(deployment.engines["e1"].book().begun.len(), before);
 }
+
+#[test]
+fn the_last_engine_that_can_generate_keeps_its_role() {
+    let deployment = one_domain(true);
+    let roles = |role| {
+        deployment
+            .engines
+            .values()
+            .filter(|one| one.load().role == role)
+            .count()
+    };
+    for engine in ["e1", "e2", "e3"] {
+        ask(&deployment, engine, Action::Role(Role::Prefill));
+    }
+    assert!(wait_until(|| roles(Role::Prefill) == 2));
+    let explains = || {
+        deployment.hosts.values().any(|host| {
+            let explanations = host.core().explanations.lock().unwrap();
+            explanations
+                .iter()
+                .any(|reason| reason.contains("half of the work to nobody"))
+        })
+    };
+    assert!(wait_until(explains));
+    assert_eq!(roles(Role::Mixed), 1);
+    assert!(
+        deployment
+            .caller("h1", DESK_KEY)
+            .stream(MODEL, "still served", 5)
+            .whole
+    );
+    assert_no_harm(&deployment);
+}
+
+#[test]
+fn an_upstream_that_the_list_shows_as_leaving_gets_no_new_work() {
+    let deployment = one_domain(true);
+    deployment.platform.memory().edit_hosts(|hosts| {
+        let leaver = hosts.iter_mut().find(|host| host.name == "e1").unwrap();
+        leaver.state = pistachiohall::platform::State::Leaving;
+    });
+    let takes_work = |host: &pistachiohall::standin::deployment::Entry| {
+        let all = host.core().table.all();
+        all.iter().any(|one| one.id == "e1" && one.takes_work())
+    };
+    assert!(wait_until(|| !deployment.hosts.values().any(takes_work)));
+    let before = deployment.engines["e1"].book().begun.len();
+    for number in 0..9 {
+        let caller = deployment.caller("h1", DESK_KEY);
+        assert!(caller.stream(MODEL, &format!("prompt {number}"), 3).whole);
+    }
+    assert_eq!(deployment.engines["e1"].book().begun.len(), before);
+}
