Do not let a change that cannot be made block the role policy

Cause: an asked role that would leave a half to nobody stays asked, and counted as a change under way, so the policy would never act again. Change: the policy only sits out the look in which something was asked.

--- a/src/order/officer.rs
+++ b/src/order/officer.rs
@@ -79,8 +79,9 @@
             self.advance(core, upstream, open);
         }
         self.keep_snapshots(core);
-        announce_asked(core, &orders);
-        self.planner.step(core, &orders);
+        if !announce_asked(core, &orders) {
+            self.planner.step(core, &orders);
+        }
     }
 
     fn keep_snapshots<C, P>(&mut self, core: &Core<C, P>)
@@ -251,8 +252,8 @@
 ///
 /// Loads from the rate-limited weight store go one at a time in the failure domain, role changes
 /// one at a time in each service. A role is not given to the last engine of a service that can do
-/// the other half.
-fn announce_asked<C, P>(core: &Core<C, P>, orders: &Orders)
+/// the other half. Returns whether anything was announced.
+fn announce_asked<C, P>(core: &Core<C, P>, orders: &Orders) -> bool
 where
     C: Clock + Clone,
     P: Log + List,
@@ -271,6 +272,7 @@
         .filter(|(_, open)| !loads(&open.action))
         .filter_map(|(name, _)| service_of(name))
         .collect();
+    let mut announced = false;
     for (name, action) in &orders.asked {
         let known = upstreams.iter().find(|one| one.id == *name);
         let Some(upstream) = known.filter(|_| !orders.open.contains_key(name)) else {
@@ -297,7 +299,9 @@
             action: action.clone(),
             checks_tokens: service.checks_tokens,
         });
+        announced = true;
     }
+    announced
 }
 
 /// Returns whether a role change would leave the failure domain without an engine of the service
--- a/src/order/planner.rs
+++ b/src/order/planner.rs
@@ -113,8 +113,7 @@
             let (load, _) = one.report()?;
             let is_split = load.role != Role::Mixed;
             let is_out = orders.drained.contains_key(&one.id) || load.leaving;
-            let is_changing =
-                orders.open.contains_key(&one.id) || orders.asked.contains_key(&one.id);
+            let is_changing = orders.open.contains_key(&one.id);
             (is_split && !is_out).then(|| (one.id.clone(), load, is_changing))
         })
         .collect()
