--- a/src/experiment/admission.rs
+++ b/src/experiment/admission.rs
@@ -16,6 +16,8 @@
 use crate::admit::limit::Observation;
 use crate::status::table;
 
+use super::mean;
+
 /// Engines.
 const ENGINES: usize = 9;
 /// Virtual time of one step, in seconds.
@@ -312,13 +314,11 @@
             let rows: Vec<Row> = (0..seeds)
                 .map(|seed| Model::new(way, hosts, seed).run())
                 .collect();
-            let mean =
-                |value: fn(&Row) -> f64| rows.iter().map(value).sum::<f64>() / rows.len() as f64;
             Row {
-                urgent_first_p95_ms: mean(|row| row.urgent_first_p95_ms),
-                urgent_between_p95_ms: mean(|row| row.urgent_between_p95_ms),
-                urgent_served: mean(|row| row.urgent_served),
-                goodput: mean(|row| row.goodput),
+                urgent_first_p95_ms: mean(&rows, |row| row.urgent_first_p95_ms),
+                urgent_between_p95_ms: mean(&rows, |row| row.urgent_between_p95_ms),
+                urgent_served: mean(&rows, |row| row.urgent_served),
+                goodput: mean(&rows, |row| row.goodput),
                 ..rows[0].clone()
             }
         })
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -55,3 +55,15 @@
     }
     Ok(ExitCode::SUCCESS)
 }
+
+/// Returns the mean of a value over runs.
+///
+/// ```
+/// assert_eq!(pistachiohall::experiment::mean(&[1.0, 3.0], |run| *run), 2.0);
+/// ```
+pub fn mean<T, F>(runs: &[T], value: F) -> f64
+where
+    F: Fn(&T) -> f64,
+{
+    runs.iter().map(value).sum::<f64>() / runs.len().max(1) as f64
+}
--- a/src/experiment/policy.rs
+++ b/src/experiment/policy.rs
@@ -13,6 +13,7 @@
 use crate::role::Weights;
 
 use super::clairvoyant::Clairvoyant;
+use super::mean;
 use super::plot;
 use super::queue::Model;
 use super::queue::Outcome;
@@ -114,13 +115,6 @@
         .collect()
 }
 
-fn mean<F>(outcomes: &[Outcome], value: F) -> f64
-where
-    F: Fn(&Outcome) -> f64,
-{
-    outcomes.iter().map(value).sum::<f64>() / outcomes.len().max(1) as f64
-}
-
 fn goodput(outcomes: &[Outcome]) -> f64 {
     mean(outcomes, |outcome| outcome.goodput / outcome.offered)
 }
--- a/src/experiment/routing.rs
+++ b/src/experiment/routing.rs
@@ -17,6 +17,8 @@
 use crate::upstream::Load;
 use crate::upstream::Upstream;
 
+use super::mean;
+
 /// Engines.
 const ENGINES: usize = 9;
 /// Entry hosts.
@@ -289,11 +291,9 @@
         .into_iter()
         .map(|way| {
             let rows: Vec<Row> = (0..seeds).map(|seed| Model::new(way, seed).run()).collect();
-            let mean =
-                |value: fn(&Row) -> f64| rows.iter().map(value).sum::<f64>() / rows.len() as f64;
             Row {
-                hit_rate: mean(|row| row.hit_rate),
-                first_token_p95_ms: mean(|row| row.first_token_p95_ms),
+                hit_rate: mean(&rows, |row| row.hit_rate),
+                first_token_p95_ms: mean(&rows, |row| row.first_token_p95_ms),
                 ..rows[0].clone()
             }
         })
