Split the fuzzers and share what their references have in common

Change: Stateless and Transition in tests/fuzz; the log of the one-time fuzzer and the events of the order fuzzer have files of their own. No case count, seed or assertion changed.

--- a/tests/fuzz/config.rs
+++ b/tests/fuzz/config.rs
@@ -20,12 +20,15 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::Stateless;
+use super::Transition;
+
 const HOSTS: usize = 3;
 const PUBLISHERS: usize = 2;
 const SERVICES: [&str; 2] = ["lm", "desk"];
 
 #[derive(Debug, Clone)]
-pub enum Transition {
+pub enum Event {
     Read(usize),
     Publish {
         publisher: usize,
@@ -116,18 +119,8 @@
     services
 }
 
-/// The reference keeps nothing: the oracle is in the world's history.
-pub struct Reference;
-
-impl ReferenceStateMachine for Reference {
-    type State = ();
-    type Transition = Transition;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions(_state: &()) -> BoxedStrategy<Transition> {
+impl Transition for Event {
+    fn any() -> BoxedStrategy<Event> {
         let publish = (
             0..PUBLISHERS,
             0..SERVICES.len(),
@@ -135,28 +128,24 @@
             any::<bool>(),
         );
         prop_oneof![
-            4 => (0..PUBLISHERS).prop_map(Transition::Read),
+            4 => (0..PUBLISHERS).prop_map(Event::Read),
             6 => publish.prop_map(|(publisher, service, text, late)| {
-                Transition::Publish { publisher, service, text, late }
+                Event::Publish { publisher, service, text, late }
             }),
-            2 => Just(Transition::DeliverLate),
-            6 => (0..HOSTS).prop_map(Transition::Poll),
-            1 => (0..HOSTS).prop_map(Transition::Restart),
-            3 => (0..HOSTS, 0..HOSTS, any::<bool>()).prop_map(|(from, to, late)| Transition::Peer { from, to, late }),
-            2 => (0..HOSTS, any::<bool>()).prop_map(|(host, late)| Transition::Snapshot { host, late }),
-            2 => (1..6u64).prop_map(Transition::Trim),
+            2 => Just(Event::DeliverLate),
+            6 => (0..HOSTS).prop_map(Event::Poll),
+            1 => (0..HOSTS).prop_map(Event::Restart),
+            3 => (0..HOSTS, 0..HOSTS, any::<bool>()).prop_map(|(from, to, late)| Event::Peer { from, to, late }),
+            2 => (0..HOSTS, any::<bool>()).prop_map(|(host, late)| Event::Snapshot { host, late }),
+            2 => (1..6u64).prop_map(Event::Trim),
         ]
         .boxed()
     }
-
-    fn apply(state: (), _transition: &Transition) {
-        state
-    }
 }
 
 impl StateMachineTest for World {
     type SystemUnderTest = World;
-    type Reference = Reference;
+    type Reference = Stateless<Event>;
 
     fn init_test(_state: &()) -> World {
         World {
@@ -171,14 +160,14 @@
         }
     }
 
-    fn apply(mut world: World, _state: &(), transition: Transition) -> World {
+    fn apply(mut world: World, _state: &(), transition: Event) -> World {
         match transition {
-            Transition::Read(publisher) => {
+            Event::Read(publisher) => {
                 if let Ok(replica) = publish::read(&world.log) {
                     world.views[publisher] = replica.with(Config::clone);
                 }
             }
-            Transition::Publish {
+            Event::Publish {
                 publisher,
                 service,
                 text,
@@ -195,7 +184,7 @@
                 let record = Record::Publication { id, edits };
                 world.write(serde_json::to_value(record).unwrap(), late);
             }
-            Transition::DeliverLate => {
+            Event::DeliverLate => {
                 for data in std::mem::take(&mut world.late) {
                     world.append(&data);
                 }
@@ -203,27 +192,27 @@
                     world.hosts[to].take_suffix(suffix);
                 }
             }
-            Transition::Poll(host) => {
+            Event::Poll(host) => {
                 world.hosts[host].poll(&world.log, Duration::ZERO).unwrap();
             }
-            Transition::Restart(host) => {
+            Event::Restart(host) => {
                 world.hosts[host] = Replica::new(STREAM);
                 world.highest[host] = None;
             }
-            Transition::Peer { from, to, late } => {
+            Event::Peer { from, to, late } => {
                 let suffix = world.hosts[from].suffix(world.hosts[to].next());
                 match late {
                     true => world.late_suffixes.push((to, suffix)),
                     false => drop(world.hosts[to].take_suffix(suffix)),
                 }
             }
-            Transition::Snapshot { host, late } => {
+            Event::Snapshot { host, late } => {
                 if let Some((as_of, state)) = world.hosts[host].export() {
                     let data = json!({ "snapshot": { "as_of": as_of, "state": state } });
                     world.write(data, late);
                 }
             }
-            Transition::Trim(kept) => {
+            Event::Trim(kept) => {
                 world.log.trim(STREAM, world.next.saturating_sub(kept));
             }
         }
@@ -237,7 +226,7 @@
 
     #[test]
     fn hosts_hold_what_the_log_says_and_never_go_back(
-        (state, transitions, seen) in Reference::sequential_strategy(1..80)
+        (state, transitions, seen) in Stateless::<Event>::sequential_strategy(1..80)
     ) {
         World::test_sequential(super::configuration(), state, transitions, seen);
     }
--- a/tests/fuzz/mod.rs
+++ b/tests/fuzz/mod.rs
@@ -6,8 +6,13 @@
 mod once;
 mod orders;
 
+use std::fmt::Debug;
+use std::marker::PhantomData;
+
+use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
 
 /// Cases run where nothing else is asked for.
 const CASES: u32 = 512;
@@ -31,3 +36,32 @@
         ..one
     }
 }
+
+/// What may happen next in a world.
+pub trait Transition: Clone + Debug + 'static {
+    /// Returns any one of them.
+    fn any() -> BoxedStrategy<Self>;
+}
+
+/// A reference that keeps nothing, for worlds that have the oracle in themselves.
+pub struct Stateless<T>(PhantomData<T>);
+
+impl<T> ReferenceStateMachine for Stateless<T>
+where
+    T: Transition,
+{
+    type State = ();
+    type Transition = T;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<T> {
+        T::any()
+    }
+
+    fn apply(state: (), _transition: &T) {
+        state
+    }
+}
--- a/tests/fuzz/once.rs
+++ b/tests/fuzz/once/mod.rs
@@ -1,5 +1,7 @@
 //! One-time calls: claims, tickets, relays, kills, cuts, lost and late answers.
 
+mod log;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -16,7 +18,6 @@
 use pistachiohall::fold::claims::Claim;
 use pistachiohall::fold::claims::Held;
 use pistachiohall::id::Incarnation;
-use pistachiohall::id::Offset;
 use pistachiohall::inherit::Inherited;
 use pistachiohall::once::Ledger;
 use pistachiohall::once::Name;
@@ -30,10 +31,6 @@
 use pistachiohall::once::run::Reach;
 use pistachiohall::once::ticket;
 use pistachiohall::once::ticket::Issuer;
-use pistachiohall::platform::AppendError;
-use pistachiohall::platform::Batch;
-use pistachiohall::platform::Log;
-use pistachiohall::platform::ReadError;
 use pistachiohall::platform::memory::Memory;
 use pistachiohall::problem::Outcome;
 use pistachiohall::problem::Problem;
@@ -41,11 +38,16 @@
 use proptest::prelude::*;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
-use serde_json::Value;
 use uuid::NoContext;
 use uuid::Timestamp;
 use uuid::Uuid;
 
+use self::log::Append;
+use self::log::Stream;
+use self::log::Wire;
+use super::Stateless;
+use super::Transition;
+
 const HOSTS: usize = 3;
 const RIGHTS: usize = 4;
 const RETENTION: Duration = Duration::from_secs(3600);
@@ -63,16 +65,6 @@
     SameCallAt(usize),
 }
 
-/// What the log does with an append.
-#[derive(Debug, Clone, Copy)]
-enum Append {
-    Answers,
-    LosesAnswer,
-    Late,
-    Out,
-    SameCallAt(usize),
-}
-
 /// What the network does with a relay.
 #[derive(Debug, Clone, Copy)]
 enum Relay {
@@ -83,7 +75,7 @@
 }
 
 #[derive(Debug, Clone)]
-enum Transition {
+enum Event {
     Call {
         host: usize,
         right: usize,
@@ -126,70 +118,6 @@
 
 type LateRelay = (Incarnation, Matter, Right);
 
-/// The log, with the appends that have not reached it yet.
-struct Stream {
-    clock: Mock,
-    memory: Memory,
-    appended: Mutex<Vec<(Offset, Instant)>>,
-    late: Mutex<Vec<Value>>,
-}
-
-impl Stream {
-    fn append(&self, data: &Value) -> Offset {
-        let offset = self.memory.append(STREAM, data).unwrap();
-        self.appended
-            .lock()
-            .unwrap()
-            .push((offset, self.clock.now()));
-        offset
-    }
-
-    /// Drops what is older than the retention.
-    fn trim(&self) {
-        let now = self.clock.now();
-        let mut appended = self.appended.lock().unwrap();
-        let is_gone = |at: Instant| now.duration_since(at) > RETENTION;
-        let gone = appended.iter().filter(|(_, at)| is_gone(*at)).count();
-        if gone > 0 {
-            self.memory.trim(STREAM, appended[gone - 1].0 + 1);
-            appended.drain(..gone);
-        }
-    }
-}
-
-/// The log as one host reaches it.
-struct Wire {
-    stream: Arc<Stream>,
-    append: Append,
-    cut: bool,
-}
-
-impl Log for Wire {
-    fn append(&self, _stream: &str, data: &Value) -> Result<Offset, AppendError> {
-        let unknown = || AppendError::Unknown("lost".to_owned());
-        match self.append {
-            _ if self.cut => Err(AppendError::Refused("cut".to_owned())),
-            Append::Out => Err(AppendError::Refused("out".to_owned())),
-            Append::Answers | Append::SameCallAt(_) => Ok(self.stream.append(data)),
-            Append::LosesAnswer => {
-                self.stream.append(data);
-                Err(unknown())
-            }
-            Append::Late => {
-                self.stream.late.lock().unwrap().push(data.clone());
-                Err(unknown())
-            }
-        }
-    }
-
-    fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        match self.cut || matches!(self.append, Append::Out) {
-            true => Err(ReadError("out".to_owned())),
-            false => self.stream.memory.read(stream, from, wait),
-        }
-    }
-}
-
 /// Hosts, log and upstream, with the oracle's book of runs.
 struct World {
     clock: Mock,
@@ -458,18 +386,8 @@
     }
 }
 
-/// The reference keeps nothing: the oracle is in the world's book.
-struct Reference;
-
-impl ReferenceStateMachine for Reference {
-    type State = ();
-    type Transition = Transition;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions(_state: &()) -> BoxedStrategy<Transition> {
+impl Transition for Event {
+    fn any() -> BoxedStrategy<Event> {
         let host = 0..HOSTS;
         let run = prop_oneof![
             4 => Just(Run::Answers),
@@ -495,34 +413,30 @@
         let call = (host.clone(), 0..RIGHTS, 0..2u8, (append, relay, run));
         prop_oneof![
             12 => call.prop_map(|(host, right, content, faults)| {
-                Transition::Call { host, right, content, faults }
+                Event::Call { host, right, content, faults }
             }),
-            2 => (host.clone(), 0..RIGHTS).prop_map(|(host, right)| Transition::Issue { host, right }),
-            1 => host.clone().prop_map(Transition::Kill),
-            1 => host.clone().prop_map(Transition::Leave),
-            1 => (host, any::<bool>()).prop_map(|(host, cut)| Transition::CutLog(host, cut)),
-            2 => Just(Transition::DeliverLate),
-            1 => prop_oneof![Just(60u64), Just(1700), Just(3000), Just(50_000)].prop_map(Transition::Pass),
+            2 => (host.clone(), 0..RIGHTS).prop_map(|(host, right)| Event::Issue { host, right }),
+            1 => host.clone().prop_map(Event::Kill),
+            1 => host.clone().prop_map(Event::Leave),
+            1 => (host, any::<bool>()).prop_map(|(host, cut)| Event::CutLog(host, cut)),
+            2 => Just(Event::DeliverLate),
+            1 => prop_oneof![Just(60u64), Just(1700), Just(3000), Just(50_000)].prop_map(Event::Pass),
         ]
         .boxed()
     }
-
-    fn apply(state: (), _transition: &Transition) {
-        state
-    }
 }
 
 impl StateMachineTest for World {
     type SystemUnderTest = World;
-    type Reference = Reference;
+    type Reference = Stateless<Event>;
 
     fn init_test(_state: &()) -> World {
         World::new()
     }
 
-    fn apply(world: World, _state: &(), transition: Transition) -> World {
+    fn apply(world: World, _state: &(), transition: Event) -> World {
         match transition {
-            Transition::Call {
+            Event::Call {
                 host,
                 right,
                 content,
@@ -531,7 +445,7 @@
                 let right = world.right(right);
                 world.call(host, right, content, faults);
             }
-            Transition::Issue { host, right } => {
+            Event::Issue { host, right } => {
                 let ticket = world.host(host).issuer.issue("desk", world.clock.now());
                 world
                     .rights
@@ -539,11 +453,11 @@
                     .entry(right)
                     .or_insert(Right::Ticket(ticket));
             }
-            Transition::Kill(place) => world.restart(place),
-            Transition::Leave(place) => world.leave(place),
-            Transition::CutLog(place, cut) => world.host(place).cut.set(cut),
-            Transition::DeliverLate => world.deliver_late(),
-            Transition::Pass(seconds) => world.pass(seconds),
+            Event::Kill(place) => world.restart(place),
+            Event::Leave(place) => world.leave(place),
+            Event::CutLog(place, cut) => world.host(place).cut.set(cut),
+            Event::DeliverLate => world.deliver_late(),
+            Event::Pass(seconds) => world.pass(seconds),
         }
         world
     }
@@ -554,7 +468,7 @@
 
     #[test]
     fn one_time_calls_run_at_most_once_and_not_run_is_true(
-        (state, transitions, seen) in Reference::sequential_strategy(1..60)
+        (state, transitions, seen) in Stateless::<Event>::sequential_strategy(1..60)
     ) {
         World::test_sequential(super::configuration(), state, transitions, seen);
     }
--- a/tests/fuzz/orders.rs
+++ b/tests/fuzz/orders/mod.rs
@@ -1,6 +1,8 @@
 //! Orders: holders killed, paused past their lease and woken, cut off, racing; lost and late
 //! answers; engines that check tokens and engines that do not.
 
+mod event;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
@@ -28,62 +30,15 @@
 use proptest_state_machine::StateMachineTest;
 use uuid::Uuid;
 
+use self::event::Append;
+use self::event::Event;
+use self::event::Send;
+use super::Stateless;
+
 const HOSTS: usize = 3;
 const ENGINES: [(&str, bool); 2] = [("checks", true), ("ignores", false)];
 const STREAM: &str = "orders.derby";
 
-#[derive(Debug, Clone, Copy)]
-pub enum Append {
-    Answers,
-    LosesAnswer,
-    Late,
-    Out,
-}
-
-#[derive(Debug, Clone, Copy)]
-pub enum Send {
-    Arrives,
-    /// The holder is paused between its last check and its write.
-    Pauses,
-    Lost,
-}
-
-#[derive(Debug, Clone)]
-pub enum Transition {
-    Lease {
-        host: usize,
-        append: Append,
-    },
-    Poll(usize),
-    /// One whole look of a host at lease and orders, as its duty takes it.
-    Look {
-        host: usize,
-        engine: usize,
-        send: Send,
-    },
-    Intend {
-        host: usize,
-        engine: usize,
-        append: Append,
-    },
-    Drive {
-        host: usize,
-        engine: usize,
-        send: Send,
-        append: Append,
-    },
-    Wake,
-    Finish(usize),
-    CrashEngine(usize),
-    Kill(usize),
-    ReleaseGone {
-        host: usize,
-        append: Append,
-    },
-    DeliverLate,
-    Pass(u64),
-}
-
 struct Host {
     incarnation: Incarnation,
     authority: Authority,
@@ -357,56 +312,9 @@
     }
 }
 
-/// The reference keeps nothing: the oracle is in the world's engines.
-pub struct Reference;
-
-impl ReferenceStateMachine for Reference {
-    type State = ();
-    type Transition = Transition;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions(_state: &()) -> BoxedStrategy<Transition> {
-        let append = || {
-            prop_oneof![
-                6 => Just(Append::Answers),
-                1 => Just(Append::LosesAnswer),
-                1 => Just(Append::Late),
-                1 => Just(Append::Out),
-            ]
-        };
-        let send = || prop_oneof![4 => Just(Send::Arrives), 3 => Just(Send::Pauses), 1 => Just(Send::Lost)];
-        let engine = 0..ENGINES.len();
-        prop_oneof![
-            6 => (0..HOSTS, append()).prop_map(|(host, append)| Transition::Lease { host, append }),
-            12 => (0..HOSTS, engine.clone(), send())
-                .prop_map(|(host, engine, send)| Transition::Look { host, engine, send }),
-            8 => (0..HOSTS).prop_map(Transition::Poll),
-            4 => (0..HOSTS, engine.clone(), append())
-                .prop_map(|(host, engine, append)| Transition::Intend { host, engine, append }),
-            8 => (0..HOSTS, engine.clone(), send(), append())
-                .prop_map(|(host, engine, send, append)| Transition::Drive { host, engine, send, append }),
-            1 => Just(Transition::Wake),
-            3 => engine.clone().prop_map(Transition::Finish),
-            1 => engine.prop_map(Transition::CrashEngine),
-            1 => (0..HOSTS).prop_map(Transition::Kill),
-            1 => (0..HOSTS, append()).prop_map(|(host, append)| Transition::ReleaseGone { host, append }),
-            1 => Just(Transition::DeliverLate),
-            6 => prop_oneof![Just(1u64), Just(4), Just(16)].prop_map(Transition::Pass),
-        ]
-        .boxed()
-    }
-
-    fn apply(state: (), _transition: &Transition) {
-        state
-    }
-}
-
 impl StateMachineTest for World {
     type SystemUnderTest = World;
-    type Reference = Reference;
+    type Reference = Stateless<Event>;
 
     fn init_test(_state: &()) -> World {
         let clock = Mock::new(SystemTime::UNIX_EPOCH);
@@ -431,42 +339,42 @@
         }
     }
 
-    fn apply(mut world: World, _state: &(), transition: Transition) -> World {
+    fn apply(mut world: World, _state: &(), transition: Event) -> World {
         match transition {
-            Transition::Lease { host, append } => world.lease(host, append),
-            Transition::Poll(host) => world.poll(host),
-            Transition::Look { host, engine, send } => world.look(host, engine, send),
-            Transition::Intend {
+            Event::Lease { host, append } => world.lease(host, append),
+            Event::Poll(host) => world.poll(host),
+            Event::Look { host, engine, send } => world.look(host, engine, send),
+            Event::Intend {
                 host,
                 engine,
                 append,
             } => world.intend(host, engine, append),
-            Transition::Drive {
+            Event::Drive {
                 host,
                 engine,
                 send,
                 append,
             } => world.drive(host, engine, send, append),
-            Transition::Wake => {
+            Event::Wake => {
                 for (engine, order) in std::mem::take(&mut world.paused) {
                     world.obey(engine, &order);
                 }
             }
-            Transition::Finish(engine) => world.finish(engine),
-            Transition::CrashEngine(engine) => {
+            Event::Finish(engine) => world.finish(engine),
+            Event::CrashEngine(engine) => {
                 world.engines[engine].load = Load {
                     boot_id: Uuid::now_v7(),
                     ..Load::default()
                 };
             }
-            Transition::Kill(host) => world.kill(host),
-            Transition::ReleaseGone { host, append } => world.release_gone(host, append),
-            Transition::DeliverLate => {
+            Event::Kill(host) => world.kill(host),
+            Event::ReleaseGone { host, append } => world.release_gone(host, append),
+            Event::DeliverLate => {
                 for record in std::mem::take(&mut world.late) {
                     world.append(record, Append::Answers);
                 }
             }
-            Transition::Pass(seconds) => world.clock.advance(Duration::from_secs(seconds)),
+            Event::Pass(seconds) => world.clock.advance(Duration::from_secs(seconds)),
         }
         world
     }
@@ -477,7 +385,7 @@
 
     #[test]
     fn no_order_takes_effect_without_authority_or_beside_another(
-        (state, transitions, seen) in Reference::sequential_strategy(1..150)
+        (state, transitions, seen) in Stateless::<Event>::sequential_strategy(1..150)
     ) {
         World::test_sequential(super::many(), state, transitions, seen);
     }
@@ -492,26 +400,26 @@
         .poll(&world.log, Duration::ZERO)
         .unwrap();
     for step in [
-        Transition::Poll(0),
-        Transition::Lease {
+        Event::Poll(0),
+        Event::Lease {
             host: 0,
             append: Append::Answers,
         },
-        Transition::Poll(0),
-        Transition::Intend {
+        Event::Poll(0),
+        Event::Intend {
             host: 0,
             engine: 1,
             append: Append::Answers,
         },
-        Transition::Poll(0),
-        Transition::Drive {
+        Event::Poll(0),
+        Event::Drive {
             host: 0,
             engine: 1,
             send: Send::Arrives,
             append: Append::Answers,
         },
-        Transition::Finish(1),
-        Transition::Drive {
+        Event::Finish(1),
+        Event::Drive {
             host: 0,
             engine: 1,
             send: Send::Arrives,
