--- a/src/cli.rs
+++ b/src/cli.rs
@@ -82,6 +82,7 @@
 #[derive(Debug, Args)]
 pub struct Serve {
     /// Settings file.
+    #[arg(env = "PISTACHIOHALL_SETTINGS")]
     pub settings: PathBuf,
     /// Log filter, such as `info` or `debug`.
     #[arg(long, default_value = "info")]
--- a/src/command/orders.rs
+++ b/src/command/orders.rs
@@ -11,9 +11,9 @@
 use crate::fold::orders;
 use crate::fold::orders::Action;
 use crate::fold::orders::Record;
-use crate::platform::AppendError;
-use crate::platform::Log;
-use crate::platform::http::Http;
+use crate::log::AppendError;
+use crate::log::Log;
+use crate::log::http::Http;
 use crate::upstream::Role;
 
 use super::EXIT_FAULT;
--- a/src/command/publish.rs
+++ b/src/command/publish.rs
@@ -15,7 +15,7 @@
 use crate::clock::Real;
 use crate::id::HostId;
 use crate::id::Offset;
-use crate::platform::http::Http;
+use crate::log::http::Http;
 use crate::publish;
 use crate::publish::Outcome;
 use crate::status::Status;
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -15,9 +15,11 @@
 
 use crate::cli::Serve;
 use crate::clock::Real;
-use crate::platform::http::Http;
+use crate::gateway::process;
+use crate::log::http::Http;
 use crate::serve::Process;
 use crate::settings::Settings;
+use crate::settings::gateway;
 
 use super::EXIT_FAULT;
 
@@ -25,6 +27,9 @@
 pub fn run(arguments: &Serve) -> Result<ExitCode> {
     let file = arguments.settings.display().to_string();
     let text = fs::read_to_string(&file).with_context(|| format!("cannot read {file}"))?;
+    if gateway::is_gateway(&text) {
+        return run_gateway(arguments, &text);
+    }
     let settings = Settings::parse(&file, &text)?;
     let _logger = start_logger(&arguments.log)?;
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
@@ -42,6 +47,20 @@
     }
 }
 
+/// Runs a gateway, which logs to standard output.
+fn run_gateway(arguments: &Serve, text: &str) -> Result<ExitCode> {
+    let file = arguments.settings.display().to_string();
+    let settings = gateway::Settings::parse(&file, text)?;
+    let _logger = Logger::try_with_str(&arguments.log)?
+        .log_to_stdout()
+        .format(line)
+        .start()?;
+    match process::run(settings, arguments.settings.clone(), &Real)? {
+        true => Ok(ExitCode::SUCCESS),
+        false => Ok(ExitCode::from(EXIT_FAULT)),
+    }
+}
+
 /// Starts logging to standard error, one structured line a record.
 fn start_logger(filter: &str) -> Result<LoggerHandle> {
     let logger = Logger::try_with_str(filter)?.log_to_stderr().format(line);
--- a/src/demo/script.rs
+++ b/src/demo/script.rs
@@ -8,7 +8,7 @@
 
 use anyhow::Result;
 
-use crate::platform::memory::Fault;
+use crate::log::memory::Fault;
 use crate::standin::deployment::Build;
 use crate::standin::deployment::Deployment;
 use crate::standin::engine::Speed;
--- a/src/experiment/cost/peers.rs
+++ b/src/experiment/cost/peers.rs
@@ -11,11 +11,11 @@
 
 use crate::clock::Real;
 use crate::core::Core;
+use crate::log::Host;
+use crate::log::Kind;
+use crate::log::State;
+use crate::log::memory::Memory;
 use crate::peer;
-use crate::platform::Host;
-use crate::platform::Kind;
-use crate::platform::State;
-use crate::platform::memory::Memory;
 use crate::settings::Limits;
 use crate::settings::Settings;
 use crate::standin::deployment::ANY;
--- a/src/experiment/once.rs
+++ b/src/experiment/once.rs
@@ -13,13 +13,13 @@
 
 use crate::duty::Stop;
 use crate::fold::claims::Claim;
+use crate::log::AppendError;
+use crate::log::Batch;
+use crate::log::Log;
+use crate::log::ReadError;
+use crate::log::memory::Memory;
 use crate::once::claim::Desk;
 use crate::once::claim::Writer;
-use crate::platform::AppendError;
-use crate::platform::Batch;
-use crate::platform::Log;
-use crate::platform::ReadError;
-use crate::platform::memory::Memory;
 use crate::standin::caller::Caller;
 use crate::standin::deployment::Deployment;
 use crate::status::table;
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,177 @@
+//! What a host believes of the upstreams that registered themselves.
+//!
+//! Entries come late, lapse while their registry is away, and are at times written by others. The
+//! belief is pure: times are passed in, and nothing here reads a clock or a socket.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::id::Birth;
+use crate::id::DomainId;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::upstream::Role;
+
+/// How long an upstream whose entry lapsed beside others is still used.
+///
+/// New work must end within two seconds of a removal, of which one polling period has passed.
+pub const LAPSE_TIME: Duration = Duration::from_millis(1100);
+/// Time after the registry's return within which entries of live upstreams are written again.
+pub const RETURN_TIME: Duration = Duration::from_secs(2);
+/// Entries that vanish in one reading from which on a lapse is assumed instead of departures.
+const MASS_LAPSE: usize = 2;
+
+/// Whether an upstream takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// Takes work.
+    Ready,
+    /// Finishes what it has and leaves.
+    Draining,
+}
+
+/// What an upstream says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    /// Name.
+    pub id: UpstreamId,
+    /// Start of this life; another value under the same name is another upstream.
+    pub born: Birth,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Role of an engine; `Mixed` for a plain service.
+    pub role: Role,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Requests that it runs at once.
+    pub slots: usize,
+    /// Orders that it has accepted in this life.
+    pub orders: u64,
+}
+
+/// One change in the registry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// An upstream wrote its entry.
+    Written(Row),
+    /// An entry was removed.
+    Removed(UpstreamId),
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    row: Row,
+    use_until: Option<Instant>,
+}
+
+/// The belief.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    held: BTreeMap<UpstreamId, Held>,
+    renewal_until: Option<Instant>,
+}
+
+impl Fleet {
+    /// Notes that the registry was not reachable and is back.
+    ///
+    /// Entries missing now may be renewed for a while longer.
+    pub fn note_return(&mut self, now: Instant) {
+        self.renewal_until = Some(now + RETURN_TIME);
+    }
+
+    /// Takes in the changes of one reading, in order; returns whether the belief changed.
+    pub fn apply(&mut self, changes: Vec<Change>, now: Instant) -> bool {
+        let removed = changes
+            .iter()
+            .filter(|change| matches!(change, Change::Removed(_)))
+            .count();
+        let after_return = self.renewal_until.filter(|until| now < *until);
+        let after_lapse = (removed >= MASS_LAPSE).then_some(now + LAPSE_TIME);
+        let use_until = after_return.max(after_lapse);
+        let mut is_changed = false;
+        for change in changes {
+            is_changed |= match change {
+                Change::Written(row) => self.write(row),
+                Change::Removed(id) => self.remove(&id, use_until),
+            };
+        }
+        is_changed
+    }
+
+    /// Takes in a full list: what is not in it was removed.
+    pub fn replace(&mut self, rows: Vec<Row>, now: Instant) -> bool {
+        let gone: Vec<UpstreamId> = self
+            .held
+            .keys()
+            .filter(|id| !rows.iter().any(|row| row.id == **id))
+            .cloned()
+            .collect();
+        let mut changes: Vec<Change> = gone.into_iter().map(Change::Removed).collect();
+        changes.extend(rows.into_iter().map(Change::Written));
+        self.apply(changes, now)
+    }
+
+    fn write(&mut self, row: Row) -> bool {
+        let Some(held) = self.held.get_mut(&row.id) else {
+            let id = row.id.clone();
+            let held = Held {
+                row,
+                use_until: None,
+            };
+            self.held.insert(id, held);
+            return true;
+        };
+        let is_stale =
+            row.born < held.row.born || (row.born == held.row.born && row.orders < held.row.orders);
+        if is_stale {
+            return false;
+        }
+        let mut row = row;
+        if row.born == held.row.born && held.row.state == State::Draining {
+            row.state = State::Draining;
+        }
+        let is_changed = held.row != row || held.use_until.is_some();
+        *held = Held {
+            row,
+            use_until: None,
+        };
+        is_changed
+    }
+
+    fn remove(&mut self, id: &UpstreamId, use_until: Option<Instant>) -> bool {
+        match (self.held.get_mut(id), use_until) {
+            (Some(held), Some(until)) if held.row.state == State::Ready => {
+                held.use_until.get_or_insert(until);
+                false
+            }
+            (Some(_), _) => self.held.remove(id).is_some(),
+            (None, _) => false,
+        }
+    }
+
+    /// Drops entries that lapsed and were not renewed in time; returns their names.
+    pub fn sweep(&mut self, now: Instant) -> Vec<UpstreamId> {
+        let is_over = |held: &Held| held.use_until.is_some_and(|until| until <= now);
+        let gone: Vec<UpstreamId> = self
+            .held
+            .iter()
+            .filter(|(_, held)| is_over(held))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.held.remove(id);
+        }
+        gone
+    }
+
+    /// Returns all upstreams, those that drain included.
+    pub fn rows(&self) -> Vec<Row> {
+        self.held.values().map(|held| held.row.clone()).collect()
+    }
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,112 @@
+//! A request as the gateway handles it.
+
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+
+use crate::catalog::Route;
+use crate::catalog::Version;
+use crate::id::CallId;
+use crate::id::Fingerprint;
+use crate::id::PartId;
+use crate::id::ServiceId;
+
+/// A part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Identifier; equal parts of several prompts have the same.
+    pub id: PartId,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+/// Sizes of a request to a model, and what its prompt consists of.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens of the prompt.
+    pub tokens: u64,
+    /// Most tokens that are generated.
+    pub most_generated: u64,
+    /// Parts in order; the last one belongs to this request alone.
+    pub parts: Vec<Part>,
+}
+
+impl Prompt {
+    /// Returns the last part that other requests share, by which requests are kept together.
+    ///
+    /// ```
+    /// use pistachiohall::gateway::call::{Part, Prompt};
+    /// let part = |id| Part { id, tokens: 10 };
+    /// let prompt = Prompt { parts: vec![part(1), part(2), part(3)], ..Prompt::default() };
+    /// assert_eq!(prompt.subject(), Some(2));
+    /// ```
+    pub fn subject(&self) -> Option<PartId> {
+        let shared = self.parts.len().checked_sub(2);
+        shared
+            .or(self.parts.len().checked_sub(1))
+            .map(|index| self.parts[index].id)
+    }
+}
+
+/// What a caller asked for, decoded but not yet matched with a route.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Identifier of this try.
+    pub id: CallId,
+    /// Host name.
+    pub host: CompactString,
+    /// Method.
+    pub method: Method,
+    /// Path and query, passed on unchanged.
+    pub uri: Uri,
+    /// How long the caller waits, counted from when it sent the request.
+    pub patience: Duration,
+    /// Event after which a resumed stream goes on.
+    pub after_event: Option<u64>,
+    /// Prompt of a request to a model.
+    pub prompt: Option<Prompt>,
+    /// Fields to pass on.
+    pub forward: HeaderMap,
+}
+
+/// A request that has a route.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// What the caller asked for.
+    pub ask: Ask,
+    /// Route.
+    pub route: Arc<Route>,
+    /// Version of the configuration that the route is from.
+    pub version: Version,
+    /// Service that takes the request.
+    pub service: ServiceId,
+    /// Content.
+    pub body: Bytes,
+    /// When the head had arrived.
+    pub arrived: Instant,
+    /// When the caller stops waiting or the route's timeout is reached, whichever is first.
+    pub deadline: Instant,
+}
+
+impl Call {
+    /// Returns a digest that is equal for tries of one request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let mut hasher = std::hash::DefaultHasher::new();
+        self.ask.uri.hash(&mut hasher);
+        self.body.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Returns the time that is left at `now`.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,251 @@
+//! One request to one upstream and its answer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use thiserror::Error;
+use tokio::time;
+
+use super::call::Call;
+use super::pool::Connection;
+use super::target::Target;
+use crate::platform::egress;
+
+/// Largest answer that is held until it is whole; larger ones would strain a small host's memory.
+const HELD_BYTES: usize = 4 << 20;
+
+/// Memory of a prompt that one engine has read for another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Handle {
+    /// Name at the engine that holds it.
+    pub name: CompactString,
+    /// Engine that holds it.
+    pub source: SocketAddr,
+    /// Tokens of the prompt.
+    pub tokens: u64,
+}
+
+/// Part of the work on a request that an upstream is asked for.
+#[derive(Debug, Clone, Copy)]
+pub enum Work<'a> {
+    /// All of it.
+    Whole,
+    /// Reading the prompt.
+    Read,
+    /// Generating, with the prompt read elsewhere.
+    Generate(&'a Handle),
+}
+
+/// What the head of an answer says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mark {
+    /// The upstream has not run the request.
+    NotRun,
+    /// The answer belongs to another request, or to none.
+    Foreign,
+    /// The answer is not an upstream's own.
+    Unsigned,
+    /// The answer is the upstream's own.
+    Signed,
+}
+
+/// Why an exchange brought no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Failure {
+    /// No byte of the request left this host.
+    #[error("not sent: {0}")]
+    NotSent(CompactString),
+    /// The upstream says that it has not run the request.
+    #[error("not run: {0}")]
+    NotRun(StatusCode),
+    /// The connection broke or the answer was no answer; the request may have run.
+    #[error("broken: {0}")]
+    Broken(CompactString),
+    /// No answer came in time; the request may have run.
+    #[error("no answer in time")]
+    Silent,
+}
+
+impl Failure {
+    /// Returns whether the request has not run and will not.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Failure::NotSent(_) | Failure::NotRun(_))
+    }
+
+    fn broken<E>(cause: E) -> Self
+    where
+        E: std::fmt::Display,
+    {
+        Failure::Broken(compact_str::format_compact!("{cause}"))
+    }
+}
+
+/// An answer whose body is still to come.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status and fields.
+    pub head: Parts,
+    /// Body as it arrives.
+    pub body: Incoming,
+    /// Whether the answer is the upstream's own.
+    pub mark: Mark,
+    /// Connection that the body arrives on.
+    pub connection: Connection,
+}
+
+/// An answer with its whole body.
+#[derive(Debug, Clone)]
+pub struct WholeAnswer {
+    /// Status and fields.
+    pub head: Parts,
+    /// Body.
+    pub body: Bytes,
+    /// Whether the answer is the upstream's own.
+    pub mark: Mark,
+}
+
+/// What is sent, besides the request itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Terms<'a> {
+    /// Part of the work.
+    pub work: Work<'a>,
+    /// Urgency at an engine.
+    pub urgency: Option<u8>,
+    /// Event after which a stream goes on.
+    pub after_event: Option<u64>,
+    /// When to stop waiting for the head of the answer.
+    pub until: Instant,
+    /// When the request has to be answered in full; the upstream is told what is left of it.
+    pub deadline: Instant,
+}
+
+/// Sends a request and waits for the head of its answer.
+///
+/// # Errors
+///
+/// Fails as [`Failure`] says; an answer that says that the request has not run is one.
+pub async fn send(target: &Rc<Target>, call: &Call, terms: &Terms<'_>) -> Result<Answer, Failure> {
+    let mut connection = target
+        .connect(call.route.is_idempotent(), terms.until)
+        .await?;
+    let left = terms.deadline.saturating_duration_since(Instant::now());
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.ask.method.clone();
+    *request.uri_mut() = origin_form(&call.ask.uri);
+    *request.headers_mut() = egress::fields(
+        &call.ask,
+        &egress::Send {
+            upstream: &target.row.id,
+            left,
+            work: terms.work,
+            urgency: terms.urgency,
+            after_event: terms.after_event,
+        },
+    );
+    let sent = time::timeout_at(terms.until.into(), connection.send(request)).await;
+    let response = match sent {
+        Err(_) => return Err(Failure::Silent),
+        Ok(Err(failure)) => return Err(failure),
+        Ok(Ok(response)) => response,
+    };
+    let (head, body) = response.into_parts();
+    let answer = match egress::mark(&head, &call.ask.id) {
+        Mark::Foreign => return Err(Failure::broken("the answer belongs to another request")),
+        mark => Answer {
+            head,
+            body,
+            mark,
+            connection,
+        },
+    };
+    if answer.mark != Mark::NotRun {
+        return Ok(answer);
+    }
+    let status = answer.head.status;
+    let ended = time::timeout_at(terms.until.into(), finish(target, answer)).await;
+    match ended {
+        Ok(Ok(_)) => (),
+        Ok(Err(failure)) => log::debug!("upstream={} refusal not whole: {failure}", target.row.id),
+        Err(_) => log::debug!("upstream={} refusal not whole in time", target.row.id),
+    }
+    Err(Failure::NotRun(status))
+}
+
+/// Reads an answer to its end and gives its connection back.
+///
+/// # Errors
+///
+/// Fails if the body ends early or is larger than what is held.
+pub async fn finish(target: &Rc<Target>, answer: Answer) -> Result<WholeAnswer, Failure> {
+    let body = Limited::new(answer.body, HELD_BYTES).collect().await;
+    let body = match body {
+        Ok(body) => body.to_bytes(),
+        Err(cause) if cause.is::<LengthLimitError>() => {
+            return Err(Failure::broken("the answer is too large"));
+        }
+        Err(cause) => return Err(Failure::broken(cause)),
+    };
+    target.give_back(answer.connection, &answer.head);
+    Ok(WholeAnswer {
+        head: answer.head,
+        body,
+        mark: answer.mark,
+    })
+}
+
+/// Makes a call of the gateway's own, such as freeing memory.
+///
+/// # Errors
+///
+/// Fails as [`send`] does.
+pub async fn call_own(
+    target: &Rc<Target>,
+    method: Method,
+    path: &str,
+    until: Instant,
+) -> Result<StatusCode, Failure> {
+    let mut connection = target.connect(true, until).await?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = method;
+    *request.uri_mut() = Uri::try_from(path).map_err(Failure::broken)?;
+    *request.headers_mut() = egress::own_fields(&target.row.id);
+    request
+        .headers_mut()
+        .insert(http::header::HOST, target.authority());
+    let exchange = async {
+        let (head, body) = connection.send(request).await?.into_parts();
+        let status = head.status;
+        let answer = Answer {
+            head,
+            body,
+            mark: Mark::Unsigned,
+            connection,
+        };
+        finish(target, answer).await.map(|_| status)
+    };
+    match time::timeout_at(until.into(), exchange).await {
+        Ok(ended) => ended,
+        Err(_) => Err(Failure::Silent),
+    }
+}
+
+/// Returns the path and query alone, as upstreams expect them.
+fn origin_form(uri: &Uri) -> Uri {
+    match uri.path_and_query() {
+        Some(path) => Uri::from(path.clone()),
+        None => uri.clone(),
+    }
+}
--- /dev/null
+++ b/src/gateway/health.rs
@@ -0,0 +1,57 @@
+//! How far an upstream can be trusted, judged by what its requests showed.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Weight of the newest outcome in the share of failures; about the last ten count.
+const SMOOTHING: f64 = 0.1;
+/// First time for which an upstream is avoided after it could not be reached.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time for which it is avoided; upstreams that crashed are back within seconds.
+const MOST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Outcomes of late.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Health {
+    failed_share: f64,
+    streak: u32,
+    avoid_until: Option<Instant>,
+}
+
+impl Health {
+    /// Notes an answer of the upstream's own.
+    pub fn note_success(&mut self) {
+        self.failed_share *= 1.0 - SMOOTHING;
+        self.streak = 0;
+        self.avoid_until = None;
+    }
+
+    /// Notes that a request broke or was not answered.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use pistachiohall::gateway::health::Health;
+    /// let mut health = Health::default();
+    /// let now = Instant::now();
+    /// health.note_failure(now);
+    /// assert!(!health.is_trusted(now));
+    /// assert!(health.is_trusted(now + Duration::from_secs(1)));
+    /// assert!(health.failed_share() > 0.0);
+    /// ```
+    pub fn note_failure(&mut self, now: Instant) {
+        self.failed_share = self.failed_share * (1.0 - SMOOTHING) + SMOOTHING;
+        self.streak = (self.streak + 1).min(8);
+        let pause = FIRST_PAUSE * 2_u32.pow(self.streak - 1);
+        self.avoid_until = Some(now + pause.min(MOST_PAUSE));
+    }
+
+    /// Returns whether the upstream may be used before those that failed just now.
+    pub fn is_trusted(&self, now: Instant) -> bool {
+        self.avoid_until.is_none_or(|until| until <= now)
+    }
+
+    /// Returns the share of failures of late, from 0 to 1.
+    pub fn failed_share(&self) -> f64 {
+        self.failed_share
+    }
+}
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,52 @@
+//! Serves counters and histograms as text.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use log::info;
+use log::warn;
+use tiny_http::Response;
+use tiny_http::Server;
+
+use super::record::Counters;
+
+/// Path of the metrics.
+const PATH: &str = "/metrics";
+
+/// Starts the thread that serves metrics; without it the process serves on.
+pub fn start(address: SocketAddr, counters: &Arc<Counters>) {
+    let server = match Server::http(address) {
+        Ok(server) => server,
+        Err(cause) => {
+            warn!(
+                "metrics={address} outcome=not-served cause={:?}",
+                cause.to_string()
+            );
+            return;
+        }
+    };
+    let counters = Arc::clone(counters);
+    let thread = thread::Builder::new()
+        .name("metrics".into())
+        .spawn(move || answer(&server, &counters));
+    match thread {
+        Ok(_) => info!("metrics={address} path={PATH} outcome=served"),
+        Err(cause) => warn!(
+            "metrics={address} outcome=not-served cause={:?}",
+            cause.to_string()
+        ),
+    }
+}
+
+fn answer(server: &Server, counters: &Counters) {
+    for request in server.incoming_requests() {
+        let response = match request.url() == PATH {
+            true => Response::from_string(counters.text()),
+            false => Response::from_string("not found\n").with_status_code(404),
+        };
+        if let Err(cause) = request.respond(response) {
+            log::debug!("metrics not delivered: {cause}");
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,219 @@
+//! The path of a request on one event loop: accept, identify, place, send, deliver, record.
+//!
+//! Everything here runs on the thread of the request loop; what other threads believe reaches it
+//! as immutable views. Decisions that can be tested alone are in `placement`, `retry`, `fleet` and
+//! `health`.
+
+pub mod call;
+pub mod events;
+pub mod exchange;
+pub mod generate;
+pub mod health;
+pub mod listen;
+pub mod metrics;
+pub mod plain;
+pub mod pool;
+pub mod process;
+pub mod record;
+pub mod reply;
+pub mod serve;
+pub mod stream;
+pub mod target;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::catalog::Catalog;
+use crate::follow::View;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::placement;
+use crate::quarantine::Quarantine;
+use crate::retry::window;
+use crate::settings::gateway::Settings;
+
+use self::record::Counters;
+use self::target::Target;
+
+/// Fewest connections to an upstream that a host may open, however many hosts there are.
+const LEAST_CONNECTIONS: usize = 8;
+/// Share of an upstream's connections that hosts use; the rest are for hosts not known yet.
+const CONNECTION_SHARE: f64 = 0.8;
+
+/// State of the request loop.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Settings.
+    pub settings: Settings,
+    /// Answers by outcome.
+    pub counters: Arc<Counters>,
+    /// Requests that crash upstreams.
+    pub quarantine: Quarantine,
+    /// Loads and caches of engines.
+    pub board: RefCell<placement::Board>,
+    /// Hosts that share budgets, this one included.
+    pub hosts: Cell<usize>,
+    repeats: Cell<window::Bounds>,
+    is_leaving: Cell<bool>,
+    view: RefCell<Arc<View>>,
+    targets: RefCell<BTreeMap<UpstreamId, Rc<Target>>>,
+    budgets: RefCell<HashMap<ServiceId, window::Window>>,
+}
+
+impl Gateway {
+    /// Returns a gateway that knows nothing yet.
+    pub fn new(settings: Settings, counters: Arc<Counters>) -> Self {
+        Gateway {
+            hosts: Cell::new(settings.hosts_expected),
+            repeats: Cell::new(settings.repeats),
+            settings,
+            counters,
+            quarantine: Quarantine::default(),
+            board: RefCell::default(),
+            is_leaving: Cell::default(),
+            view: RefCell::default(),
+            targets: RefCell::default(),
+            budgets: RefCell::default(),
+        }
+    }
+
+    /// Returns whether new connections should come here.
+    pub fn is_ready(&self) -> bool {
+        let view = self.view.borrow();
+        !self.is_leaving.get() && view.catalog.is_some() && view.has_registry
+    }
+
+    /// Notes that the process was asked to end.
+    pub fn leave(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// Returns whether the process was asked to end.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.view.borrow().catalog.clone()
+    }
+
+    /// Takes over a new view.
+    pub fn adopt(&self, view: Arc<View>) {
+        self.update_targets(&view);
+        self.update_board(&view);
+        *self.view.borrow_mut() = view;
+    }
+
+    fn update_targets(&self, view: &View) {
+        let mut targets = self.targets.borrow_mut();
+        let mut before = std::mem::take(&mut *targets);
+        for row in view.rows.iter() {
+            let held = before.remove(&row.id);
+            let most = self.most_connections(view, &row.service);
+            let target = match held {
+                Some(held) if held.row == *row && held.most_connections == most => held,
+                held => {
+                    let target = Rc::new(Target::new(row.clone(), most, held.as_deref()));
+                    if let Some(held) = held.filter(|held| !held.is_same_life(&target)) {
+                        held.leave();
+                    }
+                    target
+                }
+            };
+            targets.insert(row.id.clone(), target);
+        }
+        for target in before.into_values() {
+            target.leave();
+        }
+    }
+
+    fn most_connections(&self, view: &View, service: &ServiceId) -> usize {
+        let catalog = view.catalog.as_ref();
+        let most = catalog
+            .and_then(|catalog| catalog.service(service))
+            .map_or(0, |service| service.most_connections);
+        let share = most as f64 * CONNECTION_SHARE / self.hosts.get().max(1) as f64;
+        (share as usize).max(LEAST_CONNECTIONS)
+    }
+
+    fn update_board(&self, view: &View) {
+        let Some(catalog) = &view.catalog else {
+            return;
+        };
+        let mut board = self.board.borrow_mut();
+        let before = self.view.borrow();
+        for row in view.rows.iter() {
+            let service = catalog.service(&row.service);
+            let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+                continue;
+            };
+            let held = before.rows.iter().find(|held| held.id == row.id);
+            let is_new_life = held.is_none_or(|held| held.born != row.born);
+            if is_new_life || !board.knows(&row.id) {
+                board.add(&row.id, engine.memory_tokens);
+            }
+        }
+        board.retain(|id| view.rows.iter().any(|row| row.id == *id));
+    }
+
+    /// Returns the upstreams of a service that take new work.
+    pub fn targets(&self, service: &ServiceId) -> Vec<Rc<Target>> {
+        self.targets
+            .borrow()
+            .values()
+            .filter(|target| target.row.service == *service && target.takes_work())
+            .cloned()
+            .collect()
+    }
+
+    /// Returns an upstream by name.
+    pub fn target(&self, id: &UpstreamId) -> Option<Rc<Target>> {
+        self.targets.borrow().get(id).cloned()
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn sweep(&self, now: Instant) {
+        for target in self.targets.borrow().values() {
+            target.sweep(now);
+        }
+    }
+
+    /// Changes the bounds on repeats; requests and repeats counted so far are forgotten.
+    pub fn set_repeats(&self, repeats: window::Bounds) {
+        if self.repeats.replace(repeats) != repeats {
+            self.budgets.borrow_mut().clear();
+        }
+    }
+
+    /// Counts a caller's request to a service.
+    pub fn note_request(&self, service: &ServiceId, now: Instant) {
+        self.with_budget(service, |budget| budget.note_request(now));
+    }
+
+    /// Counts a repeat to a service if the budget allows one.
+    pub fn may_repeat(&self, service: &ServiceId, now: Instant) -> bool {
+        let hosts = self.hosts.get();
+        let is_allowed = self.with_budget(service, |budget| budget.try_spend(hosts, now));
+        if !is_allowed {
+            self.counters.add("repeats_denied");
+        }
+        is_allowed
+    }
+
+    fn with_budget<F, T>(&self, service: &ServiceId, act: F) -> T
+    where
+        F: FnOnce(&mut window::Window) -> T,
+    {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| window::Window::new(self.repeats.get()));
+        act(budget)
+    }
+}
--- /dev/null
+++ b/src/gateway/plain.rs
@@ -0,0 +1,262 @@
+//! Requests to plain services: one whole answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::StatusCode;
+use rand::RngExt;
+
+use super::Gateway;
+use super::call::Call;
+use super::exchange;
+use super::exchange::Failure;
+use super::exchange::Mark;
+use super::exchange::Terms;
+use super::exchange::WholeAnswer;
+use super::exchange::Work;
+use super::record::Course;
+use super::record::Outcome;
+use super::reply;
+use super::reply::Reply;
+use super::target::Target;
+use crate::catalog::Kind;
+use crate::id::UpstreamId;
+
+/// Multiple of the route's target after which an idempotent request is tried elsewhere.
+const PATIENCE_TARGETS: f64 = 1.6;
+/// Share of the time left that one try may take while others are possible.
+const PATIENCE_SHARE: f64 = 0.45;
+/// Sends beyond the route's attempts that refusals by upstreams may cost one request.
+const SPARE_SENDS: u32 = 1;
+/// Time after which a refused caller may do better.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Cost of an upstream that failed just now, in requests in flight.
+const DISTRUST_COST: f64 = 1000.0;
+/// Cost of a share of failures of one, in requests in flight.
+const FAILURE_COST: f64 = 20.0;
+/// Cost of an upstream in another failure domain, in requests in flight.
+const DISTANCE_COST: f64 = 0.5;
+
+/// What a request may still cost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Allowance {
+    attempts: u32,
+    sends: u32,
+    may_have_run: bool,
+}
+
+impl Allowance {
+    /// Returns the allowance of a request that may be sent to `attempts` upstreams.
+    pub fn new(attempts: u32) -> Self {
+        Allowance {
+            attempts,
+            sends: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Counts a send.
+    pub fn note_send(&mut self) {
+        self.sends += 1;
+    }
+
+    /// Notes why a send failed; one that left no byte does not count.
+    pub fn note_failure(&mut self, failure: &Failure) {
+        if matches!(failure, Failure::NotSent(_)) {
+            self.sends = self.sends.saturating_sub(1);
+        }
+        self.may_have_run |= !failure.is_not_run();
+    }
+
+    /// Returns whether the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Returns whether one more send is allowed.
+    ///
+    /// A request that may have run is sent again only if it is idempotent, and to no more
+    /// upstreams than the route allows; one that has not run may be refused once more.
+    ///
+    /// ```
+    /// use pistachiohall::gateway::exchange::Failure;
+    /// use pistachiohall::gateway::plain::Allowance;
+    /// let mut allowance = Allowance::new(1);
+    /// allowance.note_send();
+    /// allowance.note_failure(&Failure::NotRun(http::StatusCode::SERVICE_UNAVAILABLE));
+    /// assert!(allowance.allows_more(false));
+    /// allowance.note_send();
+    /// allowance.note_failure(&Failure::Silent);
+    /// assert!(!allowance.allows_more(false));
+    /// ```
+    pub fn allows_more(&self, is_idempotent: bool) -> bool {
+        match self.may_have_run {
+            true => is_idempotent && self.sends < self.attempts,
+            false => self.sends < self.attempts + SPARE_SENDS,
+        }
+    }
+
+    /// Returns whether a send now would be one more than the first.
+    pub fn is_repeat(&self) -> bool {
+        self.sends > 0
+    }
+}
+
+/// Serves a request.
+pub async fn serve(gateway: &Rc<Gateway>, call: &Call, course: &mut Course) -> Reply {
+    let mut allowance = Allowance::new(call.route.attempts);
+    let mut tried = Vec::new();
+    let mut held = None;
+    loop {
+        let now = Instant::now();
+        if now >= call.deadline {
+            return give_up(&allowance, held, course);
+        }
+        let Some(target) = pick(gateway, call, &tried, now) else {
+            course.step(format_args!("no-upstream"));
+            return give_up(&allowance, held, course);
+        };
+        if allowance.is_repeat() && !gateway.may_repeat(&call.service, now) {
+            course.step(format_args!("no-budget"));
+            return give_up(&allowance, held, course);
+        }
+        allowance.note_send();
+        tried.push(target.row.id.clone());
+        match attempt(&target, call, &allowance, now).await {
+            Ok(answer) => {
+                course.step(format_args!(
+                    "{}={}",
+                    target.row.id,
+                    answer.head.status.as_u16()
+                ));
+                let is_failure = answer.head.status.is_server_error();
+                let may_improve = call.route.kind == Kind::Safe && allowance.allows_more(true);
+                if !is_failure || !may_improve || allowance.is_repeat() && held.is_some() {
+                    course.note_first();
+                    course.end(Outcome::Delivered);
+                    return reply::deliver(answer);
+                }
+                allowance.note_failure(&Failure::Broken("failed".into()));
+                held = Some(answer);
+            }
+            Err(failure) => {
+                course.step(format_args!("{}={failure:?}", target.row.id));
+                allowance.note_failure(&failure);
+                note_crash(gateway, call, &failure, now);
+                if !allowance.allows_more(call.route.is_idempotent()) {
+                    return give_up(&allowance, held, course);
+                }
+            }
+        }
+    }
+}
+
+async fn attempt(
+    target: &Rc<Target>,
+    call: &Call,
+    allowance: &Allowance,
+    now: Instant,
+) -> Result<WholeAnswer, Failure> {
+    let _occupied = target.occupy();
+    let terms = Terms {
+        work: Work::Whole,
+        urgency: None,
+        after_event: None,
+        until: patience(call, allowance, now),
+        deadline: call.deadline,
+    };
+    let exchange = async {
+        let answer = exchange::send(target, call, &terms).await?;
+        let answer = exchange::finish(target, answer).await?;
+        match answer.mark {
+            Mark::Signed => Ok(answer),
+            _ => Err(Failure::Broken("the answer is not signed".into())),
+        }
+    };
+    let ended = match tokio::time::timeout_at(terms.until.into(), exchange).await {
+        Ok(ended) => ended,
+        Err(_) => Err(Failure::Silent),
+    };
+    note_health(target, &ended);
+    ended
+}
+
+/// Notes what an exchange showed of the upstream's health.
+pub fn note_health<T>(target: &Target, ended: &Result<T, Failure>) {
+    let mut health = target.health();
+    match ended {
+        Ok(_) => health.note_success(),
+        Err(Failure::NotRun(StatusCode::MISDIRECTED_REQUEST) | Failure::NotSent(_)) => {
+            health.note_failure(Instant::now());
+        }
+        Err(Failure::NotRun(_)) => (),
+        Err(Failure::Broken(_) | Failure::Silent) => health.note_failure(Instant::now()),
+    }
+}
+
+/// Notes that a request may have crashed the upstream that ran it.
+pub fn note_crash(gateway: &Gateway, call: &Call, failure: &Failure, now: Instant) {
+    if matches!(failure, Failure::Broken(_)) && !call.body.is_empty() {
+        gateway.quarantine.note_crash(call.fingerprint(), now);
+    }
+}
+
+/// Returns until when one try is waited for.
+fn patience(call: &Call, allowance: &Allowance, now: Instant) -> Instant {
+    if !call.route.is_idempotent() || !allowance.allows_more(true) {
+        return call.deadline;
+    }
+    let most = call.left(now).mul_f64(PATIENCE_SHARE);
+    now + call.route.target.mul_f64(PATIENCE_TARGETS).min(most)
+}
+
+/// Chooses the upstream with the fewest requests of this host, near ones and sound ones first.
+pub fn pick(
+    gateway: &Gateway,
+    call: &Call,
+    tried: &[UpstreamId],
+    now: Instant,
+) -> Option<Rc<Target>> {
+    let mut random = rand::rng();
+    let targets = gateway.targets(&call.service);
+    let untried = targets
+        .into_iter()
+        .filter(|target| !tried.contains(&target.row.id));
+    let weighed = untried.map(|target| {
+        let health = *target.health();
+        let mut cost = target.in_flight() as f64 + FAILURE_COST * health.failed_share();
+        if !health.is_trusted(now) {
+            cost += DISTRUST_COST;
+        }
+        if target.row.domain != gateway.settings.domain {
+            cost += DISTANCE_COST;
+        }
+        (cost + random.random::<f64>() / 16.0, target)
+    });
+    weighed
+        .min_by(|(one, _), (other, _)| one.total_cmp(other))
+        .map(|(_, target)| target)
+}
+
+/// Returns the final answer to a request that brought no good one.
+fn give_up(allowance: &Allowance, held: Option<WholeAnswer>, course: &mut Course) -> Reply {
+    if let Some(answer) = held {
+        course.end(Outcome::Delivered);
+        return reply::deliver(answer);
+    }
+    fail(allowance.may_have_run(), RETRY_AFTER, course)
+}
+
+/// Returns a refusal, or a failure if the request may have run.
+pub fn fail(may_have_run: bool, retry_after: Duration, course: &mut Course) -> Reply {
+    if may_have_run {
+        course.end(Outcome::Failed);
+        return reply::own(
+            StatusCode::BAD_GATEWAY,
+            "the upstream gave no whole answer; the request may have run",
+        );
+    }
+    course.end(Outcome::Refused);
+    reply::refuse("not run: no upstream could take the request", retry_after)
+}
--- /dev/null
+++ b/src/gateway/pool.rs
@@ -0,0 +1,212 @@
+//! Connections to one upstream, kept while both sides agree on where the next answer starts.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task;
+use tokio::task::JoinHandle;
+use tokio::time;
+
+use super::exchange::Failure;
+
+/// Longest wait for a connection; upstreams are at most a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Unacknowledged data older than this ends a connection; below callers' usual deadlines.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Idle time after which a connection is not used again for an idempotent request.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+/// The same for a request that must not run twice: a connection that turns out to be closed
+/// leaves its outcome unknown.
+const IDLE_TIME_ONCE: Duration = Duration::from_millis(150);
+/// How much earlier than the upstream an idle connection is given up.
+const IDLE_MARGIN: Duration = Duration::from_millis(1000);
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// A connection in use; closed when dropped.
+#[derive(Debug)]
+pub struct Connection {
+    sender: Sender,
+    driver: JoinHandle<()>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+        self.open.set(self.open.get().saturating_sub(1));
+    }
+}
+
+impl Connection {
+    /// Sends a request; a failure tells whether any byte may have left.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Failure> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => {
+                let is_unsent = error.take_message().is_some();
+                let cause = compact_str::format_compact!("{}", error.error());
+                Err(match is_unsent {
+                    true => Failure::NotSent(cause),
+                    false => Failure::Broken(cause),
+                })
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+    until: Instant,
+}
+
+/// Connections to one upstream.
+#[derive(Debug)]
+pub struct Pool {
+    address: SocketAddr,
+    idle: RefCell<Vec<Idle>>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Pool {
+    /// Returns an empty pool of connections to `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Pool {
+            address,
+            idle: RefCell::default(),
+            open: Rc::default(),
+        }
+    }
+
+    /// Returns a connection, a kept one if it is fresh enough, or a new one among at most `most`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Failure::NotSent`] if there is none in time.
+    pub async fn get(
+        &self,
+        is_idempotent: bool,
+        most: usize,
+        until: Instant,
+    ) -> Result<Connection, Failure> {
+        let now = Instant::now();
+        if let Some(connection) = self.take(is_idempotent, now) {
+            return Ok(connection);
+        }
+        if self.open.get() >= most {
+            self.close_oldest();
+        }
+        if self.open.get() >= most {
+            return Err(Failure::NotSent("all connections are in use".into()));
+        }
+        self.open.set(self.open.get() + 1);
+        let guard = Opening(Some(Rc::clone(&self.open)));
+        let until = until.min(now + CONNECT_TIMEOUT);
+        match time::timeout_at(until.into(), open(self.address)).await {
+            Err(_) => Err(Failure::NotSent("connect timed out".into())),
+            Ok(Err(cause)) => Err(Failure::NotSent(compact_str::format_compact!(
+                "connect: {cause}"
+            ))),
+            Ok(Ok((sender, driver))) => Ok(Connection {
+                sender,
+                driver,
+                open: guard.keep(),
+            }),
+        }
+    }
+
+    fn take(&self, is_idempotent: bool, now: Instant) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|kept| kept.until > now && !kept.connection.sender.is_closed());
+        let newest = idle.last()?;
+        if !is_idempotent && now.duration_since(newest.since) > IDLE_TIME_ONCE {
+            return None;
+        }
+        if !newest.connection.sender.is_ready() {
+            return None;
+        }
+        idle.pop().map(|kept| kept.connection)
+    }
+
+    fn close_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        if !idle.is_empty() {
+            idle.remove(0);
+        }
+    }
+
+    /// Keeps a connection whose last answer ended by its own framing.
+    ///
+    /// `keep_alive` is how long the upstream says that it keeps an idle connection.
+    pub fn give_back(&self, connection: Connection, keep_alive: Option<Duration>) {
+        let now = Instant::now();
+        let own = IDLE_TIME;
+        let time = keep_alive.map_or(own, |time| time.saturating_sub(IDLE_MARGIN).min(own));
+        if time.is_zero() || connection.sender.is_closed() {
+            return;
+        }
+        self.idle.borrow_mut().push(Idle {
+            connection,
+            since: now,
+            until: now + time,
+        });
+    }
+
+    /// Closes all connections that are not in use.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn sweep(&self, now: Instant) {
+        self.idle.borrow_mut().retain(|kept| kept.until > now);
+    }
+}
+
+/// Counts a connection as open until it is handed on or given up.
+struct Opening(Option<Rc<Cell<usize>>>);
+
+impl Opening {
+    fn keep(mut self) -> Rc<Cell<usize>> {
+        self.0.take().unwrap_or_default()
+    }
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        if let Some(open) = &self.0 {
+            open.set(open.get().saturating_sub(1));
+        }
+    }
+}
+
+async fn open(address: SocketAddr) -> anyhow::Result<(Sender, JoinHandle<()>)> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_TIMEOUT))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let driver = task::spawn_local(async move {
+        if let Err(cause) = connection.await {
+            log::debug!("upstream={address} connection ended: {cause}");
+        }
+    });
+    Ok((sender, driver))
+}
--- /dev/null
+++ b/src/gateway/process.rs
@@ -0,0 +1,242 @@
+//! One gateway process: its threads, its start, its reload and its graceful end.
+
+use std::fs;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use anyhow::Result;
+use http::Request;
+use http::StatusCode;
+use hyper::body::Incoming;
+use log::info;
+use log::warn;
+use signal_hook::consts::SIGHUP;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use tokio::net::TcpListener;
+use tokio::runtime;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task;
+use tokio::task::LocalSet;
+use tokio::time;
+
+use super::Gateway;
+use super::listen;
+use super::listen::Connections;
+use super::listen::Phase;
+use super::record::Counters;
+use super::reply;
+use super::reply::Reply;
+use super::serve;
+use crate::clock::Clock;
+use crate::follow;
+use crate::follow::View;
+use crate::follow::Views;
+use crate::platform::ingress;
+use crate::platform::store::Store;
+use crate::settings::gateway::Settings;
+
+/// Pause between two looks for idle connections and at what still runs.
+const SWEEP_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two looks at what still runs while the process ends.
+const FINISH_PAUSE: Duration = Duration::from_millis(20);
+/// Time before the end of the shutdown limit at which what still runs is given up.
+const FINISH_MARGIN: Duration = Duration::from_millis(500);
+/// Signals that wait to be handled.
+const SIGNALS: usize = 8;
+
+/// What the process is told from outside.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Notice {
+    Reload,
+    End,
+}
+
+/// Runs a gateway until a signal asks it to end; returns whether all requests finished.
+///
+/// # Errors
+///
+/// Fails if an address cannot be listened on or a thread cannot be started.
+pub fn run<C>(settings: Settings, file: PathBuf, clock: &C) -> Result<bool>
+where
+    C: Clock + Clone,
+{
+    let counters = Arc::new(Counters::default());
+    let (views, view) = Views::new();
+    let notices = signals()?;
+    follow::start(&views, clock, &Store::new(settings.store))?;
+    if let Some(address) = settings.metrics_listen {
+        super::metrics::start(address, &counters);
+    }
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the request loop")?;
+    let gateway = Rc::new(Gateway::new(settings, counters));
+    runtime.block_on(LocalSet::new().run_until(serve_until_asked(gateway, view, notices, file)))
+}
+
+fn signals() -> Result<mpsc::Receiver<Notice>> {
+    let (sender, receiver) = mpsc::channel(SIGNALS);
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            for signal in signals.forever() {
+                let notice = if signal == SIGHUP {
+                    Notice::Reload
+                } else {
+                    Notice::End
+                };
+                if let Err(cause) = sender.try_send(notice) {
+                    warn!(
+                        "signal={signal} outcome=ignored cause={:?}",
+                        cause.to_string()
+                    );
+                }
+            }
+        })?;
+    Ok(receiver)
+}
+
+async fn serve_until_asked(
+    gateway: Rc<Gateway>,
+    view: watch::Receiver<Arc<View>>,
+    mut notices: mpsc::Receiver<Notice>,
+    file: PathBuf,
+) -> Result<bool> {
+    let callers = listen::open(gateway.settings.listen)?;
+    let balancer = listen::open(gateway.settings.ready_listen)?;
+    info!(
+        "host={} domain={} callers={} balancer={} store={} version={} outcome=started",
+        gateway.settings.name,
+        gateway.settings.domain,
+        callers.local_addr()?,
+        balancer.local_addr()?,
+        gateway.settings.store,
+        env!("CARGO_PKG_VERSION")
+    );
+    task::spawn_local(follow_views(Rc::clone(&gateway), view));
+    task::spawn_local(sweep(Rc::clone(&gateway)));
+    let (phase, connections) = start_listening(&gateway, callers, balancer);
+    while let Some(Notice::Reload) = notices.recv().await {
+        reload(&gateway, &file);
+    }
+    Ok(end(&gateway, &phase, &connections).await)
+}
+
+fn start_listening(
+    gateway: &Rc<Gateway>,
+    callers: TcpListener,
+    balancer: TcpListener,
+) -> (watch::Sender<Phase>, Connections) {
+    let (phase, follower) = watch::channel(Phase::Open);
+    let connections = Connections::default();
+    let own = Rc::clone(gateway);
+    let answer = move |request: Request<Incoming>| serve::serve(Rc::clone(&own), request);
+    task::spawn_local(listen::accept(
+        callers,
+        answer,
+        follower.clone(),
+        connections.clone(),
+    ));
+    let own = Rc::clone(gateway);
+    let answer = move |request: Request<Incoming>| std::future::ready(readiness(&own, &request));
+    task::spawn_local(listen::accept(
+        balancer,
+        answer,
+        follower,
+        Connections::default(),
+    ));
+    (phase, connections)
+}
+
+fn readiness(gateway: &Gateway, request: &Request<Incoming>) -> Reply {
+    match (request.uri().path(), gateway.is_ready()) {
+        (ingress::READINESS_PATH, true) => reply::own(StatusCode::OK, "ready"),
+        (ingress::READINESS_PATH, false) => {
+            reply::own(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        }
+        _ => reply::own(StatusCode::NOT_FOUND, "only readiness is served here"),
+    }
+}
+
+async fn follow_views(gateway: Rc<Gateway>, mut view: watch::Receiver<Arc<View>>) {
+    loop {
+        let newest = Arc::clone(&view.borrow_and_update());
+        let was_ready = gateway.is_ready();
+        gateway.adopt(newest);
+        if gateway.is_ready() != was_ready {
+            info!(
+                "host={} ready={}",
+                gateway.settings.name,
+                gateway.is_ready()
+            );
+        }
+        if view.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn sweep(gateway: Rc<Gateway>) {
+    loop {
+        time::sleep(SWEEP_PAUSE).await;
+        gateway.sweep(Instant::now());
+    }
+}
+
+/// Reads the settings again; what can change while requests run is taken over.
+fn reload(gateway: &Gateway, file: &PathBuf) {
+    let name = file.display().to_string();
+    let settings = match fs::read_to_string(file) {
+        Ok(text) => Settings::parse(&name, &text).map_err(|faults| faults.to_string()),
+        Err(cause) => Err(cause.to_string()),
+    };
+    match settings {
+        Ok(settings) => {
+            let is_same = settings == gateway.settings;
+            gateway.set_repeats(settings.repeats);
+            info!(
+                "file={name:?} same={is_same} repeats={:?} outcome=reloaded",
+                settings.repeats
+            );
+        }
+        Err(fault) => warn!("file={name:?} outcome=kept-old-settings cause={fault:?}"),
+    }
+}
+
+/// Ends: no longer ready, then no new connections, then no open requests.
+async fn end(gateway: &Gateway, phase: &watch::Sender<Phase>, connections: &Connections) -> bool {
+    let begun = Instant::now();
+    gateway.leave();
+    phase.send_replace(Phase::Closing);
+    info!(
+        "host={} connections={} outcome=leaving",
+        gateway.settings.name,
+        connections.open()
+    );
+    time::sleep(gateway.settings.balancer_lag).await;
+    phase.send_replace(Phase::Closed);
+    let limit = gateway
+        .settings
+        .shutdown_limit
+        .saturating_sub(FINISH_MARGIN);
+    while connections.open() > 0 && begun.elapsed() < limit {
+        time::sleep(FINISH_PAUSE).await;
+    }
+    let is_finished = connections.open() == 0;
+    info!(
+        "host={} after_ms={} finished={is_finished} outcome=left",
+        gateway.settings.name,
+        begun.elapsed().as_millis()
+    );
+    is_finished
+}
--- /dev/null
+++ b/src/gateway/record.rs
@@ -0,0 +1,194 @@
+//! What is told of each request: a log line, counters and histograms.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use hdrhistogram::Histogram;
+use log::info;
+
+use super::call::Call;
+use crate::id::RouteId;
+
+/// Longest latency told apart, in milliseconds.
+const MOST_MS: u64 = 600_000;
+/// Routes told apart in histograms; the rest share one row.
+const MOST_ROUTES: usize = 256;
+/// Row of the routes beyond the limit.
+const OTHER_ROUTES: &str = "(others)";
+/// Quantiles served.
+const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+
+/// Counters and histograms, read by the metrics server.
+#[derive(Debug, Default)]
+pub struct Counters {
+    counts: Mutex<BTreeMap<CompactString, u64>>,
+    gauges: Mutex<BTreeMap<&'static str, i64>>,
+    latencies: Mutex<BTreeMap<(RouteId, &'static str), Histogram<u32>>>,
+}
+
+impl Counters {
+    /// Adds one to a counter.
+    pub fn add(&self, name: &str) {
+        let mut counts = self.counts.lock().expect("counter lock");
+        *counts.entry(name.into()).or_default() += 1;
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, name: &'static str, value: i64) {
+        self.gauges.lock().expect("gauge lock").insert(name, value);
+    }
+
+    /// Adds a latency to a route's histogram.
+    pub fn observe(&self, route: &RouteId, kind: &'static str, latency: Duration) {
+        let mut rows = self.latencies.lock().expect("histogram lock");
+        let is_known = rows.contains_key(&(route.clone(), kind));
+        let name = match is_known || rows.len() < MOST_ROUTES {
+            true => route.clone(),
+            false => OTHER_ROUTES.into(),
+        };
+        let row = rows.entry((name, kind)).or_insert_with(|| {
+            Histogram::new_with_bounds(1, MOST_MS, 2).expect("bounds are valid")
+        });
+        row.saturating_record(latency.as_millis() as u64);
+    }
+
+    /// Returns everything as text that scrapers read.
+    ///
+    /// ```
+    /// use pistachiohall::gateway::record::Counters;
+    /// let counters = Counters::default();
+    /// counters.add("requests");
+    /// assert!(counters.text().contains("pistachiohall_requests_total 1\n"));
+    /// ```
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for (name, count) in self.counts.lock().expect("counter lock").iter() {
+            let _infallible = writeln!(text, "pistachiohall_{name}_total {count}");
+        }
+        for (name, value) in self.gauges.lock().expect("gauge lock").iter() {
+            let _infallible = writeln!(text, "pistachiohall_{name} {value}");
+        }
+        for ((route, kind), row) in self.latencies.lock().expect("histogram lock").iter() {
+            for quantile in QUANTILES {
+                let value = row.value_at_quantile(quantile);
+                let _infallible = writeln!(
+                    text,
+                    "pistachiohall_{kind}_ms{{route={route:?},quantile=\"{quantile}\"}} {value}"
+                );
+            }
+            let _infallible = writeln!(
+                text,
+                "pistachiohall_{kind}_ms_count{{route={route:?}}} {}",
+                row.len()
+            );
+        }
+        text
+    }
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The upstream's whole answer was passed on.
+    Delivered,
+    /// Refused; it has not run and will not.
+    Refused,
+    /// Failed; it may have run.
+    Failed,
+    /// A stream was broken off.
+    Cut,
+    /// The caller left first.
+    Left,
+}
+
+impl Outcome {
+    fn name(self) -> &'static str {
+        match self {
+            Outcome::Delivered => "delivered",
+            Outcome::Refused => "refused",
+            Outcome::Failed => "failed",
+            Outcome::Cut => "cut",
+            Outcome::Left => "left",
+        }
+    }
+}
+
+/// What happened to a request so far; logged when it ends, also when the caller leaves.
+#[derive(Debug)]
+pub struct Course {
+    call: Call,
+    counters: Arc<Counters>,
+    trail: CompactString,
+    outcome: Option<Outcome>,
+    first: Option<Duration>,
+}
+
+impl Course {
+    /// Starts the record of a request.
+    pub fn new(call: &Call, counters: &Arc<Counters>) -> Self {
+        let counters = Arc::clone(counters);
+        let call = Call {
+            body: bytes::Bytes::new(),
+            ..call.clone()
+        };
+        Course {
+            call,
+            counters,
+            trail: CompactString::default(),
+            outcome: None,
+            first: None,
+        }
+    }
+
+    /// Adds a step, such as an upstream and what it answered.
+    pub fn step(&mut self, text: std::fmt::Arguments<'_>) {
+        let gap = if self.trail.is_empty() { "" } else { " " };
+        let _infallible = write!(self.trail, "{gap}{text}");
+    }
+
+    /// Notes that the first event or the whole answer is there.
+    pub fn note_first(&mut self) {
+        self.first.get_or_insert(self.call.arrived.elapsed());
+    }
+
+    /// Returns how long ago the request arrived when its first event was there, if it was.
+    pub fn first(&self) -> Option<Duration> {
+        self.first
+    }
+
+    /// Notes how the request ended.
+    pub fn end(&mut self, outcome: Outcome) {
+        self.outcome = Some(outcome);
+    }
+}
+
+impl Drop for Course {
+    fn drop(&mut self) {
+        let outcome = self.outcome.unwrap_or(Outcome::Left);
+        let call = &self.call;
+        let total = Instant::now().saturating_duration_since(call.arrived);
+        self.counters
+            .add(&compact_str::format_compact!("requests_{}", outcome.name()));
+        self.counters.observe(&call.route.name, "total", total);
+        if let Some(first) = self.first {
+            self.counters.observe(&call.route.name, "first", first);
+        }
+        info!(
+            "request={} route={} config={} service={} outcome={} first_ms={} total_ms={} left_ms={} trail={:?}",
+            call.ask.id,
+            call.route.name,
+            call.version,
+            call.service,
+            outcome.name(),
+            self.first.map_or(-1, |first| first.as_millis() as i64),
+            total.as_millis(),
+            call.left(Instant::now()).as_millis(),
+            self.trail
+        );
+    }
+}
--- /dev/null
+++ b/src/gateway/reply.rs
@@ -0,0 +1,141 @@
+//! Answers to callers: an upstream's own, or the gateway's.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Body;
+use hyper::body::Frame;
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+use super::exchange::WholeAnswer;
+use crate::platform::egress;
+
+/// A body that ends as broken, so that the caller's connection is closed without an end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the answer was cut")]
+pub struct Cut;
+
+/// Body of an answer.
+pub type Content = UnsyncBoxBody<Bytes, Cut>;
+
+/// An answer to a caller.
+pub type Reply = Response<Content>;
+
+/// Next piece of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Piece {
+    /// Whole events.
+    Events(Bytes),
+    /// The stream ended well.
+    End,
+}
+
+/// Body that passes on the pieces of a stream; cut if they stop before the end.
+#[derive(Debug)]
+pub struct Stream {
+    first: Option<Bytes>,
+    pieces: mpsc::Receiver<Piece>,
+    is_ended: bool,
+}
+
+impl Stream {
+    /// Returns a body of `first` and the pieces that follow.
+    pub fn new(first: Bytes, pieces: mpsc::Receiver<Piece>) -> Self {
+        Stream {
+            first: Some(first),
+            pieces,
+            is_ended: false,
+        }
+    }
+}
+
+impl Body for Stream {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        if self.is_ended {
+            return Poll::Ready(None);
+        }
+        match self.pieces.poll_recv(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Piece::Events(events))) => Poll::Ready(Some(Ok(Frame::data(events)))),
+            Poll::Ready(Some(Piece::End)) => {
+                self.is_ended = true;
+                Poll::Ready(None)
+            }
+            Poll::Ready(None) => {
+                self.is_ended = true;
+                Poll::Ready(Some(Err(Cut)))
+            }
+        }
+    }
+}
+
+fn whole(body: Bytes) -> Content {
+    Full::new(body)
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
+
+/// Returns an upstream's whole answer as it is.
+pub fn deliver(answer: WholeAnswer) -> Reply {
+    let mut reply = Response::new(whole(answer.body));
+    *reply.status_mut() = answer.head.status;
+    *reply.headers_mut() = egress::answer_fields(&answer.head.headers);
+    reply
+}
+
+/// Returns the start of an upstream's stream; the rest follows in `stream`.
+pub fn deliver_stream(head: &http::response::Parts, stream: Stream) -> Reply {
+    let mut reply = Response::new(stream.boxed_unsync());
+    *reply.status_mut() = head.status;
+    *reply.headers_mut() = egress::answer_fields(&head.headers);
+    reply
+}
+
+/// Returns an answer of the gateway's own, with a line for people.
+pub fn own(status: StatusCode, text: &str) -> Reply {
+    let mut reply = Response::new(whole(Bytes::from(format!("{text}\n"))));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        HeaderValue::from_static("text/plain; charset=utf-8"),
+    );
+    reply
+}
+
+/// Returns a refusal: the request has not run, and may be sent again after `retry_after`.
+///
+/// ```
+/// use std::time::Duration;
+/// use pistachiohall::gateway::reply;
+/// let reply = reply::refuse("busy", Duration::from_millis(250));
+/// assert_eq!(reply.status(), 503);
+/// assert_eq!(reply.headers()["retry-after"], "0.25");
+/// ```
+pub fn refuse(text: &str, retry_after: Duration) -> Reply {
+    let mut reply = own(StatusCode::SERVICE_UNAVAILABLE, text);
+    let seconds = format!("{}", (retry_after.as_secs_f64() * 1000.0).round() / 1000.0);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        reply.headers_mut().insert(http::header::RETRY_AFTER, value);
+    }
+    reply
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,133 @@
+//! Identifies a request and hands it on.
+
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use log::info;
+use tokio::time;
+
+use super::Gateway;
+use super::call::Call;
+use super::generate;
+use super::plain;
+use super::record::Course;
+use super::record::Outcome;
+use super::reply;
+use super::reply::Reply;
+use crate::catalog::Catalog;
+use crate::catalog::Kind;
+use crate::platform::ingress;
+use crate::quarantine::Verdict;
+
+/// Time after which a host that has just started should know its configuration.
+const RETRY_START: Duration = Duration::from_millis(500);
+/// Time after which a request that crashed upstreams may be sent again.
+const RETRY_SUSPECT: Duration = Duration::from_secs(60);
+
+/// Serves one request of a caller.
+pub async fn serve(gateway: Rc<Gateway>, request: Request<Incoming>) -> Reply {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let Some(catalog) = gateway.catalog() else {
+        info!("outcome=refused reason=no-config");
+        gateway.counters.add("requests_refused");
+        return reply::refuse("not run: this host has no configuration yet", RETRY_START);
+    };
+    match identify(&head, body, &catalog, arrived).await {
+        Ok(call) => run(&gateway, call).await,
+        Err((status, text)) => {
+            info!(
+                "outcome=rejected status={} config={} reason={text:?}",
+                status.as_u16(),
+                catalog.version()
+            );
+            gateway.counters.add("requests_rejected");
+            reply::own(status, &text)
+        }
+    }
+}
+
+async fn identify(
+    head: &http::request::Parts,
+    body: Incoming,
+    catalog: &Catalog,
+    arrived: Instant,
+) -> Result<Call, (StatusCode, String)> {
+    let ask = ingress::ask(head).map_err(|fault| (StatusCode::BAD_REQUEST, fault.to_string()))?;
+    let Some(route) = catalog.route(&ask.host, ask.uri.path()) else {
+        let text = format!(
+            "no route for host {:?} and path {:?}",
+            ask.host,
+            ask.uri.path()
+        );
+        return Err((StatusCode::NOT_FOUND, text));
+    };
+    let deadline = arrived + ask.patience.min(route.timeout);
+    let most = catalog.limits().body_bytes;
+    let body = read_body(body, most, deadline).await?;
+    let mut hasher = std::hash::DefaultHasher::new();
+    ask.id.hash(&mut hasher);
+    let Some(service) = route.service(hasher.finish()) else {
+        let text = format!("route {:?} leads to no service", route.name);
+        return Err((StatusCode::SERVICE_UNAVAILABLE, text));
+    };
+    Ok(Call {
+        service: service.clone(),
+        route: route.clone(),
+        version: catalog.version(),
+        ask,
+        body,
+        arrived,
+        deadline,
+    })
+}
+
+async fn read_body(
+    body: Incoming,
+    most: usize,
+    deadline: Instant,
+) -> Result<Bytes, (StatusCode, String)> {
+    let reading = Limited::new(body, most).collect();
+    match time::timeout_at(deadline.into(), reading).await {
+        Err(_) => Err((
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not arrive in time".into(),
+        )),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(cause)) if cause.is::<LengthLimitError>() => Err((
+            StatusCode::PAYLOAD_TOO_LARGE,
+            format!("the body is larger than {most} bytes"),
+        )),
+        Ok(Err(cause)) => Err((
+            StatusCode::BAD_REQUEST,
+            format!("the body is not whole: {cause}"),
+        )),
+    }
+}
+
+async fn run(gateway: &Rc<Gateway>, call: Call) -> Reply {
+    let mut course = Course::new(&call, &gateway.counters);
+    gateway.note_request(&call.service, call.arrived);
+    if gateway.quarantine.verdict(call.fingerprint()) == Verdict::Refused {
+        course.step(format_args!("quarantined"));
+        course.end(Outcome::Refused);
+        return reply::refuse(
+            "not run: the request crashed upstreams before",
+            RETRY_SUSPECT,
+        );
+    }
+    match call.route.kind {
+        Kind::Safe | Kind::Unsafe => plain::serve(gateway, &call, &mut course).await,
+        Kind::Stream => generate::serve(gateway, call, course).await,
+    }
+}
--- /dev/null
+++ b/src/gateway/target.rs
@@ -0,0 +1,163 @@
+//! An upstream as the gateway uses it: its entry, its connections, its health and its load.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::HeaderValue;
+use http::response::Parts;
+
+use super::exchange::Failure;
+use super::health::Health;
+use super::pool::Connection;
+use super::pool::Pool;
+use crate::fleet::Row;
+use crate::fleet::State;
+
+/// An upstream in use.
+#[derive(Debug)]
+pub struct Target {
+    /// Its entry, as last read; a changed entry makes a new target over the same pool.
+    pub row: Row,
+    /// Connections that this host may have open to it.
+    pub most_connections: usize,
+    shared: Rc<Shared>,
+}
+
+/// What outlives a change of the entry.
+#[derive(Debug)]
+struct Shared {
+    pool: Pool,
+    health: RefCell<Health>,
+    in_flight: Cell<usize>,
+    is_gone: Cell<bool>,
+}
+
+impl Target {
+    /// Returns a target for an entry, which takes over the connections of `before` if that was
+    /// the same life of the same upstream.
+    pub fn new(row: Row, most_connections: usize, before: Option<&Target>) -> Self {
+        let same = before.filter(|before| is_same_life(&before.row, &row));
+        let shared = match same {
+            Some(before) => Rc::clone(&before.shared),
+            None => Rc::new(Shared {
+                pool: Pool::new(row.address),
+                health: RefCell::default(),
+                in_flight: Cell::default(),
+                is_gone: Cell::default(),
+            }),
+        };
+        if row.state == State::Draining {
+            shared.pool.close_idle();
+        }
+        Target {
+            row,
+            most_connections,
+            shared,
+        }
+    }
+
+    /// Returns whether both are the same life of the same upstream.
+    pub fn is_same_life(&self, other: &Target) -> bool {
+        is_same_life(&self.row, &other.row)
+    }
+
+    /// Returns whether new work may be sent.
+    pub fn takes_work(&self) -> bool {
+        self.row.state == State::Ready && !self.shared.is_gone.get()
+    }
+
+    /// Notes that the upstream left: what is open goes on, nothing new is sent.
+    pub fn leave(&self) {
+        self.shared.is_gone.set(true);
+        self.shared.pool.close_idle();
+    }
+
+    /// Returns a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Failure::NotSent`] if there is none in time or the upstream leaves.
+    pub async fn connect(
+        &self,
+        is_idempotent: bool,
+        until: Instant,
+    ) -> Result<Connection, Failure> {
+        let connection = self
+            .shared
+            .pool
+            .get(is_idempotent, self.most_connections, until)
+            .await?;
+        match self.takes_work() {
+            true => Ok(connection),
+            false => Err(Failure::NotSent("the upstream leaves".into())),
+        }
+    }
+
+    /// Keeps a connection after an answer that ended by its own framing.
+    pub fn give_back(&self, connection: Connection, head: &Parts) {
+        let closes = head
+            .headers
+            .get(http::header::CONNECTION)
+            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        if closes || !self.takes_work() {
+            return;
+        }
+        self.shared.pool.give_back(connection, keep_alive(head));
+    }
+
+    /// Returns the value of a `Host` field for calls of the gateway's own.
+    pub fn authority(&self) -> HeaderValue {
+        HeaderValue::from_str(&self.row.address.to_string())
+            .unwrap_or_else(|_| HeaderValue::from_static("upstream"))
+    }
+
+    /// Returns the health.
+    pub fn health(&self) -> std::cell::RefMut<'_, Health> {
+        self.shared.health.borrow_mut()
+    }
+
+    /// Returns the requests of this host that it works on.
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.get()
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    pub fn occupy(self: &Rc<Self>) -> Occupied {
+        let shared = Rc::clone(&self.shared);
+        shared.in_flight.set(shared.in_flight.get() + 1);
+        Occupied(shared)
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub fn sweep(&self, now: Instant) {
+        self.shared.pool.sweep(now);
+    }
+}
+
+/// A request in flight.
+#[derive(Debug)]
+pub struct Occupied(Rc<Shared>);
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        self.0
+            .in_flight
+            .set(self.0.in_flight.get().saturating_sub(1));
+    }
+}
+
+fn is_same_life(one: &Row, other: &Row) -> bool {
+    one.born == other.born && one.address == other.address && one.id == other.id
+}
+
+/// Returns how long the upstream keeps an idle connection, if it says so in whole seconds.
+fn keep_alive(head: &Parts) -> Option<Duration> {
+    let text = head.headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|field| field.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -23,3 +23,11 @@
 pub type Incarnation = Uuid;
 /// Digest of a request's content.
 pub type Fingerprint = u64;
+/// Name of a route.
+pub type RouteId = CompactString;
+/// Identifier that a caller gave one request, as it came.
+pub type CallId = CompactString;
+/// Identifier of a part of a prompt, shared by all requests whose prompts contain it.
+pub type PartId = u64;
+/// Wall time of an upstream's start, in milliseconds since the Unix epoch.
+pub type Birth = u64;
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -15,8 +15,8 @@
 use crate::fold::orders::Record;
 use crate::id::Incarnation;
 use crate::id::Offset;
-use crate::platform::List;
-use crate::platform::Log;
+use crate::log::List;
+use crate::log::Log;
 use crate::replay::Replica;
 
 pub use self::term::Term;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! pistachiohall: a serving system for a fixed fleet of model engines.
 
 pub mod admit;
+pub mod catalog;
 pub mod cli;
 pub mod clock;
 pub mod command;
@@ -9,17 +10,22 @@
 pub mod directory;
 pub mod duty;
 pub mod experiment;
+pub mod fleet;
 pub mod fold;
+pub mod follow;
+pub mod gateway;
 pub mod histogram;
 pub mod id;
 pub mod inherit;
 pub mod lease;
 pub mod listen;
+pub mod log;
 pub mod member;
 pub mod once;
 pub mod order;
 pub mod peer;
 pub mod pipeline;
+pub mod placement;
 pub mod platform;
 pub mod problem;
 pub mod publish;
--- a/src/platform/http.rs
+++ b/src/log/http.rs
@@ -45,7 +45,7 @@
     /// Returns a client of the platform at `address`.
     ///
     /// ```
-    /// let platform = pistachiohall::platform::http::Http::new("127.0.0.1:9".parse().unwrap());
+    /// let platform = pistachiohall::log::http::Http::new("127.0.0.1:9".parse().unwrap());
     /// ```
     pub fn new(address: SocketAddr) -> Self {
         Http { address }
--- a/src/platform/memory.rs
+++ b/src/log/memory.rs
@@ -56,7 +56,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use pistachiohall::platform::{memory::Memory, Log};
+    /// use pistachiohall::log::{memory::Memory, Log};
     /// let log = Memory::with_retention(1);
     /// log.append("s", &1.into()).unwrap();
     /// log.append("s", &2.into()).unwrap();
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -12,9 +12,9 @@
 use crate::id::Incarnation;
 use crate::id::Offset;
 use crate::id::UpstreamId;
-use crate::platform::Host;
-use crate::platform::Kind;
-use crate::platform::State;
+use crate::log::Host;
+use crate::log::Kind;
+use crate::log::State;
 
 /// Silence after which a member no longer counts as heard.
 const HEARD: Duration = Duration::from_secs(5);
--- a/src/once/claim.rs
+++ b/src/once/claim.rs
@@ -19,8 +19,8 @@
 use crate::fold::claims::Held;
 use crate::id::AccountId;
 use crate::id::Incarnation;
-use crate::platform::AppendError;
-use crate::platform::Log;
+use crate::log::AppendError;
+use crate::log::Log;
 use crate::replay::Replica;
 
 /// Claims that wait for the writer of a shard.
--- a/src/peer/duty.rs
+++ b/src/peer/duty.rs
@@ -21,11 +21,11 @@
 use crate::id::HostId;
 use crate::id::Offset;
 use crate::id::UpstreamId;
+use crate::log::List;
+use crate::log::Log;
 use crate::member::Acknowledgement;
 use crate::member::Beat;
 use crate::member::Member;
-use crate::platform::List;
-use crate::platform::Log;
 use crate::replay::Replica;
 use crate::upstream::Upstream;
 
--- a/src/pipeline/account.rs
+++ b/src/pipeline/account.rs
@@ -12,8 +12,8 @@
 use crate::core::Core;
 use crate::histogram::Sample;
 use crate::id::UpstreamId;
-use crate::platform::List;
-use crate::platform::Log;
+use crate::log::List;
+use crate::log::Log;
 use crate::problem::Outcome;
 
 use super::Call;
--- a/src/pipeline/forward.rs
+++ b/src/pipeline/forward.rs
@@ -6,8 +6,8 @@
 
 use crate::clock::Clock;
 use crate::core::Core;
-use crate::platform::List;
-use crate::platform::Log;
+use crate::log::List;
+use crate::log::Log;
 use crate::problem::Outcome;
 use crate::problem::Problem;
 use crate::route;
--- a/src/pipeline/once.rs
+++ b/src/pipeline/once.rs
@@ -12,6 +12,8 @@
 use crate::fold::claims::Held;
 use crate::id::Incarnation;
 use crate::inherit::Inherited;
+use crate::log::List;
+use crate::log::Log;
 use crate::once::Ledger;
 use crate::once::Name;
 use crate::once::Ticket;
@@ -21,8 +23,6 @@
 use crate::once::run::Reach;
 use crate::once::run::Right;
 use crate::once::ticket;
-use crate::platform::List;
-use crate::platform::Log;
 use crate::problem::Problem;
 use crate::wire::Reply;
 
--- a/src/pipeline/own.rs
+++ b/src/pipeline/own.rs
@@ -4,8 +4,8 @@
 
 use crate::clock::Clock;
 use crate::core::Core;
-use crate::platform::List;
-use crate::platform::Log;
+use crate::log::List;
+use crate::log::Log;
 use crate::problem::Problem;
 use crate::service::Kind;
 use crate::wire::Reply;
--- /dev/null
+++ b/src/placement/board.rs
@@ -0,0 +1,130 @@
+//! What is known of the load of each engine: own requests, and what peers told of theirs.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use super::cache::Cache;
+use crate::gateway::call::Part;
+use crate::id::HostId;
+use crate::id::UpstreamId;
+
+/// Age from which a peer's numbers no longer count; some fifteen of its messages.
+const PEER_MEMORY: Duration = Duration::from_millis(400);
+/// Weight of the newest measurement of an engine's pace.
+const PACE_SMOOTHING: f64 = 0.05;
+/// Bounds of an engine's pace.
+const PACE_BOUNDS: (f64, f64) = (0.5, 8.0);
+
+/// Work that one host has given to one engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests in flight.
+    pub running: usize,
+    /// Reading that has not ended.
+    pub backlog: Duration,
+}
+
+#[derive(Debug)]
+struct Engine {
+    own: Load,
+    peers: HashMap<HostId, (Load, Instant)>,
+    cache: Cache,
+    pace: f64,
+}
+
+/// Loads and caches of all engines.
+#[derive(Debug, Default)]
+pub struct Board {
+    engines: HashMap<UpstreamId, Engine>,
+}
+
+impl Board {
+    /// Adds an engine, or forgets all about one that was started anew.
+    pub fn add(&mut self, id: &UpstreamId, memory_tokens: u64) {
+        let engine = Engine {
+            own: Load::default(),
+            peers: HashMap::new(),
+            cache: Cache::new(memory_tokens),
+            pace: 1.0,
+        };
+        self.engines.insert(id.clone(), engine);
+    }
+
+    /// Keeps only the engines that `is_kept` tells.
+    pub fn retain<F>(&mut self, is_kept: F)
+    where
+        F: Fn(&UpstreamId) -> bool,
+    {
+        self.engines.retain(|id, _| is_kept(id));
+    }
+
+    /// Returns whether an engine is known.
+    pub fn knows(&self, id: &UpstreamId) -> bool {
+        self.engines.contains_key(id)
+    }
+
+    /// Returns the load of an engine at `now`, all hosts together.
+    pub fn load(&self, id: &UpstreamId, now: Instant) -> Load {
+        let Some(engine) = self.engines.get(id) else {
+            return Load::default();
+        };
+        let told = engine
+            .peers
+            .values()
+            .filter(|(_, at)| now.saturating_duration_since(*at) < PEER_MEMORY);
+        told.fold(engine.own, |sum, (load, _)| Load {
+            running: sum.running + load.running,
+            backlog: sum.backlog + load.backlog,
+        })
+    }
+
+    /// Returns this host's own part of all loads.
+    pub fn own(&self) -> impl Iterator<Item = (&UpstreamId, Load)> {
+        self.engines.iter().map(|(id, engine)| (id, engine.own))
+    }
+
+    /// Takes in what a peer told of its part.
+    pub fn note_peer(&mut self, id: &UpstreamId, host: &HostId, load: Load, now: Instant) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.peers.insert(host.clone(), (load, now));
+        }
+    }
+
+    /// Returns the tokens at the start of a prompt that an engine is believed to keep.
+    pub fn cached(&self, id: &UpstreamId, parts: &[Part]) -> u64 {
+        self.engines
+            .get(id)
+            .map_or(0, |engine| engine.cache.cached(parts))
+    }
+
+    /// Notes that a prompt is read at an engine, whichever host sent it.
+    pub fn note_reading(&mut self, id: &UpstreamId, parts: &[Part]) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.cache.note(parts);
+        }
+    }
+
+    /// Changes this host's part of a load.
+    pub fn change<F>(&mut self, id: &UpstreamId, change: F)
+    where
+        F: FnOnce(&mut Load),
+    {
+        if let Some(engine) = self.engines.get_mut(id) {
+            change(&mut engine.own);
+        }
+    }
+
+    /// Returns how long an engine takes relative to the cost model.
+    pub fn pace(&self, id: &UpstreamId) -> f64 {
+        self.engines.get(id).map_or(1.0, |engine| engine.pace)
+    }
+
+    /// Notes how long a reading took relative to what was expected.
+    pub fn note_pace(&mut self, id: &UpstreamId, ratio: f64) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            let pace = engine.pace * (1.0 - PACE_SMOOTHING) + ratio * PACE_SMOOTHING;
+            engine.pace = pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/cache.rs
@@ -0,0 +1,91 @@
+//! Which parts of prompts an engine is believed to keep.
+//!
+//! Engines keep what was read last, and the least recently used parts yield. A host learns what is
+//! read where from its own placements and those that its peers tell it.
+
+use std::collections::HashMap;
+
+use crate::gateway::call::Part;
+use crate::id::PartId;
+
+/// Share of an engine's memory within which parts are believed to stay; running requests and
+/// what was not told hold the rest.
+const USABLE_SHARE: f64 = 0.75;
+/// Parts after which forgotten ones are cleared out.
+const MOST_PARTS: usize = 8192;
+
+#[derive(Debug, Clone, Copy)]
+struct Kept {
+    tokens: u64,
+    /// Tokens that the engine had read when the part was used last.
+    used_at: u64,
+}
+
+/// Parts that one engine is believed to keep.
+#[derive(Debug, Clone, Default)]
+pub struct Cache {
+    parts: HashMap<PartId, Kept>,
+    /// Tokens read so far.
+    read: u64,
+    /// Tokens that fit in memory.
+    memory: u64,
+}
+
+impl Cache {
+    /// Returns an empty cache of an engine whose memory holds `memory` tokens.
+    pub fn new(memory: u64) -> Self {
+        Cache {
+            memory,
+            ..Cache::default()
+        }
+    }
+
+    /// Returns the tokens at the start of a prompt that need not be read.
+    ///
+    /// ```
+    /// use pistachiohall::gateway::call::Part;
+    /// use pistachiohall::placement::cache::Cache;
+    /// let mut cache = Cache::new(1000);
+    /// let shared = Part { id: 1, tokens: 300 };
+    /// cache.note(&[shared, Part { id: 2, tokens: 100 }]);
+    /// assert_eq!(cache.cached(&[shared, Part { id: 3, tokens: 100 }]), 300);
+    /// cache.note(&[Part { id: 4, tokens: 900 }]);
+    /// assert_eq!(cache.cached(&[shared]), 0);
+    /// ```
+    pub fn cached(&self, parts: &[Part]) -> u64 {
+        parts
+            .iter()
+            .take_while(|part| self.holds(part.id))
+            .map(|part| part.tokens)
+            .sum()
+    }
+
+    fn holds(&self, id: PartId) -> bool {
+        self.parts.get(&id).is_some_and(|kept| self.is_kept(kept))
+    }
+
+    fn is_kept(&self, kept: &Kept) -> bool {
+        let most = (self.memory as f64 * USABLE_SHARE) as u64;
+        self.read - kept.used_at + kept.tokens <= most
+    }
+
+    /// Notes that a prompt with these parts is read at the engine.
+    pub fn note(&mut self, parts: &[Part]) {
+        for part in parts {
+            if !self.holds(part.id) {
+                self.read += part.tokens;
+            }
+        }
+        let used_at = self.read;
+        for part in parts {
+            let tokens = part.tokens;
+            self.parts.insert(part.id, Kept { tokens, used_at });
+        }
+        if self.parts.len() > MOST_PARTS {
+            let memory = (self.memory as f64 * USABLE_SHARE) as u64;
+            let read = self.read;
+            self.parts
+                .retain(|_, kept| read - kept.used_at + kept.tokens <= memory);
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,249 @@
+//! Which engine reads a prompt, which one generates, and when to refuse.
+//!
+//! Pure decisions: no network and no clock; times are passed in.
+
+pub mod board;
+pub mod cache;
+pub mod cost;
+
+use std::time::Duration;
+
+use crate::gateway::call::Prompt;
+use crate::id::PartId;
+use crate::id::UpstreamId;
+use crate::upstream::Role;
+
+pub use self::board::Board;
+
+/// Engines in the order of a subject's preference that are considered; more of them would spread
+/// a subject's cached parts over too many memories.
+const CONSIDERED_READERS: usize = 4;
+/// Weight of an engine's own time against the caller's wait: time spent on reading again is taken
+/// from other callers.
+const WORK_WEIGHT: f64 = 1.0;
+/// Share of the target within which the first event has to be expected for an immediate start;
+/// the rest covers the network, the first token and errors of the estimate.
+const TARGET_SHARE: f64 = 0.75;
+/// Share of the time left until which late answers are still accepted into the queue.
+const LATE_SHARE: f64 = 0.35;
+/// Time that moving a prompt's memory to another engine takes, for the estimate.
+const MOVE_TIME: Duration = Duration::from_millis(4);
+/// Generated tokens up to which a request counts as reading rather than generating.
+const FEW_TOKENS: u64 = 16;
+/// Prompt tokens up to which a prompt is read where its tokens are generated.
+const SHORT_PROMPT: u64 = 1024;
+/// Share of an engine's slots that running requests may fill before it counts as full.
+const FULL_SHARE: f64 = 0.9;
+/// Urgency of requests that are expected within their target, at an engine that reads.
+const URGENCY_ON_TIME: u8 = 3;
+/// Urgency of generation and of short prompts, which hold a caller for the least work.
+const URGENCY_SHORT: u8 = 1;
+/// Urgency of requests that will be late whatever is done.
+const URGENCY_LATE: u8 = 7;
+
+/// An engine as a decision sees it.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Name.
+    pub id: UpstreamId,
+    /// Role in force.
+    pub role: Role,
+    /// Whether it is in the host's own failure domain.
+    pub is_near: bool,
+    /// Whether it answered of late.
+    pub is_trusted: bool,
+    /// Requests that it runs at once.
+    pub slots: usize,
+    /// Requests that it is known to work on, those of other hosts included.
+    pub running: usize,
+    /// Reading that it is known to have before it.
+    pub backlog: Duration,
+    /// Tokens at the start of the prompt that it is believed to keep.
+    pub cached: u64,
+    /// How long it takes relative to the cost model.
+    pub pace: f64,
+}
+
+/// What is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct Job<'a> {
+    /// Prompt and sizes.
+    pub prompt: &'a Prompt,
+    /// Time to the first event that the caller aims for, what is left of it.
+    pub target_left: Duration,
+    /// Time until the caller or the route gives up.
+    pub left: Duration,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Plan {
+    /// One engine does everything.
+    Whole {
+        /// Engine.
+        engine: UpstreamId,
+        /// Urgency there.
+        urgency: u8,
+    },
+    /// One engine reads the prompt, another generates.
+    Split {
+        /// Engine that reads.
+        reader: UpstreamId,
+        /// Engine that generates.
+        generator: UpstreamId,
+        /// Urgency at both.
+        urgency: u8,
+    },
+    /// No engine can take it in time.
+    Refuse {
+        /// When there should be room.
+        retry_after: Duration,
+        /// What binds.
+        reason: &'static str,
+    },
+}
+
+/// A way to serve a request, weighed.
+#[derive(Debug, Clone, Copy)]
+struct Way<'a> {
+    reader: &'a Engine,
+    generator: &'a Engine,
+    /// Time to the first event.
+    wait: Duration,
+    /// Wait and engine time together.
+    cost: f64,
+}
+
+/// Chooses where a request goes.
+///
+/// Requests to models of one subject prefer the same few engines on all hosts, so that shared
+/// parts are read once. Among these the one with the least wait and work is taken.
+pub fn plan(job: &Job<'_>, engines: &[Engine]) -> Plan {
+    let Some(best) = best_way(job, engines) else {
+        return Plan::Refuse {
+            retry_after: RETRY_FULL,
+            reason: "no engine has a free slot",
+        };
+    };
+    let on_time = job.target_left.mul_f64(TARGET_SHARE);
+    let is_on_time = best.wait <= on_time;
+    if !is_on_time && best.wait > job.left.mul_f64(LATE_SHARE) {
+        let retry_after = best.wait.saturating_sub(on_time).max(RETRY_LEAST);
+        return Plan::Refuse {
+            retry_after,
+            reason: "reading is backed up",
+        };
+    }
+    let urgency = match (is_light(job.prompt), is_on_time) {
+        (true, _) => URGENCY_SHORT,
+        (false, true) => URGENCY_ON_TIME,
+        (false, false) => URGENCY_LATE,
+    };
+    let reader = best.reader.id.clone();
+    let generator = best.generator.id.clone();
+    match reader == generator {
+        true => Plan::Whole {
+            engine: generator,
+            urgency,
+        },
+        false => Plan::Split {
+            reader,
+            generator,
+            urgency,
+        },
+    }
+}
+
+/// Time after which a caller may do better when all slots are taken.
+const RETRY_FULL: Duration = Duration::from_millis(300);
+/// Shortest time after which a refused caller is asked back; below it the backlog is the same.
+const RETRY_LEAST: Duration = Duration::from_millis(100);
+
+fn is_light(prompt: &Prompt) -> bool {
+    prompt.tokens <= SHORT_PROMPT
+}
+
+fn best_way<'a>(job: &Job<'_>, engines: &'a [Engine]) -> Option<Way<'a>> {
+    let has_room = |engine: &&Engine| (engine.running as f64) < engine.slots as f64 * FULL_SHARE;
+    let free: Vec<&Engine> = engines.iter().filter(has_room).collect();
+    let trusted: Vec<&Engine> = free
+        .iter()
+        .copied()
+        .filter(|engine| engine.is_trusted)
+        .collect();
+    let usable = match trusted.iter().any(|engine| engine.role != Role::Prefill) {
+        true => trusted,
+        false => free,
+    };
+    let generators: Vec<&Engine> = usable
+        .iter()
+        .copied()
+        .filter(|engine| engine.role != Role::Prefill)
+        .collect();
+    if is_light(job.prompt)
+        || job.prompt.most_generated > FEW_TOKENS && generators.len() == usable.len()
+    {
+        return generators
+            .iter()
+            .map(|engine| whole(job, engine))
+            .min_by(by_cost);
+    }
+    let mut ranked = usable;
+    let subject = job.prompt.subject().unwrap_or_default();
+    ranked.sort_by_key(|engine| std::cmp::Reverse(preference(subject, &engine.id)));
+    ranked
+        .iter()
+        .take(CONSIDERED_READERS)
+        .filter_map(|reader| match reader.role {
+            Role::Prefill => split(job, reader, &generators),
+            Role::Decode | Role::Mixed => Some(whole(job, reader)),
+        })
+        .min_by(by_cost)
+}
+
+fn by_cost(one: &Way<'_>, other: &Way<'_>) -> std::cmp::Ordering {
+    one.cost.total_cmp(&other.cost)
+}
+
+fn whole<'a>(job: &Job<'_>, engine: &'a Engine) -> Way<'a> {
+    let reading = cost::reading(job.prompt, engine.cached, engine.role).mul_f64(engine.pace);
+    let wait = engine.backlog + reading;
+    let crowding = cost::crowding(engine.running);
+    Way {
+        reader: engine,
+        generator: engine,
+        wait,
+        cost: wait.as_secs_f64() + WORK_WEIGHT * reading.as_secs_f64() + crowding,
+    }
+}
+
+fn split<'a>(job: &Job<'_>, reader: &'a Engine, generators: &[&'a Engine]) -> Option<Way<'a>> {
+    let reading = cost::reading(job.prompt, reader.cached, reader.role).mul_f64(reader.pace);
+    let generator = generators.iter().copied().min_by(|one, other| {
+        let cost = |engine: &Engine| {
+            let is_far = engine.is_near != reader.is_near;
+            engine.backlog.as_secs_f64() / 2.0
+                + cost::crowding(engine.running)
+                + cost::distance(is_far)
+        };
+        cost(one).total_cmp(&cost(other))
+    })?;
+    let wait = reader.backlog + reading + MOVE_TIME;
+    Some(Way {
+        reader,
+        generator,
+        wait,
+        cost: wait.as_secs_f64() + WORK_WEIGHT * reading.as_secs_f64(),
+    })
+}
+
+/// Returns how much a subject prefers an engine; the same on all hosts.
+pub fn preference(subject: PartId, engine: &str) -> u64 {
+    use std::hash::Hash;
+    use std::hash::Hasher;
+
+    let mut hasher = std::hash::DefaultHasher::new();
+    subject.hash(&mut hasher);
+    engine.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,202 @@
+//! The operator's configuration, decoded into a catalog.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use crate::catalog::Catalog;
+use crate::catalog::Engine;
+use crate::catalog::Kind;
+use crate::catalog::Limits;
+use crate::catalog::Route;
+use crate::catalog::Service;
+use crate::catalog::Share;
+
+#[derive(Debug, Deserialize)]
+struct Document {
+    version: u64,
+    routes: Vec<RouteText>,
+    services: Vec<ServiceText>,
+    #[serde(default)]
+    limits: LimitsText,
+}
+
+#[derive(Debug, Deserialize)]
+struct RouteText {
+    #[serde(default)]
+    name: CompactString,
+    host: CompactString,
+    path_prefix: CompactString,
+    /// Kind of answer, not a media type.
+    #[serde(rename = "type")]
+    kind: KindText,
+    timeout_ms: f64,
+    /// Time to the whole answer, or to the first event of a stream.
+    target_latency_ms: f64,
+    #[serde(default)]
+    target_gap_ms: Option<f64>,
+    #[serde(default)]
+    priority: u8,
+    /// The only service, unless `split` is given.
+    #[serde(default)]
+    service: Option<CompactString>,
+    #[serde(default)]
+    split: Vec<SplitText>,
+    /// Upstreams that one request may be sent to, the first included.
+    #[serde(default = "one")]
+    max_attempts: u32,
+    /// Whether requests name the parts of their prompts; it does not ask for sticky sessions.
+    #[serde(default)]
+    sticky: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum KindText {
+    Safe,
+    Unsafe,
+    Stream,
+}
+
+#[derive(Debug, Deserialize)]
+struct SplitText {
+    service: CompactString,
+    weight: u32,
+}
+
+#[derive(Debug, Deserialize)]
+struct ServiceText {
+    name: CompactString,
+    #[serde(default = "default_connections")]
+    max_connections: usize,
+    #[serde(default)]
+    engine: Option<EngineText>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EngineText {
+    slots: usize,
+    kv_capacity_tokens: u64,
+    #[serde(default = "default_handle_ttl")]
+    handle_ttl_s: f64,
+    #[serde(default = "default_switch")]
+    switch_s: f64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct LimitsText {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    idle_timeout_ms: Option<u64>,
+}
+
+/// Connections to an upstream whose service names no bound.
+fn default_connections() -> usize {
+    100
+}
+
+/// Seconds that a handle is kept where the service does not say, as in the protocol's examples.
+fn default_handle_ttl() -> f64 {
+    5.0
+}
+
+/// Seconds that a change of role takes where the service does not say, as in the examples.
+fn default_switch() -> f64 {
+    3.0
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn millis(value: f64) -> Duration {
+    Duration::from_secs_f64(value.clamp(0.0, 1e9) / 1000.0)
+}
+
+fn seconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value.clamp(0.0, 1e6))
+}
+
+/// Decodes a configuration as it lies in the store.
+///
+/// ```
+/// use pistachiohall::platform::config;
+/// let text = r#"{"version": 7, "services": [{"name": "desk", "max_connections": 9}],
+///     "routes": [{"host": "a.example", "path_prefix": "/x/", "type": "safe", "service": "desk",
+///     "timeout_ms": 1000, "target_latency_ms": 150}]}"#;
+/// let catalog = config::decode(text.as_bytes()).unwrap();
+/// assert_eq!(catalog.route("a.example", "/x/y").unwrap().shares[0].service, "desk");
+/// ```
+///
+/// # Errors
+///
+/// Fails if the text is not a configuration; says where.
+pub fn decode(text: &[u8]) -> Result<Catalog, serde_json::Error> {
+    let document: Document = serde_json::from_slice(text)?;
+    let routes = document.routes.into_iter().map(route).collect();
+    let services = document.services.into_iter().map(service).collect();
+    let defaults = Limits::default();
+    let limits = Limits {
+        header_bytes: document
+            .limits
+            .max_header_bytes
+            .unwrap_or(defaults.header_bytes),
+        body_bytes: document
+            .limits
+            .max_body_bytes
+            .unwrap_or(defaults.body_bytes),
+        idle: document
+            .limits
+            .idle_timeout_ms
+            .map_or(defaults.idle, Duration::from_millis),
+    };
+    Ok(Catalog::new(document.version, routes, services, limits))
+}
+
+fn route(text: RouteText) -> Route {
+    let mut shares: Vec<Share> = text
+        .split
+        .into_iter()
+        .map(|share| Share {
+            service: share.service,
+            weight: share.weight,
+        })
+        .collect();
+    if let Some(service) = text.service.filter(|_| shares.is_empty()) {
+        shares.push(Share { service, weight: 1 });
+    }
+    Route {
+        name: text.name,
+        host: text.host,
+        prefix: text.path_prefix,
+        kind: match text.kind {
+            KindText::Safe => Kind::Safe,
+            KindText::Unsafe => Kind::Unsafe,
+            KindText::Stream => Kind::Stream,
+        },
+        timeout: millis(text.timeout_ms),
+        target: millis(text.target_latency_ms),
+        target_gap: text.target_gap_ms.map(millis),
+        rank: text.priority,
+        shares,
+        attempts: text.max_attempts.max(1),
+        resumable: text.resumable,
+        has_prompt: text.sticky,
+    }
+}
+
+fn service(text: ServiceText) -> Service {
+    Service {
+        name: text.name,
+        most_connections: text.max_connections,
+        engine: text.engine.map(|engine| Engine {
+            slots: engine.slots,
+            memory_tokens: engine.kv_capacity_tokens,
+            handle_ttl: seconds(engine.handle_ttl_s),
+            switch_time: seconds(engine.switch_s),
+        }),
+    }
+}
--- /dev/null
+++ b/src/platform/egress.rs
@@ -0,0 +1,175 @@
+//! What upstreams are sent, and what their answers mean.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::response::Parts;
+use serde::Deserialize;
+use serde_json::json;
+
+use super::header;
+use crate::gateway::call::Ask;
+use crate::gateway::exchange::Handle;
+use crate::gateway::exchange::Mark;
+use crate::gateway::exchange::Work;
+use crate::id::Offset;
+use crate::id::UpstreamId;
+use crate::upstream::Role;
+
+/// Path at which engines take orders.
+pub const ORDER_PATH: &str = "/v1/order";
+/// Path under which engines free the memory behind a handle.
+const HANDLE_PATH: &str = "/v1/kv-handle/";
+
+/// What one request to an upstream carries besides the caller's own fields.
+#[derive(Debug, Clone, Copy)]
+pub struct Send<'a> {
+    /// Upstream that is meant.
+    pub upstream: &'a UpstreamId,
+    /// Time that is left for the answer.
+    pub left: Duration,
+    /// Half of the work that is asked for.
+    pub work: Work<'a>,
+    /// Urgency at an engine, from 0 to 9; none for a plain service.
+    pub urgency: Option<u8>,
+    /// Event after which a stream goes on.
+    pub after_event: Option<u64>,
+}
+
+/// Returns the fields of a request to an upstream.
+///
+/// # Panics
+///
+/// Never for names that came out of a header or the registry: those are visible ASCII.
+pub fn fields(ask: &Ask, send: &Send<'_>) -> HeaderMap {
+    let mut fields = ask.forward.clone();
+    let mut set = |name: http::HeaderName, value: &str| match HeaderValue::from_str(value) {
+        Ok(value) => {
+            fields.insert(name, value);
+        }
+        Err(cause) => log::error!("header `{name}` was left out of a request: {cause}"),
+    };
+    set(header::EXPECT_UPSTREAM, send.upstream);
+    set(header::DEADLINE, &send.left.as_millis().to_string());
+    if let Some(urgency) = send.urgency {
+        set(header::PRIORITY, &urgency.to_string());
+    }
+    if let Some(event) = send.after_event {
+        set(header::LAST_EVENT, &event.to_string());
+    }
+    match send.work {
+        Work::Whole => (),
+        Work::Read => set(header::STAGE, "prefill"),
+        Work::Generate(handle) => {
+            set(
+                header::MEMORY_SOURCE,
+                &format!("{}/{}", handle.source, handle.name),
+            );
+        }
+    }
+    fields
+}
+
+/// Returns what an answer's head says about the request `id`.
+///
+/// ```
+/// use pistachiohall::gateway::exchange::Mark;
+/// use pistachiohall::platform::egress;
+/// let answer = http::Response::builder()
+///     .status(503)
+///     .header("pistachiohall-request-id", "r1")
+///     .header("pistachiohall-not-executed", "1")
+///     .body(())
+///     .unwrap()
+///     .into_parts()
+///     .0;
+/// assert_eq!(egress::mark(&answer, "r1"), Mark::NotRun);
+/// assert_eq!(egress::mark(&answer, "r2"), Mark::Foreign);
+/// ```
+pub fn mark(head: &Parts, id: &str) -> Mark {
+    let echoed = head.headers.get(header::REQUEST_ID);
+    let says_not_run = head.headers.contains_key(header::NOT_RUN)
+        || head.status == http::StatusCode::MISDIRECTED_REQUEST;
+    match echoed {
+        Some(echo) if echo.as_bytes() != id.as_bytes() => return Mark::Foreign,
+        None if !says_not_run => return Mark::Foreign,
+        _ => (),
+    }
+    if says_not_run {
+        return Mark::NotRun;
+    }
+    let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
+    match head.headers.contains_key(header::STAMP) && !is_encoded {
+        true => Mark::Signed,
+        false => Mark::Unsigned,
+    }
+}
+
+/// Returns the fields of an answer that are passed on to the caller.
+pub fn answer_fields(headers: &HeaderMap) -> HeaderMap {
+    let mut fields = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if !header::HOP_BY_HOP.contains(name) && *name != http::header::CONTENT_LENGTH {
+            fields.append(name.clone(), value.clone());
+        }
+    }
+    fields
+}
+
+#[derive(Deserialize)]
+struct HandleText {
+    /// Name of the memory at the engine that read the prompt.
+    kv_handle: String,
+    /// Tokens of the prompt.
+    tokens: u64,
+}
+
+/// Decodes the answer of an engine that has read a prompt.
+///
+/// # Errors
+///
+/// Fails if the answer names no handle.
+pub fn handle(body: &[u8], source: SocketAddr) -> Result<Handle, serde_json::Error> {
+    let text: HandleText = serde_json::from_slice(body)?;
+    Ok(Handle {
+        name: text.kv_handle.into(),
+        source,
+        tokens: text.tokens,
+    })
+}
+
+/// Returns the path at which a handle is freed.
+pub fn handle_path(handle: &Handle) -> String {
+    format!("{HANDLE_PATH}{}", handle.name)
+}
+
+/// Returns the fields of a call that is not a caller's: the upstream that is meant.
+pub fn own_fields(upstream: &UpstreamId) -> HeaderMap {
+    let mut fields = HeaderMap::new();
+    match HeaderValue::from_str(upstream) {
+        Ok(value) => {
+            fields.insert(header::EXPECT_UPSTREAM, value);
+        }
+        Err(cause) => log::error!("upstream={upstream} name does not fit a header: {cause}"),
+    }
+    fields
+}
+
+/// Returns the body of an order to take a role, valid while the engine has accepted `orders`.
+///
+/// ```
+/// use pistachiohall::platform::egress;
+/// use pistachiohall::upstream::Role;
+/// let body = egress::role_order("h1", 7, Role::Prefill, 2);
+/// assert!(body.contains("\"fence\":7"));
+/// ```
+pub fn role_order(holder: &str, fence: Offset, role: Role, orders: u64) -> String {
+    let stage = match role {
+        Role::Prefill => "prefill",
+        Role::Decode | Role::Mixed => "decode",
+    };
+    json!({"op": "stage", "stage": stage, "holder": holder, "fence": fence, "expect": orders})
+        .to_string()
+}
--- /dev/null
+++ b/src/platform/ingress.rs
@@ -0,0 +1,166 @@
+//! What callers send, and the paths that the balancer asks for.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::request::Parts;
+use thiserror::Error;
+
+use super::header;
+use crate::gateway::call::Ask;
+use crate::gateway::call::Part;
+use crate::gateway::call::Prompt;
+use crate::id::PartId;
+
+/// Path at which the balancer asks whether the host takes connections.
+pub const READINESS_PATH: &str = "/v1/readyz";
+/// Time that a caller waits if it does not say, in milliseconds; the protocol names none.
+const DEFAULT_DEADLINE_MS: u64 = 10_000;
+/// Longest identifier of a request, in bytes.
+const MOST_ID_BYTES: usize = 128;
+/// Parts of a prompt beyond which a request is malformed.
+const MOST_PARTS: usize = 256;
+
+/// What is wrong with a request.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Malformed {
+    /// A field is missing.
+    #[error("header `{0}` is missing")]
+    Missing(HeaderName),
+    /// A field cannot be read.
+    #[error("header `{0}` cannot be read")]
+    Unreadable(HeaderName),
+    /// The request is for no host.
+    #[error("header `host` is missing")]
+    NoHost,
+}
+
+/// Decodes the head of a request.
+///
+/// ```
+/// use pistachiohall::platform::ingress;
+/// let request = http::Request::get("/x/")
+///     .header("host", "a.example")
+///     .header("pistachiohall-request-id", "r1")
+///     .header("pistachiohall-deadline-ms", "250")
+///     .header("pistachiohall-kv-hold", "h")
+///     .body(())
+///     .unwrap();
+/// let ask = ingress::ask(&request.into_parts().0).unwrap();
+/// assert_eq!(ask.patience.as_millis(), 250);
+/// assert!(ask.forward.get("pistachiohall-kv-hold").is_none());
+/// ```
+///
+/// # Errors
+///
+/// Fails if the request names no host or no identifier, or a field cannot be read.
+pub fn ask(head: &Parts) -> Result<Ask, Malformed> {
+    let id =
+        text(&head.headers, &header::REQUEST_ID)?.ok_or(Malformed::Missing(header::REQUEST_ID))?;
+    if id.is_empty() || id.len() > MOST_ID_BYTES {
+        return Err(Malformed::Unreadable(header::REQUEST_ID));
+    }
+    let host = head
+        .uri
+        .host()
+        .map_or_else(
+            || text(&head.headers, &http::header::HOST),
+            |host| Ok(Some(host)),
+        )?
+        .ok_or(Malformed::NoHost)?;
+    let patience = number(&head.headers, &header::DEADLINE)?.unwrap_or(DEFAULT_DEADLINE_MS);
+    Ok(Ask {
+        id: id.into(),
+        host: host.into(),
+        method: head.method.clone(),
+        uri: head.uri.clone(),
+        patience: Duration::from_millis(patience),
+        after_event: number(&head.headers, &header::LAST_EVENT)?,
+        prompt: prompt(&head.headers)?,
+        forward: forwarded(&head.headers),
+    })
+}
+
+/// Returns the fields that are passed on: not those of one connection, nor the system's own.
+fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let named_by_connection: Vec<String> = headers
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut forward = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let is_kept = !header::HOP_BY_HOP.contains(name)
+            && !header::RESERVED.contains(name)
+            && *name != header::DEADLINE
+            && *name != header::LAST_EVENT
+            && *name != http::header::CONTENT_LENGTH
+            && *name != http::header::EXPECT
+            && !named_by_connection
+                .iter()
+                .any(|named| named == name.as_str());
+        if is_kept {
+            forward.append(name.clone(), value.clone());
+        }
+    }
+    forward
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Malformed> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) => Ok(Some(text.trim())),
+        Err(_) => Err(Malformed::Unreadable(name.clone())),
+    }
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Malformed> {
+    let Some(text) = text(headers, name)? else {
+        return Ok(None);
+    };
+    match text.parse() {
+        Ok(number) => Ok(Some(number)),
+        Err(_) => Err(Malformed::Unreadable(name.clone())),
+    }
+}
+
+/// Decodes the sizes and parts of a prompt; none if the request carries no sizes.
+fn prompt(headers: &HeaderMap) -> Result<Option<Prompt>, Malformed> {
+    let Some(sizes) = text(headers, &header::TOKENS)? else {
+        return Ok(None);
+    };
+    let unreadable = || Malformed::Unreadable(header::TOKENS);
+    let (tokens, most_generated) = sizes.split_once(',').ok_or_else(unreadable)?;
+    let tokens = tokens.trim().parse().map_err(|_| unreadable())?;
+    let most_generated = most_generated.trim().parse().map_err(|_| unreadable())?;
+    let parts = match text(headers, &header::PARTS)? {
+        Some(list) => parts(list).ok_or(Malformed::Unreadable(header::PARTS))?,
+        None => Vec::new(),
+    };
+    Ok(Some(Prompt {
+        tokens,
+        most_generated,
+        parts,
+    }))
+}
+
+fn parts(list: &str) -> Option<Vec<Part>> {
+    let mut parts = Vec::new();
+    for entry in list.split(',').filter(|entry| !entry.trim().is_empty()) {
+        let (id, tokens) = entry.trim().split_once(':')?;
+        let id: PartId = u64::from_str_radix(id, 16).ok()?;
+        parts.push(Part {
+            id,
+            tokens: tokens.parse().ok()?,
+        });
+        if parts.len() > MOST_PARTS {
+            return None;
+        }
+    }
+    Some(parts)
+}
--- /dev/null
+++ b/src/platform/registry.rs
@@ -0,0 +1,78 @@
+//! Entries that upstreams write of themselves, decoded into rows of the fleet.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use crate::fleet::Row;
+use crate::fleet::State;
+use crate::id::UpstreamId;
+use crate::upstream::Role;
+
+#[derive(Debug, Deserialize)]
+struct Entry {
+    service: CompactString,
+    address: SocketAddr,
+    zone: CompactString,
+    slots: usize,
+    state: StateText,
+    /// Half of the work that an engine does; a `decode` engine reads prompts as well, slower.
+    #[serde(default)]
+    stage: Option<StageText>,
+    /// Orders accepted since `born`; absent for plain services.
+    #[serde(default)]
+    sequence: u64,
+    /// Unix milliseconds of the upstream's start; absent where no upstream reuses its name.
+    #[serde(default)]
+    born: u64,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StateText {
+    Ready,
+    Draining,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StageText {
+    Prefill,
+    Decode,
+}
+
+/// Decodes the entry of the upstream `id`.
+///
+/// ```
+/// use pistachiohall::platform::registry;
+/// let text = br#"{"service": "desk", "address": "127.0.0.1:9", "zone": "derby", "slots": 6,
+///     "state": "ready", "sequence": 0, "born": 5}"#;
+/// assert_eq!(registry::decode("i-1".into(), text).unwrap().born, 5);
+/// assert!(registry::decode("i-2".into(), b"{\"state\": \"odd\"}").is_err());
+/// ```
+///
+/// # Errors
+///
+/// Fails if the entry is not whole; it then names no upstream to use.
+pub fn decode(id: UpstreamId, text: &[u8]) -> Result<Row, serde_json::Error> {
+    let entry: Entry = serde_json::from_slice(text)?;
+    Ok(Row {
+        id,
+        born: entry.born,
+        service: entry.service,
+        address: entry.address,
+        domain: entry.zone,
+        role: match entry.stage {
+            None => Role::Mixed,
+            Some(StageText::Prefill) => Role::Prefill,
+            Some(StageText::Decode) => Role::Decode,
+        },
+        state: match entry.state {
+            StateText::Ready => State::Ready,
+            StateText::Draining => State::Draining,
+        },
+        slots: entry.slots,
+        orders: entry.sequence,
+    })
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,287 @@
+//! The platform's store: calls of its log and the framing of its records.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use attohttpc::Method;
+use attohttpc::RequestBuilder;
+use attohttpc::Response;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use compact_str::CompactString;
+use serde::Deserialize;
+
+use crate::id::Offset;
+use crate::log::AppendError;
+use crate::log::ReadError;
+use crate::log::keyed::Changes;
+use crate::log::keyed::ChangesError;
+use crate::log::keyed::ConditionError;
+use crate::log::keyed::Keyed;
+use crate::log::keyed::Pair;
+use crate::log::keyed::Record;
+
+/// Topic in which the operator's configuration lies under [`CONFIG_KEY`].
+pub const CONFIG_TOPIC: &str = "keyed.op";
+/// Key of the operator's configuration.
+pub const CONFIG_KEY: &str = "config";
+/// Topic in which each upstream keeps its entry.
+pub const UPSTREAM_TOPIC: &str = "keyed.servers";
+/// Topic in which each entry host keeps its own entry.
+pub const HOST_TOPIC: &str = "keyed.hosts";
+/// Topic whose newest record under [`LEASE_KEY`] names the host that may give orders.
+pub const LEASE_TOPIC: &str = "keyed.lease";
+/// Key of the lease.
+pub const LEASE_KEY: &str = "orders";
+
+/// Longest wait for a connection; the store is a few milliseconds away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for an answer beyond the wait asked for; leaves time for one more try within the
+/// two seconds in which changes have to be in force.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Bytes before the first record of a reading: end and first kept offset, eight each.
+const READ_HEAD_BYTES: usize = 16;
+/// Bytes of a record's length.
+const LENGTH_BYTES: usize = 4;
+/// The only partition that the topics used here have.
+const PARTITION: &str = "0";
+/// Answer to a reading of records that were deleted.
+const STATUS_GONE: u16 = 410;
+/// Answer to an append whose condition does not hold.
+const STATUS_MOVED: u16 = 412;
+/// Answers that say that nothing was done.
+const STATUS_NOT_DONE: [u16; 2] = [429, 503];
+
+/// A client of the platform's store.
+#[derive(Debug, Clone)]
+pub struct Store {
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct NewestPage {
+    items: Vec<NewestItem>,
+    more: bool,
+    /// Offset after the topic's last record when the page was made.
+    end_offset: Offset,
+}
+
+#[derive(Deserialize)]
+struct NewestItem {
+    key: CompactString,
+    /// The record's content in base64.
+    value: String,
+}
+
+#[derive(Deserialize)]
+struct Appended {
+    offset: Offset,
+}
+
+#[derive(Deserialize)]
+struct Gone {
+    first_offset: Offset,
+}
+
+#[derive(Deserialize)]
+struct Moved {
+    end_offset: Offset,
+}
+
+impl Store {
+    /// Returns a client of the store at `address`.
+    ///
+    /// ```
+    /// let store = pistachiohall::platform::store::Store::new("127.0.0.1:9".parse().unwrap());
+    /// ```
+    pub fn new(address: SocketAddr) -> Self {
+        Store { address }
+    }
+
+    fn request(&self, method: Method, call: &str, wait: Duration) -> RequestBuilder {
+        RequestBuilder::new(method, format!("http://{}/v1/{call}", self.address))
+            .connect_timeout(CONNECT_TIMEOUT)
+            .timeout(ANSWER_TIMEOUT + wait)
+            .read_timeout(ANSWER_TIMEOUT + wait)
+    }
+
+    fn append(
+        &self,
+        topic: &str,
+        content: &[u8],
+        at: Option<Offset>,
+    ) -> Result<Offset, ConditionError> {
+        let mut request = self
+            .request(Method::POST, "log-append", Duration::ZERO)
+            .param("topic", topic)
+            .param("part", PARTITION);
+        if let Some(at) = at {
+            request = request.param("at", at);
+        }
+        let response = request.bytes(frame(content)).send().map_err(|cause| {
+            match crate::upstream::is_before_first_byte(&cause) {
+                true => AppendError::Refused(cause.to_string()),
+                false => AppendError::Unknown(cause.to_string()),
+            }
+        })?;
+        let status = response.status();
+        if STATUS_NOT_DONE.contains(&status.as_u16())
+            || status.is_client_error() && status != STATUS_MOVED
+        {
+            return Err(AppendError::Refused(format!("the store answered {status}")).into());
+        }
+        let unknown = |cause: &dyn std::fmt::Display| AppendError::Unknown(cause.to_string());
+        let body = response.bytes().map_err(|cause| unknown(&cause))?;
+        if status == STATUS_MOVED {
+            let moved: Moved = serde_json::from_slice(&body).map_err(|cause| unknown(&cause))?;
+            return Err(ConditionError::Moved(moved.end_offset));
+        }
+        if !status.is_success() {
+            return Err(unknown(&format!("the store answered {status}")).into());
+        }
+        let appended: Appended = serde_json::from_slice(&body).map_err(|cause| unknown(&cause))?;
+        Ok(appended.offset)
+    }
+
+    /// Reads contents from `from` on; returns them and the topic's end.
+    fn read(
+        &self,
+        topic: &str,
+        from: Offset,
+        wait: Duration,
+    ) -> Result<(Vec<Vec<u8>>, Offset), ChangesError> {
+        let response = self
+            .request(Method::GET, "log-read", wait)
+            .param("topic", topic)
+            .param("part", PARTITION)
+            .param("from", from)
+            .param("wait_ms", wait.as_millis())
+            .send()
+            .map_err(read_error)?;
+        let status = response.status();
+        let body = response.bytes().map_err(read_error)?;
+        if status == STATUS_GONE {
+            let gone: Gone = serde_json::from_slice(&body).map_err(read_error)?;
+            return Err(ChangesError::Gap(gone.first_offset));
+        }
+        if !status.is_success() {
+            return Err(ReadError(format!("the store answered {status} for `{topic}`")).into());
+        }
+        let contents = unframe(&body)
+            .ok_or_else(|| ReadError(format!("records of `{topic}` are cut short")))?;
+        let next = from + contents.len() as Offset;
+        Ok((contents, next))
+    }
+
+    fn newest_page(&self, topic: &str, after: Option<&str>) -> Result<NewestPage, ReadError> {
+        let mut request = self
+            .request(Method::GET, "log-newest", Duration::ZERO)
+            .param("topic", topic)
+            .param("part", PARTITION);
+        if let Some(after) = after {
+            request = request.param("after", after);
+        }
+        let response = request
+            .send()
+            .and_then(Response::error_for_status)
+            .map_err(read_error)?;
+        let body = response.bytes().map_err(read_error)?;
+        serde_json::from_slice(&body).map_err(read_error)
+    }
+}
+
+impl Keyed for Store {
+    fn newest(&self, topic: &str) -> Result<Changes, ReadError> {
+        let mut page = self.newest_page(topic, None)?;
+        let next = page.end_offset;
+        let mut records = Vec::new();
+        loop {
+            let after = page.items.last().map(|item| item.key.clone());
+            for item in page.items {
+                let value = STANDARD
+                    .decode(&item.value)
+                    .map_err(|cause| ReadError(format!("the value of `{}`: {cause}", item.key)))?;
+                records.push(Record {
+                    key: item.key,
+                    value: Some(value),
+                });
+            }
+            match after {
+                Some(after) if page.more => page = self.newest_page(topic, Some(&after))?,
+                _ => return Ok(Changes { records, next }),
+            }
+        }
+    }
+
+    fn changes(&self, topic: &str, from: Offset, wait: Duration) -> Result<Changes, ChangesError> {
+        let (contents, next) = self.read(topic, from, wait)?;
+        let records = contents.iter().filter_map(|content| keyed_record(content));
+        Ok(Changes {
+            records: records.collect(),
+            next,
+        })
+    }
+
+    fn put(&self, topic: &str, record: Pair<'_>) -> Result<Offset, AppendError> {
+        match self.append(topic, &content(record), None) {
+            Ok(offset) => Ok(offset),
+            Err(ConditionError::Append(error)) => Err(error),
+            Err(moved @ ConditionError::Moved(_)) => Err(AppendError::Refused(moved.to_string())),
+        }
+    }
+
+    fn put_at(&self, topic: &str, record: Pair<'_>, at: Offset) -> Result<Offset, ConditionError> {
+        self.append(topic, &content(record), Some(at))
+    }
+}
+
+fn read_error<E>(cause: E) -> ReadError
+where
+    E: std::fmt::Display,
+{
+    ReadError(cause.to_string())
+}
+
+/// Returns a record as it is sent: its length, then its content.
+fn frame(content: &[u8]) -> Vec<u8> {
+    let mut framed = (content.len() as u32).to_be_bytes().to_vec();
+    framed.extend_from_slice(content);
+    framed
+}
+
+/// Splits what a reading returned into contents; none if a record is cut short.
+fn unframe(body: &[u8]) -> Option<Vec<Vec<u8>>> {
+    let mut rest = body.get(READ_HEAD_BYTES..)?;
+    let mut contents = Vec::new();
+    while !rest.is_empty() {
+        let (length, after) = rest.split_at_checked(LENGTH_BYTES)?;
+        let length = u32::from_be_bytes(length.try_into().ok()?) as usize;
+        let (content, after) = after.split_at_checked(length)?;
+        contents.push(content.to_vec());
+        rest = after;
+    }
+    Some(contents)
+}
+
+/// Returns a record's content: the length of its key, the key, the value.
+fn content(record: Pair<'_>) -> Vec<u8> {
+    let mut content = vec![record.key.len() as u8];
+    content.extend_from_slice(record.key.as_bytes());
+    content.extend_from_slice(record.value);
+    content
+}
+
+/// Splits a content into key and value; none if the key cannot be read.
+fn keyed_record(content: &[u8]) -> Option<Record> {
+    let (length, rest) = content.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*length))?;
+    let key = match std::str::from_utf8(key) {
+        Ok(key) => CompactString::from(key),
+        Err(cause) => {
+            log::warn!("dropped a record of the store: its key is not UTF-8: {cause}");
+            return None;
+        }
+    };
+    let value = (!value.is_empty()).then(|| value.to_vec());
+    Some(Record { key, value })
+}
--- a/src/publish/mod.rs
+++ b/src/publish/mod.rs
@@ -20,9 +20,9 @@
 use crate::fold::config::Verdict;
 use crate::id::Offset;
 use crate::id::ServiceId;
-use crate::platform::AppendError;
-use crate::platform::Log;
-use crate::platform::ReadError;
+use crate::log::AppendError;
+use crate::log::Log;
+use crate::log::ReadError;
 use crate::replay::Replica;
 
 pub use self::collect::Collected;
@@ -189,8 +189,8 @@
 #[cfg(test)]
 mod tests {
     use crate::clock::Real;
-    use crate::platform::memory::Fault;
-    use crate::platform::memory::Memory;
+    use crate::log::memory::Fault;
+    use crate::log::memory::Memory;
 
     use super::*;
 
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -17,7 +17,7 @@
 use crate::duty::Stop;
 use crate::fold::Fold;
 use crate::id::Offset;
-use crate::platform::Log;
+use crate::log::Log;
 
 /// Longest wait of one read for news.
 const READ_WAIT: Duration = Duration::from_millis(1000);
@@ -98,7 +98,7 @@
     }
 
     /// Reads the log once; returns whether the state moved.
-    pub fn poll<L>(&self, log: &L, wait: Duration) -> Result<bool, crate::platform::ReadError>
+    pub fn poll<L>(&self, log: &L, wait: Duration) -> Result<bool, crate::log::ReadError>
     where
         L: Log,
     {
--- a/src/replay/reader.rs
+++ b/src/replay/reader.rs
@@ -9,8 +9,8 @@
 
 use crate::fold::Fold;
 use crate::id::Offset;
-use crate::platform::Batch;
-use crate::platform::Entry;
+use crate::log::Batch;
+use crate::log::Entry;
 
 /// Raw records kept to hand on to peers.
 const KEPT_RECORDS: usize = 256;
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -1,5 +1,7 @@
 //! How many retries the host may make.
 
+pub mod window;
+
 use std::sync::Mutex;
 
 /// Retries allowed for each request.
--- a/src/serve/duties.rs
+++ b/src/serve/duties.rs
@@ -8,11 +8,11 @@
 use crate::clock::Clock;
 use crate::core::Core;
 use crate::duty;
+use crate::log::List;
+use crate::log::Log;
 use crate::once::claim;
 use crate::once::ticket;
 use crate::order;
-use crate::platform::List;
-use crate::platform::Log;
 use crate::upstream::poll;
 
 /// Pause between two readings of the platform's list.
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -22,10 +22,10 @@
 use crate::duty::Stop;
 use crate::listen;
 use crate::listen::Listening;
+use crate::log::List;
+use crate::log::Log;
 use crate::peer;
 use crate::pipeline;
-use crate::platform::List;
-use crate::platform::Log;
 use crate::problem::Problem;
 use crate::settings::Settings;
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Checked settings of an entry process, read from an INI file.
 
+pub mod gateway;
 pub mod source;
 pub mod unit;
 
--- a/src/snapshot/mod.rs
+++ b/src/snapshot/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::fold::Fold;
 use crate::id::Offset;
-use crate::platform::Log;
+use crate::log::Log;
 use crate::replay::Replica;
 
 /// Share of the retention time after which a snapshot is written.
@@ -103,7 +103,7 @@
 mod tests {
     use crate::fold::config::Config;
     use crate::fold::config::STREAM;
-    use crate::platform::memory::Memory;
+    use crate::log::memory::Memory;
     use crate::publish;
     use crate::publish::Outcome;
 
--- a/src/standin/deployment.rs
+++ b/src/standin/deployment.rs
@@ -13,11 +13,11 @@
 
 use crate::clock::Real;
 use crate::id::DomainId;
-use crate::platform::Host;
-use crate::platform::Kind;
-use crate::platform::State;
-use crate::platform::http::Http;
-use crate::platform::memory::Memory;
+use crate::log::Host;
+use crate::log::Kind;
+use crate::log::State;
+use crate::log::http::Http;
+use crate::log::memory::Memory;
 use crate::publish;
 use crate::serve::Process;
 use crate::settings::Limits;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -12,11 +12,11 @@
 use tiny_http::Request;
 
 use crate::duty::Stop;
-use crate::platform::AppendError;
-use crate::platform::Host;
-use crate::platform::List;
-use crate::platform::Log;
-use crate::platform::memory::Memory;
+use crate::log::AppendError;
+use crate::log::Host;
+use crate::log::List;
+use crate::log::Log;
+use crate::log::memory::Memory;
 
 use super::server;
 
@@ -36,7 +36,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use pistachiohall::platform::{http::Http, Log};
+    /// use pistachiohall::log::{http::Http, Log};
     /// use pistachiohall::standin::Platform;
     /// let address = "127.0.0.1:0".parse().unwrap();
     /// let platform = Platform::start(address, Default::default(), Duration::ZERO).unwrap();
--- a/src/status/mod.rs
+++ b/src/status/mod.rs
@@ -15,8 +15,8 @@
 use crate::id::Offset;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
-use crate::platform::List;
-use crate::platform::Log;
+use crate::log::List;
+use crate::log::Log;
 use crate::quarantine::Suspect;
 use crate::upstream::Role;
 
--- a/src/upstream/table.rs
+++ b/src/upstream/table.rs
@@ -7,9 +7,9 @@
 use std::sync::atomic::Ordering;
 
 use crate::id::ServiceId;
-use crate::platform::Host;
-use crate::platform::Kind;
-use crate::platform::State;
+use crate::log::Host;
+use crate::log::Kind;
+use crate::log::State;
 use crate::service::Service;
 
 use super::Upstream;
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -10,9 +10,9 @@
 use std::process::Stdio;
 
 use pistachiohall::command::put_host;
-use pistachiohall::platform::Host;
-use pistachiohall::platform::Kind;
-use pistachiohall::platform::State;
+use pistachiohall::log::Host;
+use pistachiohall::log::Kind;
+use pistachiohall::log::State;
 use pistachiohall::standin::caller::Caller;
 
 /// An entry host in a process of its own; killed when dropped.
--- a/tests/fuzz/once/log.rs
+++ b/tests/fuzz/once/log.rs
@@ -8,11 +8,11 @@
 use pistachiohall::clock::Clock;
 use pistachiohall::clock::Mock;
 use pistachiohall::id::Offset;
-use pistachiohall::platform::AppendError;
-use pistachiohall::platform::Batch;
-use pistachiohall::platform::Log;
-use pistachiohall::platform::ReadError;
-use pistachiohall::platform::memory::Memory;
+use pistachiohall::log::AppendError;
+use pistachiohall::log::Batch;
+use pistachiohall::log::Log;
+use pistachiohall::log::ReadError;
+use pistachiohall::log::memory::Memory;
 use serde_json::Value;
 
 use super::RETENTION;
--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use pistachiohall::platform::memory::Fault as LogFault;
+use pistachiohall::log::memory::Fault as LogFault;
 use pistachiohall::standin::caller::Got;
 use pistachiohall::standin::deployment::Deployment;
 use pistachiohall::standin::deployment::wait_until;
@@ -305,7 +305,7 @@
     let platform = stage.deployment.platform.address();
     stage.meet(fault, move || {
         use pistachiohall::clock::Real;
-        use pistachiohall::platform::http::Http;
+        use pistachiohall::log::http::Http;
         use pistachiohall::publish;
 
         let log = Http::new(platform);
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use pistachiohall::platform::memory::Fault;
+use pistachiohall::log::memory::Fault;
 use pistachiohall::settings::Settings;
 use pistachiohall::standin::caller::Caller;
 use pistachiohall::standin::caller::Got;
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -7,10 +7,10 @@
 use pistachiohall::fold::orders::Action;
 use pistachiohall::fold::orders::Record;
 use pistachiohall::fold::orders::stream;
+use pistachiohall::log::Log;
+use pistachiohall::log::memory::Fault;
 use pistachiohall::order;
 use pistachiohall::order::Order;
-use pistachiohall::platform::Log;
-use pistachiohall::platform::memory::Fault;
 use pistachiohall::standin::deployment::Build;
 use pistachiohall::standin::deployment::Deployment;
 use pistachiohall::standin::deployment::wait_until;
@@ -254,7 +254,7 @@
     let deployment = one_domain(true);
     deployment.platform.memory().edit_hosts(|hosts| {
         let leaver = hosts.iter_mut().find(|host| host.name == "e1").unwrap();
-        leaver.state = pistachiohall::platform::State::Leaving;
+        leaver.state = pistachiohall::log::State::Leaving;
     });
     let takes_work = |host: &pistachiohall::standin::deployment::Entry| {
         let all = host.core().table.all();
