Tell peers of loads and readings in datagrams

Cause: each host saw an eighth of the load, so its estimate of an engine's backlog was an eighth of the truth and late work was piled up behind it.

--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -1,6 +1,8 @@
 //! Follows the operator's configuration and the upstreams' registry.
 //!
-//! A thread each; both publish one immutable view to the gateway.
+//! A thread each; both publish one immutable view to the gateway. A third finds peers.
+
+pub mod hosts;
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,6 +15,7 @@
 use log::warn;
 use tokio::sync::watch;
 
+use self::hosts::Hosts;
 use crate::catalog::Catalog;
 use crate::clock::Clock;
 use crate::fleet::Change;
@@ -134,12 +137,12 @@
     }
 }
 
-/// Starts both threads.
+/// Starts all threads; returns where the hosts that were found are told.
 ///
 /// # Errors
 ///
 /// Fails if a thread cannot be started.
-pub fn start<C, K>(board: &Arc<Views>, clock: &C, store: &K) -> Result<()>
+pub fn start<C, K>(board: &Arc<Views>, own: hosts::Own, clock: &C, store: &K) -> Result<watch::Receiver<Hosts>>
 where
     C: Clock + Clone,
     K: Keyed + Clone,
@@ -152,7 +155,12 @@
     thread::Builder::new()
         .name("registry".into())
         .spawn(move || follow_registry(&own_board, &own_clock, &own_store))?;
-    Ok(())
+    let (sender, receiver) = watch::channel(Hosts::default());
+    let (own_clock, own_store) = (clock.clone(), store.clone());
+    thread::Builder::new()
+        .name("hosts".into())
+        .spawn(move || hosts::follow(&own, &own_clock, &own_store, &sender))?;
+    Ok(receiver)
 }
 
 /// Reads one topic, anew after each gap, and tells when the store was lost and is back.
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -34,6 +34,7 @@
 use super::target::Occupied;
 use super::target::Target;
 use crate::catalog::Kind;
+use crate::gossip;
 use crate::id::UpstreamId;
 use crate::placement;
 use crate::placement::Job;
@@ -81,20 +82,28 @@
     gateway: Rc<Gateway>,
     engine: UpstreamId,
     backlog: Duration,
+    late: Duration,
     _occupied: Occupied,
 }
 
 impl Place {
-    fn new(gateway: &Rc<Gateway>, target: &Rc<Target>, backlog: Duration) -> Self {
+    fn new(gateway: &Rc<Gateway>, target: &Rc<Target>, reading: Duration, urgency: u8) -> Self {
         let engine = target.row.id.clone();
+        let (backlog, late) = match urgency < placement::URGENCY_LATE {
+            true => (reading, Duration::ZERO),
+            false => (Duration::ZERO, reading),
+        };
         gateway.board.borrow_mut().change(&engine, |load| {
             load.running += 1;
             load.backlog += backlog;
+            load.late += late;
         });
+        let gateway = Rc::clone(gateway);
         Place {
-            gateway: Rc::clone(gateway),
+            gateway,
             engine,
             backlog,
+            late,
             _occupied: target.occupy(),
         }
     }
@@ -102,11 +111,13 @@
     /// Notes that the prompt has been read.
     fn end_reading(&mut self) {
         let backlog = std::mem::take(&mut self.backlog);
+        let late = std::mem::take(&mut self.late);
         self.gateway
             .board
             .borrow_mut()
             .change(&self.engine, |load| {
                 load.backlog = load.backlog.saturating_sub(backlog);
+            load.late = load.late.saturating_sub(late);
             });
     }
 }
@@ -212,7 +223,7 @@
         .filter(|target| !tried.contains(&target.row.id))
         .map(|target| {
             let id = &target.row.id;
-            let Load { running, backlog } = board.load(id, now);
+            let Load { running, backlog, late } = board.load(id, now);
             placement::Engine {
                 id: id.clone(),
                 role: target.row.role,
@@ -221,6 +232,7 @@
                 slots: target.row.slots,
                 running,
                 backlog,
+                late,
                 cached: board.cached(id, &prompt.parts),
                 pace: board.pace(id),
             }
@@ -277,7 +289,7 @@
         Plan::Whole { engine, urgency } => {
             let target = gateway.target(engine).ok_or_else(gone)?;
             let backlog = reading(gateway, call, &target);
-            let place = Place::new(gateway, &target, backlog);
+            let place = Place::new(gateway, &target, backlog, *urgency);
             note_reading(gateway, call, engine);
             let terms = terms(call, Work::Whole, *urgency, after_event);
             let started = start(target, call, &terms, place).await;
@@ -295,7 +307,7 @@
             course.step(format_args!("{reader}/{urgency}=read:{step:?}"));
             let mut held = held?;
             let target = gateway.target(generator).ok_or_else(gone)?;
-            let place = Place::new(gateway, &target, Duration::ZERO);
+            let place = Place::new(gateway, &target, Duration::ZERO, *urgency);
             let handle = held.handle.clone();
             let terms = terms(call, Work::Generate(&handle), *urgency, after_event);
             let started = start(target, call, &terms, place).await;
@@ -343,10 +355,13 @@
 
 fn note_reading(gateway: &Gateway, call: &Call, engine: &UpstreamId) {
     if let Some(prompt) = &call.ask.prompt {
-        gateway
-            .board
-            .borrow_mut()
-            .note_reading(engine, &prompt.parts);
+        let parts = &prompt.parts;
+        gateway.board.borrow_mut().note_reading(engine, parts);
+        gateway.news.borrow_mut().readings.push(gossip::Reading {
+            engine: gossip::digest(engine),
+            parts: parts.iter().map(|part| part.id).collect(),
+            tokens: parts.iter().map(|part| part.tokens as u32).collect(),
+        });
     }
 }
 
@@ -360,7 +375,7 @@
     let backlog = reading(gateway, call, &target);
     let engine = target.row.id.clone();
     let before = gateway.board.borrow().load(&engine, Instant::now()).backlog;
-    let _place = Place::new(gateway, &target, backlog);
+    let _place = Place::new(gateway, &target, backlog, urgency);
     note_reading(gateway, call, &engine);
     let terms = terms(call, Work::Read, urgency, None);
     let begun = Instant::now();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod health;
 pub mod listen;
 pub mod metrics;
+pub mod peers;
 pub mod plain;
 pub mod pool;
 pub mod process;
@@ -56,8 +57,9 @@
     pub quarantine: Quarantine,
     /// Loads and caches of engines.
     pub board: RefCell<placement::Board>,
-    /// Hosts that share budgets, this one included.
-    pub hosts: Cell<usize>,
+    /// What peers have not been told of.
+    pub news: RefCell<peers::News>,
+    hosts: Cell<usize>,
     repeats: Cell<window::Bounds>,
     is_leaving: Cell<bool>,
     view: RefCell<Arc<View>>,
@@ -75,6 +77,7 @@
             counters,
             quarantine: Quarantine::default(),
             board: RefCell::default(),
+            news: RefCell::default(),
             is_leaving: Cell::default(),
             view: RefCell::default(),
             targets: RefCell::default(),
@@ -103,6 +106,14 @@
         self.view.borrow().catalog.clone()
     }
 
+    /// Notes how many hosts share budgets, this one included.
+    pub fn note_hosts(&self, hosts: usize) {
+        if self.hosts.replace(hosts) != hosts {
+            let view = self.view.borrow().clone();
+            self.update_targets(&view);
+        }
+    }
+
     /// Takes over a new view.
     pub fn adopt(&self, view: Arc<View>) {
         self.update_targets(&view);
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -21,6 +21,7 @@
 use super::reply::Reply;
 use super::target::Target;
 use crate::catalog::Kind;
+use crate::gossip;
 use crate::id::UpstreamId;
 
 /// Multiple of the route's target after which an idempotent request is tried elsewhere.
@@ -198,7 +199,11 @@
 /// Notes that a request may have crashed the upstream that ran it.
 pub fn note_crash(gateway: &Gateway, call: &Call, failure: &Failure, now: Instant) {
     if matches!(failure, Failure::Broken(_)) && !call.body.is_empty() {
-        gateway.quarantine.note_crash(call.fingerprint(), now);
+        let suspect = gateway.quarantine.note_crash(call.fingerprint(), now);
+        gateway.news.borrow_mut().suspects.push(gossip::Suspect {
+            fingerprint: suspect.fingerprint,
+            crashes: u32::from(suspect.crashes),
+        });
     }
 }
 
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -31,6 +31,7 @@
 use super::listen;
 use super::listen::Connections;
 use super::listen::Phase;
+use super::peers;
 use super::record::Counters;
 use super::reply;
 use super::reply::Reply;
@@ -39,6 +40,7 @@
 use crate::follow;
 use crate::follow::View;
 use crate::follow::Views;
+use crate::follow::hosts::Hosts;
 use crate::platform::ingress;
 use crate::platform::store::Store;
 use crate::settings::gateway::Settings;
@@ -71,7 +73,12 @@
     let counters = Arc::new(Counters::default());
     let (views, view) = Views::new();
     let notices = signals()?;
-    follow::start(&views, clock, &Store::new(settings.store))?;
+    let own = follow::hosts::Own {
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
+        peer: settings.peer_listen,
+    };
+    let hosts = follow::start(&views, own, clock, &Store::new(settings.store))?;
     if let Some(address) = settings.metrics_listen {
         super::metrics::start(address, &counters);
     }
@@ -80,7 +87,8 @@
         .build()
         .context("cannot start the request loop")?;
     let gateway = Rc::new(Gateway::new(settings, counters));
-    runtime.block_on(LocalSet::new().run_until(serve_until_asked(gateway, view, notices, file)))
+    let sources = Sources { view, hosts, notices, file };
+    runtime.block_on(LocalSet::new().run_until(serve_until_asked(gateway, sources)))
 }
 
 fn signals() -> Result<mpsc::Receiver<Notice>> {
@@ -106,12 +114,17 @@
     Ok(receiver)
 }
 
-async fn serve_until_asked(
-    gateway: Rc<Gateway>,
+/// What the loop hears from other threads, and where its settings are.
+#[derive(Debug)]
+struct Sources {
     view: watch::Receiver<Arc<View>>,
-    mut notices: mpsc::Receiver<Notice>,
+    hosts: watch::Receiver<Hosts>,
+    notices: mpsc::Receiver<Notice>,
     file: PathBuf,
-) -> Result<bool> {
+}
+
+async fn serve_until_asked(gateway: Rc<Gateway>, sources: Sources) -> Result<bool> {
+    let Sources { view, hosts, mut notices, file } = sources;
     let callers = listen::open(gateway.settings.listen)?;
     let balancer = listen::open(gateway.settings.ready_listen)?;
     info!(
@@ -124,6 +137,8 @@
         env!("CARGO_PKG_VERSION")
     );
     task::spawn_local(follow_views(Rc::clone(&gateway), view));
+    let socket = peers::open(gateway.settings.peer_listen).await?;
+    task::spawn_local(peers::run(Rc::clone(&gateway), socket, hosts));
     task::spawn_local(sweep(Rc::clone(&gateway)));
     let (phase, connections) = start_listening(&gateway, callers, balancer);
     while let Some(Notice::Reload) = notices.recv().await {
--- /dev/null
+++ b/src/gossip/mod.rs
@@ -0,0 +1,175 @@
+//! What gateways tell one another, many times a second, in datagrams.
+//!
+//! Loads are states: each datagram holds all of its sender's, so that a lost one does no harm.
+//! Readings and suspects are events: a lost one costs precision only.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::id::Fingerprint;
+use crate::id::HostId;
+
+/// Silence after which a peer's loads no longer count and it is only told of this host at times.
+pub const SILENCE: Duration = Duration::from_secs(2);
+
+/// Load of one engine that comes from the sender.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Load {
+    /// Digest of the engine's name.
+    #[prost(fixed32, tag = "1")]
+    pub engine: u32,
+    /// Requests in flight.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Reading for requests expected on time, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub backlog_us: u64,
+    /// Reading for requests that will be late, in microseconds.
+    #[prost(uint64, tag = "4")]
+    pub late_us: u64,
+}
+
+/// A prompt that the sender had an engine read.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Reading {
+    /// Digest of the engine's name.
+    #[prost(fixed32, tag = "1")]
+    pub engine: u32,
+    /// Parts of the prompt in order.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub parts: Vec<u64>,
+    /// Tokens of each part.
+    #[prost(uint32, repeated, tag = "3")]
+    pub tokens: Vec<u32>,
+}
+
+/// A request that may crash upstreams.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Suspect {
+    /// Digest of the request.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: Fingerprint,
+    /// Upstreams lost while they ran it, as the sender knows.
+    #[prost(uint32, tag = "2")]
+    pub crashes: u32,
+}
+
+/// One datagram.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Beat {
+    /// Sender's name.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Sender's start, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// Counts the sender's datagrams.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// All loads that are not zero.
+    #[prost(message, repeated, tag = "4")]
+    pub loads: Vec<Load>,
+    /// Prompts read since the last datagram.
+    #[prost(message, repeated, tag = "5")]
+    pub readings: Vec<Reading>,
+    /// Suspects found since the last datagram.
+    #[prost(message, repeated, tag = "6")]
+    pub suspects: Vec<Suspect>,
+}
+
+/// Returns the digest by which datagrams name an engine.
+pub fn digest(engine: &str) -> u32 {
+    use std::hash::Hash;
+    use std::hash::Hasher;
+
+    let mut hasher = std::hash::DefaultHasher::new();
+    engine.hash(&mut hasher);
+    hasher.finish() as u32
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    address: SocketAddr,
+    born: u64,
+    sequence: u64,
+    heard: Option<Instant>,
+    told: Option<Instant>,
+}
+
+/// Peers and when each was heard last.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: HashMap<HostId, Peer>,
+}
+
+impl Peers {
+    /// Adds a peer, or notes its new address.
+    pub fn add(&mut self, host: &HostId, address: SocketAddr) {
+        let peer = self.peers.entry(host.clone()).or_insert(Peer {
+            address,
+            born: 0,
+            sequence: 0,
+            heard: None,
+            told: None,
+        });
+        peer.address = address;
+    }
+
+    /// Notes a datagram; returns whether it is newer than all before it.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::gossip::{Beat, Peers};
+    /// let mut peers = Peers::default();
+    /// let beat = |sequence| Beat { host: "h2".into(), born: 1, sequence, ..Beat::default() };
+    /// let from = "127.0.0.1:9".parse().unwrap();
+    /// assert!(peers.note(&beat(2), from, Instant::now()));
+    /// assert!(!peers.note(&beat(1), from, Instant::now()));
+    /// ```
+    pub fn note(&mut self, beat: &Beat, from: SocketAddr, now: Instant) -> bool {
+        let host = HostId::from(beat.host.as_str());
+        if let Some(peer) = self.peers.get(&host)
+            && (beat.born, beat.sequence) <= (peer.born, peer.sequence)
+        {
+            return false;
+        }
+        self.add(&host, from);
+        if let Some(peer) = self.peers.get_mut(&host) {
+            peer.born = beat.born;
+            peer.sequence = beat.sequence;
+            peer.heard = Some(now);
+        }
+        true
+    }
+
+    /// Returns where to send a datagram now: to peers that were heard of late, and to the others
+    /// once in a while.
+    pub fn due(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let mut due = Vec::with_capacity(self.peers.len());
+        for peer in self.peers.values_mut() {
+            let is_heard = is_recent(peer.heard, now);
+            if is_heard || !is_recent(peer.told, now) {
+                peer.told = Some(now);
+                due.push(peer.address);
+            }
+        }
+        due
+    }
+
+    /// Returns how many peers are known, heard or not.
+    pub fn known(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns how many peers were heard of late.
+    pub fn heard(&self, now: Instant) -> usize {
+        let peers = self.peers.values();
+        peers.filter(|peer| is_recent(peer.heard, now)).count()
+    }
+}
+
+fn is_recent(at: Option<Instant>, now: Instant) -> bool {
+    at.is_some_and(|at| now.saturating_duration_since(at) < SILENCE)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fold;
 pub mod follow;
 pub mod gateway;
+pub mod gossip;
 pub mod histogram;
 pub mod id;
 pub mod inherit;
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -6,11 +6,12 @@
 
 use super::cache::Cache;
 use crate::gateway::call::Part;
+use crate::gossip;
 use crate::id::HostId;
 use crate::id::UpstreamId;
 
-/// Age from which a peer's numbers no longer count; some fifteen of its messages.
-const PEER_MEMORY: Duration = Duration::from_millis(400);
+/// Age from which a peer's numbers no longer count; peers repeat them at least every 400 ms.
+const PEER_MEMORY: Duration = Duration::from_millis(1000);
 /// Weight of the newest measurement of an engine's pace.
 const PACE_SMOOTHING: f64 = 0.05;
 /// Bounds of an engine's pace.
@@ -21,12 +22,15 @@
 pub struct Load {
     /// Requests in flight.
     pub running: usize,
-    /// Reading that has not ended.
+    /// Reading that has not ended, for requests that are expected on time.
     pub backlog: Duration,
+    /// The same for requests that will be late.
+    pub late: Duration,
 }
 
 #[derive(Debug)]
 struct Engine {
+    digest: u32,
     own: Load,
     peers: HashMap<HostId, (Load, Instant)>,
     cache: Cache,
@@ -43,6 +47,7 @@
     /// Adds an engine, or forgets all about one that was started anew.
     pub fn add(&mut self, id: &UpstreamId, memory_tokens: u64) {
         let engine = Engine {
+            digest: gossip::digest(id),
             own: Load::default(),
             peers: HashMap::new(),
             cache: Cache::new(memory_tokens),
@@ -76,6 +81,7 @@
         told.fold(engine.own, |sum, (load, _)| Load {
             running: sum.running + load.running,
             backlog: sum.backlog + load.backlog,
+            late: sum.late + load.late,
         })
     }
 
@@ -84,10 +90,26 @@
         self.engines.iter().map(|(id, engine)| (id, engine.own))
     }
 
-    /// Takes in what a peer told of its part.
-    pub fn note_peer(&mut self, id: &UpstreamId, host: &HostId, load: Load, now: Instant) {
-        if let Some(engine) = self.engines.get_mut(id) {
-            engine.peers.insert(host.clone(), (load, now));
+    /// Takes in all loads that come from a peer, each with the digest of its engine's name.
+    pub fn note_peer(&mut self, host: &HostId, loads: &HashMap<u32, Load>, now: Instant) {
+        for engine in self.engines.values_mut() {
+            match loads.get(&engine.digest) {
+                Some(load) => {
+                    engine.peers.insert(host.clone(), (*load, now));
+                }
+                None => {
+                    engine.peers.remove(host);
+                }
+            }
+        }
+    }
+
+    /// Notes that a peer had a prompt read at an engine.
+    pub fn note_peer_reading(&mut self, digest: u32, parts: &[Part]) {
+        for engine in self.engines.values_mut() {
+            if engine.digest == digest {
+                engine.cache.note(parts);
+            }
         }
     }
 
@@ -98,7 +120,7 @@
             .map_or(0, |engine| engine.cache.cached(parts))
     }
 
-    /// Notes that a prompt is read at an engine, whichever host sent it.
+    /// Notes that this host has a prompt read at an engine.
     pub fn note_reading(&mut self, id: &UpstreamId, parts: &[Part]) {
         if let Some(engine) = self.engines.get_mut(id) {
             engine.cache.note(parts);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -28,8 +28,6 @@
 const LATE_SHARE: f64 = 0.35;
 /// Time that moving a prompt's memory to another engine takes, for the estimate.
 const MOVE_TIME: Duration = Duration::from_millis(4);
-/// Generated tokens up to which a request counts as reading rather than generating.
-const FEW_TOKENS: u64 = 16;
 /// Prompt tokens up to which a prompt is read where its tokens are generated.
 const SHORT_PROMPT: u64 = 1024;
 /// Share of an engine's slots that running requests may fill before it counts as full.
@@ -39,7 +37,7 @@
 /// Urgency of generation and of short prompts, which hold a caller for the least work.
 const URGENCY_SHORT: u8 = 1;
 /// Urgency of requests that will be late whatever is done.
-const URGENCY_LATE: u8 = 7;
+pub const URGENCY_LATE: u8 = 7;
 
 /// An engine as a decision sees it.
 #[derive(Debug, Clone)]
@@ -56,8 +54,10 @@
     pub slots: usize,
     /// Requests that it is known to work on, those of other hosts included.
     pub running: usize,
-    /// Reading that it is known to have before it.
+    /// Reading that it is known to have before it, for requests expected on time.
     pub backlog: Duration,
+    /// The same for requests that will be late; it yields to the others.
+    pub late: Duration,
     /// Tokens at the start of the prompt that it is believed to keep.
     pub cached: u64,
     /// How long it takes relative to the cost model.
@@ -114,56 +114,71 @@
     cost: f64,
 }
 
+/// Whether a request is read before those that will be late, or with them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Lane {
+    OnTime,
+    Late,
+}
+
+/// Time after which a caller may do better when all slots are taken.
+const RETRY_FULL: Duration = Duration::from_millis(300);
+/// Shortest time after which a refused caller is asked back; below it the backlog is the same.
+const RETRY_LEAST: Duration = Duration::from_millis(100);
+
 /// Chooses where a request goes.
 ///
 /// Requests to models of one subject prefer the same few engines on all hosts, so that shared
-/// parts are read once. Among these the one with the least wait and work is taken.
+/// parts are read once. Among these the one with the least wait and work is taken. A request that
+/// cannot be on time is read behind those that can, as long as that is soon enough to be of use.
 pub fn plan(job: &Job<'_>, engines: &[Engine]) -> Plan {
-    let Some(best) = best_way(job, engines) else {
+    let on_time = job.target_left.mul_f64(TARGET_SHARE);
+    let urgency = match is_light(job.prompt) {
+        true => URGENCY_SHORT,
+        false => URGENCY_ON_TIME,
+    };
+    let Some(best) = best_way(job, engines, Lane::OnTime) else {
+        let reason = "no engine has a free slot";
         return Plan::Refuse {
             retry_after: RETRY_FULL,
-            reason: "no engine has a free slot",
+            reason,
         };
     };
-    let on_time = job.target_left.mul_f64(TARGET_SHARE);
-    let is_on_time = best.wait <= on_time;
-    if !is_on_time && best.wait > job.left.mul_f64(LATE_SHARE) {
-        let retry_after = best.wait.saturating_sub(on_time).max(RETRY_LEAST);
-        return Plan::Refuse {
-            retry_after,
-            reason: "reading is backed up",
-        };
+    if best.wait <= on_time {
+        return best.plan(urgency);
     }
-    let urgency = match (is_light(job.prompt), is_on_time) {
-        (true, _) => URGENCY_SHORT,
-        (false, true) => URGENCY_ON_TIME,
-        (false, false) => URGENCY_LATE,
-    };
-    let reader = best.reader.id.clone();
-    let generator = best.generator.id.clone();
-    match reader == generator {
-        true => Plan::Whole {
-            engine: generator,
-            urgency,
-        },
-        false => Plan::Split {
-            reader,
-            generator,
-            urgency,
+    match best_way(job, engines, Lane::Late) {
+        Some(late) if late.wait <= job.left.mul_f64(LATE_SHARE) => late.plan(URGENCY_LATE),
+        _ => Plan::Refuse {
+            retry_after: best.wait.saturating_sub(on_time).max(RETRY_LEAST),
+            reason: "reading is backed up",
         },
     }
 }
 
-/// Time after which a caller may do better when all slots are taken.
-const RETRY_FULL: Duration = Duration::from_millis(300);
-/// Shortest time after which a refused caller is asked back; below it the backlog is the same.
-const RETRY_LEAST: Duration = Duration::from_millis(100);
+impl Way<'_> {
+    fn plan(&self, urgency: u8) -> Plan {
+        let reader = self.reader.id.clone();
+        let generator = self.generator.id.clone();
+        match reader == generator {
+            true => Plan::Whole {
+                engine: generator,
+                urgency,
+            },
+            false => Plan::Split {
+                reader,
+                generator,
+                urgency,
+            },
+        }
+    }
+}
 
 fn is_light(prompt: &Prompt) -> bool {
     prompt.tokens <= SHORT_PROMPT
 }
 
-fn best_way<'a>(job: &Job<'_>, engines: &'a [Engine]) -> Option<Way<'a>> {
+fn best_way<'a>(job: &Job<'_>, engines: &'a [Engine], lane: Lane) -> Option<Way<'a>> {
     let has_room = |engine: &&Engine| (engine.running as f64) < engine.slots as f64 * FULL_SHARE;
     let free: Vec<&Engine> = engines.iter().filter(has_room).collect();
     let trusted: Vec<&Engine> = free
@@ -180,12 +195,10 @@
         .copied()
         .filter(|engine| engine.role != Role::Prefill)
         .collect();
-    if is_light(job.prompt)
-        || job.prompt.most_generated > FEW_TOKENS && generators.len() == usable.len()
-    {
+    if is_light(job.prompt) {
         return generators
             .iter()
-            .map(|engine| whole(job, engine))
+            .map(|engine| whole(job, engine, lane))
             .min_by(by_cost);
     }
     let mut ranked = usable;
@@ -195,8 +208,8 @@
         .iter()
         .take(CONSIDERED_READERS)
         .filter_map(|reader| match reader.role {
-            Role::Prefill => split(job, reader, &generators),
-            Role::Decode | Role::Mixed => Some(whole(job, reader)),
+            Role::Prefill => split(job, reader, &generators, lane),
+            Role::Decode | Role::Mixed => Some(whole(job, reader, lane)),
         })
         .min_by(by_cost)
 }
@@ -205,9 +218,17 @@
     one.cost.total_cmp(&other.cost)
 }
 
-fn whole<'a>(job: &Job<'_>, engine: &'a Engine) -> Way<'a> {
+/// Returns the reading that an engine does before a request of a lane.
+fn queue(engine: &Engine, lane: Lane) -> Duration {
+    match lane {
+        Lane::OnTime => engine.backlog,
+        Lane::Late => engine.backlog + engine.late,
+    }
+}
+
+fn whole<'a>(job: &Job<'_>, engine: &'a Engine, lane: Lane) -> Way<'a> {
     let reading = cost::reading(job.prompt, engine.cached, engine.role).mul_f64(engine.pace);
-    let wait = engine.backlog + reading;
+    let wait = queue(engine, lane) + reading;
     let crowding = cost::crowding(engine.running);
     Way {
         reader: engine,
@@ -217,7 +238,12 @@
     }
 }
 
-fn split<'a>(job: &Job<'_>, reader: &'a Engine, generators: &[&'a Engine]) -> Option<Way<'a>> {
+fn split<'a>(
+    job: &Job<'_>,
+    reader: &'a Engine,
+    generators: &[&'a Engine],
+    lane: Lane,
+) -> Option<Way<'a>> {
     let reading = cost::reading(job.prompt, reader.cached, reader.role).mul_f64(reader.pace);
     let generator = generators.iter().copied().min_by(|one, other| {
         let cost = |engine: &Engine| {
@@ -228,7 +254,7 @@
         };
         cost(one).total_cmp(&cost(other))
     })?;
-    let wait = reader.backlog + reading + MOVE_TIME;
+    let wait = queue(reader, lane) + reading + MOVE_TIME;
     Some(Way {
         reader,
         generator,
