Order two thirds of the engines to read, under a lease in the store

The registry's sequence counts writings of the entry, not orders: all orders were refused with 409. Change: one host at a time holds a lease (conditional put, its offset the fencing token) and orders engines; long prompts are read at engines that only read; hosts tell one another which engines are away.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -51,15 +51,16 @@
     pub state: State,
     /// Requests that it runs at once.
     pub slots: usize,
-    /// Orders that it has accepted in this life.
-    pub orders: u64,
 }
 
+/// Counts an upstream's writings of its entry within one life.
+pub type Beat = u64;
+
 /// One change in the registry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
-    /// An upstream wrote its entry.
-    Written(Row),
+    /// An upstream wrote its entry, the given number of times in this life.
+    Written(Row, Beat),
     /// An entry was removed.
     Removed(UpstreamId),
 }
@@ -67,6 +68,7 @@
 #[derive(Debug, Clone)]
 struct Held {
     row: Row,
+    beat: Beat,
     use_until: Option<Instant>,
 }
 
@@ -97,7 +99,7 @@
         let mut is_changed = false;
         for change in changes {
             is_changed |= match change {
-                Change::Written(row) => self.write(row),
+                Change::Written(row, beat) => self.write(row, beat),
                 Change::Removed(id) => self.remove(&id, use_until),
             };
         }
@@ -105,30 +107,33 @@
     }
 
     /// Takes in a full list: what is not in it was removed.
-    pub fn replace(&mut self, rows: Vec<Row>, now: Instant) -> bool {
+    pub fn replace(&mut self, rows: Vec<(Row, Beat)>, now: Instant) -> bool {
         let gone: Vec<UpstreamId> = self
             .held
             .keys()
-            .filter(|id| !rows.iter().any(|row| row.id == **id))
+            .filter(|id| !rows.iter().any(|(row, _)| row.id == **id))
             .cloned()
             .collect();
         let mut changes: Vec<Change> = gone.into_iter().map(Change::Removed).collect();
-        changes.extend(rows.into_iter().map(Change::Written));
+        changes.extend(
+            rows.into_iter()
+                .map(|(row, beat)| Change::Written(row, beat)),
+        );
         self.apply(changes, now)
     }
 
-    fn write(&mut self, row: Row) -> bool {
+    fn write(&mut self, row: Row, beat: Beat) -> bool {
         let Some(held) = self.held.get_mut(&row.id) else {
             let id = row.id.clone();
             let held = Held {
                 row,
+                beat,
                 use_until: None,
             };
             self.held.insert(id, held);
             return true;
         };
-        let is_stale =
-            row.born < held.row.born || (row.born == held.row.born && row.orders < held.row.orders);
+        let is_stale = row.born < held.row.born || (row.born == held.row.born && beat < held.beat);
         if is_stale {
             return false;
         }
@@ -139,6 +144,7 @@
         let is_changed = held.row != row || held.use_until.is_some();
         *held = Held {
             row,
+            beat,
             use_until: None,
         };
         is_changed
--- a/src/follow/hosts.rs
+++ b/src/follow/hosts.rs
@@ -63,7 +63,9 @@
                 reader.note_success();
                 for record in records {
                     hosts.retain(|(host, _)| *host != record.key);
-                    if let Some(address) = record.value.and_then(|value| decode(&record.key, &value)) {
+                    if let Some(address) =
+                        record.value.and_then(|value| decode(&record.key, &value))
+                    {
                         hosts.push((record.key, address));
                     }
                 }
@@ -83,11 +85,21 @@
     C: Clock,
     K: Keyed,
 {
-    let entry = Entry { peer: own.peer, domain: own.domain.clone() };
+    let entry = Entry {
+        peer: own.peer,
+        domain: own.domain.clone(),
+    };
     let value = serde_json::to_vec(&entry).expect("an entry is JSON");
-    let pair = Pair { key: &own.name, value: &value };
+    let pair = Pair {
+        key: &own.name,
+        value: &value,
+    };
     while let Err(error) = store.put(store::HOST_TOPIC, pair) {
-        warn!("host={} outcome=entry-not-written cause={:?}", own.name, error.to_string());
+        warn!(
+            "host={} outcome=entry-not-written cause={:?}",
+            own.name,
+            error.to_string()
+        );
         clock.sleep(FAILURE_PAUSE);
     }
     info!("host={} peer={} outcome=entry-written", own.name, own.peer);
@@ -97,7 +109,10 @@
     match serde_json::from_slice::<Entry>(value) {
         Ok(entry) => Some(entry.peer),
         Err(cause) => {
-            warn!("host={host} entry=unreadable outcome=ignored cause={:?}", cause.to_string());
+            warn!(
+                "host={host} entry=unreadable outcome=ignored cause={:?}",
+                cause.to_string()
+            );
             None
         }
     }
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -121,8 +121,8 @@
         match before.iter().find(|held| held.id == row.id) {
             Some(held) if held == row => (),
             Some(held) => info!(
-                "upstream={} born={} state={:?} was={:?} role={:?} was_role={:?} orders={} outcome=changed",
-                row.id, row.born, row.state, held.state, row.role, held.role, row.orders
+                "upstream={} born={} state={:?} was={:?} role={:?} was_role={:?} outcome=changed",
+                row.id, row.born, row.state, held.state, row.role, held.role
             ),
             None => info!(
                 "upstream={} born={} service={} address={} domain={} state={:?} role={:?} outcome=added",
@@ -142,7 +142,12 @@
 /// # Errors
 ///
 /// Fails if a thread cannot be started.
-pub fn start<C, K>(board: &Arc<Views>, own: hosts::Own, clock: &C, store: &K) -> Result<watch::Receiver<Hosts>>
+pub fn start<C, K>(
+    board: &Arc<Views>,
+    own: hosts::Own,
+    clock: &C,
+    store: &K,
+) -> Result<watch::Receiver<Hosts>>
 where
     C: Clock + Clone,
     K: Keyed + Clone,
@@ -320,7 +325,7 @@
                 .into_iter()
                 .filter_map(change)
                 .filter_map(|change| match change {
-                    Change::Written(row) => Some(row),
+                    Change::Written(row, beat) => Some((row, beat)),
                     Change::Removed(_) => None,
                 });
             let rows = rows.collect();
@@ -338,7 +343,7 @@
         return Some(Change::Removed(record.key));
     };
     match registry::decode(record.key.clone(), &value) {
-        Ok(row) => Some(Change::Written(row)),
+        Ok((row, beat)) => Some(Change::Written(row, beat)),
         Err(cause) => {
             warn!(
                 "upstream={:?} entry=unreadable outcome=ignored cause={:?}",
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -117,7 +117,7 @@
             .borrow_mut()
             .change(&self.engine, |load| {
                 load.backlog = load.backlog.saturating_sub(backlog);
-            load.late = load.late.saturating_sub(late);
+                load.late = load.late.saturating_sub(late);
             });
     }
 }
@@ -220,10 +220,14 @@
     let targets = gateway.targets(&call.service);
     let engines: Vec<placement::Engine> = targets
         .iter()
-        .filter(|target| !tried.contains(&target.row.id))
+        .filter(|target| !tried.contains(&target.row.id) && !gateway.is_away(&target.row.id, now))
         .map(|target| {
             let id = &target.row.id;
-            let Load { running, backlog, late } = board.load(id, now);
+            let Load {
+                running,
+                backlog,
+                late,
+            } = board.load(id, now);
             placement::Engine {
                 id: id.clone(),
                 role: target.row.role,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,10 +27,13 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use crate::catalog::Catalog;
+use crate::fleet::Row;
 use crate::follow::View;
+use crate::gossip;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::placement;
@@ -41,6 +44,9 @@
 use self::record::Counters;
 use self::target::Target;
 
+/// Time for which an engine that was ordered to change its role gets no work: the change, and until
+/// its entry shows it.
+const AWAY_TIME: Duration = Duration::from_millis(4500);
 /// Fewest connections to an upstream that a host may open, however many hosts there are.
 const LEAST_CONNECTIONS: usize = 8;
 /// Share of an upstream's connections that hosts use; the rest are for hosts not known yet.
@@ -60,6 +66,7 @@
     /// What peers have not been told of.
     pub news: RefCell<peers::News>,
     hosts: Cell<usize>,
+    away: RefCell<HashMap<u32, Instant>>,
     repeats: Cell<window::Bounds>,
     is_leaving: Cell<bool>,
     view: RefCell<Arc<View>>,
@@ -78,6 +85,7 @@
             quarantine: Quarantine::default(),
             board: RefCell::default(),
             news: RefCell::default(),
+            away: RefCell::default(),
             is_leaving: Cell::default(),
             view: RefCell::default(),
             targets: RefCell::default(),
@@ -118,6 +126,7 @@
     pub fn adopt(&self, view: Arc<View>) {
         self.update_targets(&view);
         self.update_board(&view);
+        self.update_away(&view, Instant::now());
         *self.view.borrow_mut() = view;
     }
 
@@ -183,6 +192,37 @@
             .collect()
     }
 
+    /// Notes engines that were ordered to change their role, by the digests of their names.
+    pub fn note_away(&self, engines: &[u32], now: Instant) {
+        let mut away = self.away.borrow_mut();
+        for engine in engines {
+            away.entry(*engine).or_insert(now + AWAY_TIME);
+        }
+    }
+
+    /// Returns whether an engine is away for a change of its role.
+    pub fn is_away(&self, id: &UpstreamId, now: Instant) -> bool {
+        let away = self.away.borrow();
+        away.get(&gossip::digest(id))
+            .is_some_and(|until| now < *until)
+    }
+
+    /// Forgets engines that are back with another role, or should be.
+    fn update_away(&self, view: &View, now: Instant) {
+        let before = self.view.borrow();
+        let has_changed = |digest: u32| {
+            let find = |rows: &[Row]| {
+                rows.iter()
+                    .find(|row| gossip::digest(&row.id) == digest)
+                    .map(|row| row.role)
+            };
+            find(&before.rows) != find(&view.rows)
+        };
+        self.away
+            .borrow_mut()
+            .retain(|digest, until| now < *until + AWAY_TIME && !has_changed(*digest));
+    }
+
     /// Returns an upstream by name.
     pub fn target(&self, id: &UpstreamId) -> Option<Rc<Target>> {
         self.targets.borrow().get(id).cloned()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,6 +23,7 @@
 use crate::id::HostId;
 use crate::placement::board::Load;
 use crate::quarantine::Suspect;
+use crate::reassign::duty::Away;
 
 /// Pause between two datagrams while loads change; a few arrivals at the whole site.
 const BEAT_PAUSE: Duration = Duration::from_millis(20);
@@ -40,6 +41,17 @@
     pub suspects: Vec<gossip::Suspect>,
 }
 
+/// What the exchange hears from other threads and tells them.
+#[derive(Debug)]
+pub struct Sources {
+    /// Hosts that were found in the store.
+    pub hosts: watch::Receiver<Hosts>,
+    /// Engines that this host has ordered to change their role.
+    pub away: watch::Receiver<Away>,
+    /// This host's place among the hosts that are heard, in the order of their names.
+    pub rank: watch::Sender<usize>,
+}
+
 /// Opens the socket that peers send to.
 ///
 /// # Errors
@@ -52,7 +64,12 @@
 }
 
 /// Exchanges datagrams with peers until the process ends.
-pub async fn run(gateway: Rc<Gateway>, socket: UdpSocket, mut hosts: watch::Receiver<Hosts>) {
+pub async fn run(gateway: Rc<Gateway>, socket: UdpSocket, sources: Sources) {
+    let Sources {
+        mut hosts,
+        mut away,
+        rank,
+    } = sources;
     let mut peers = Peers::default();
     let mut buffer = vec![0; DATAGRAM_BYTES];
     let mut tick = time::interval(BEAT_PAUSE);
@@ -60,11 +77,20 @@
     let mut told = Told::new();
     loop {
         tokio::select! {
-            _ = tick.tick() => told.tell(&gateway, &socket, &mut peers).await,
+            _ = tick.tick() => {
+                told.tell(&gateway, &socket, &mut peers).await;
+                let own_rank = peers.rank(&gateway.settings.name, Instant::now());
+                rank.send_if_modified(|rank| std::mem::replace(rank, own_rank) != own_rank);
+            }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => take_in(&gateway, &mut peers, &buffer[..length], from),
                 Err(cause) => log::debug!("a datagram was lost: {cause}"),
             },
+            Ok(()) = away.changed() => {
+                let ordered: Vec<u32> = away.borrow_and_update().keys().map(|id| gossip::digest(id)).collect();
+                gateway.note_away(&ordered, Instant::now());
+                told.away = ordered;
+            }
             Ok(()) = hosts.changed() => {
                 for (host, address) in hosts.borrow_and_update().iter() {
                     if *host != gateway.settings.name {
@@ -85,12 +111,20 @@
     at: Instant,
     loads: Vec<gossip::Load>,
     heard: usize,
+    away: Vec<u32>,
 }
 
 impl Told {
     fn new() -> Self {
         let born = crate::clock::wall_ms(&crate::clock::Real);
-        Told { born, sequence: 0, at: Instant::now(), loads: Vec::new(), heard: 0 }
+        Told {
+            born,
+            sequence: 0,
+            at: Instant::now(),
+            loads: Vec::new(),
+            heard: 0,
+            away: Vec::new(),
+        }
     }
 
     async fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket, peers: &mut Peers) {
@@ -111,6 +145,7 @@
             loads,
             readings: news.readings,
             suspects: news.suspects,
+            away: self.away.clone(),
         };
         let datagram = beat.encode_to_vec();
         for address in peers.due(now) {
@@ -120,7 +155,11 @@
         }
         let heard = peers.heard(now);
         if heard != self.heard {
-            info!("peers={heard} was={} known={} outcome=changed", self.heard, peers.known());
+            info!(
+                "peers={heard} was={} known={} outcome=changed",
+                self.heard,
+                peers.known()
+            );
             gateway.counters.set("peers_heard", heard as i64);
             self.heard = heard;
         }
@@ -157,17 +196,24 @@
     if peers.known() != known {
         gateway.note_hosts(peers.known() + 1);
     }
+    gateway.note_away(&beat.away, now);
     let mut board = gateway.board.borrow_mut();
     for reading in &beat.readings {
         let parts = reading.parts.iter().zip(&reading.tokens);
         let parts: Vec<Part> = parts
-            .map(|(id, tokens)| Part { id: *id, tokens: u64::from(*tokens) })
+            .map(|(id, tokens)| Part {
+                id: *id,
+                tokens: u64::from(*tokens),
+            })
             .collect();
         board.note_peer_reading(reading.engine, &parts);
     }
     for suspect in &beat.suspects {
         let crashes = u8::try_from(suspect.crashes).unwrap_or(u8::MAX);
-        let told = Suspect { fingerprint: suspect.fingerprint, crashes };
+        let told = Suspect {
+            fingerprint: suspect.fingerprint,
+            crashes,
+        };
         gateway.quarantine.merge(told, now);
     }
     if is_newest {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -40,9 +40,11 @@
 use crate::follow;
 use crate::follow::View;
 use crate::follow::Views;
-use crate::follow::hosts::Hosts;
 use crate::platform::ingress;
 use crate::platform::store::Store;
+use crate::reassign;
+use crate::reassign::duty::Away;
+use crate::reassign::duty::Officer;
 use crate::settings::gateway::Settings;
 
 /// Pause between two looks for idle connections and at what still runs.
@@ -72,13 +74,22 @@
 {
     let counters = Arc::new(Counters::default());
     let (views, view) = Views::new();
+    let store = Store::new(settings.store);
     let notices = signals()?;
     let own = follow::hosts::Own {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
         peer: settings.peer_listen,
     };
-    let hosts = follow::start(&views, own, clock, &Store::new(settings.store))?;
+    let hosts = follow::start(&views, own, clock, &store)?;
+    let (rank, own_rank) = watch::channel(0);
+    let (away, ordered) = watch::channel(Away::default());
+    let officer = Officer {
+        host: settings.name.clone(),
+        lease: settings.lease,
+        read_share: settings.read_share,
+    };
+    reassign::duty::start(officer, view.clone(), own_rank, away, clock, &store)?;
     if let Some(address) = settings.metrics_listen {
         super::metrics::start(address, &counters);
     }
@@ -87,7 +98,17 @@
         .build()
         .context("cannot start the request loop")?;
     let gateway = Rc::new(Gateway::new(settings, counters));
-    let sources = Sources { view, hosts, notices, file };
+    let peers = peers::Sources {
+        hosts,
+        away: ordered,
+        rank,
+    };
+    let sources = Sources {
+        view,
+        peers,
+        notices,
+        file,
+    };
     runtime.block_on(LocalSet::new().run_until(serve_until_asked(gateway, sources)))
 }
 
@@ -118,13 +139,18 @@
 #[derive(Debug)]
 struct Sources {
     view: watch::Receiver<Arc<View>>,
-    hosts: watch::Receiver<Hosts>,
+    peers: peers::Sources,
     notices: mpsc::Receiver<Notice>,
     file: PathBuf,
 }
 
 async fn serve_until_asked(gateway: Rc<Gateway>, sources: Sources) -> Result<bool> {
-    let Sources { view, hosts, mut notices, file } = sources;
+    let Sources {
+        view,
+        peers: peer_sources,
+        mut notices,
+        file,
+    } = sources;
     let callers = listen::open(gateway.settings.listen)?;
     let balancer = listen::open(gateway.settings.ready_listen)?;
     info!(
@@ -138,7 +164,7 @@
     );
     task::spawn_local(follow_views(Rc::clone(&gateway), view));
     let socket = peers::open(gateway.settings.peer_listen).await?;
-    task::spawn_local(peers::run(Rc::clone(&gateway), socket, hosts));
+    task::spawn_local(peers::run(Rc::clone(&gateway), socket, peer_sources));
     task::spawn_local(sweep(Rc::clone(&gateway)));
     let (phase, connections) = start_listening(&gateway, callers, balancer);
     while let Some(Notice::Reload) = notices.recv().await {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -74,6 +74,9 @@
     /// Prompts read since the last datagram.
     #[prost(message, repeated, tag = "5")]
     pub readings: Vec<Reading>,
+    /// Engines that the sender has ordered to change their role, by the digests of their names.
+    #[prost(fixed32, repeated, tag = "7")]
+    pub away: Vec<u32>,
     /// Suspects found since the last datagram.
     #[prost(message, repeated, tag = "6")]
     pub suspects: Vec<Suspect>,
@@ -158,6 +161,15 @@
         due
     }
 
+    /// Returns the place of `own` among the hosts that were heard of late, in the order of names.
+    pub fn rank(&self, own: &HostId, now: Instant) -> usize {
+        let heard = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| is_recent(peer.heard, now));
+        heard.filter(|(host, _)| *host < own).count()
+    }
+
     /// Returns how many peers are known, heard or not.
     pub fn known(&self) -> usize {
         self.peers.len()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod problem;
 pub mod publish;
 pub mod quarantine;
+pub mod reassign;
 pub mod replay;
 pub mod retry;
 pub mod role;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -201,7 +201,11 @@
             .map(|engine| whole(job, engine, lane))
             .min_by(by_cost);
     }
+    let has_readers = usable.iter().any(|engine| engine.role == Role::Prefill);
     let mut ranked = usable;
+    if has_readers {
+        ranked.retain(|engine| engine.role == Role::Prefill);
+    }
     let subject = job.prompt.subject().unwrap_or_default();
     ranked.sort_by_key(|engine| std::cmp::Reverse(preference(subject, &engine.id)));
     ranked
--- a/src/platform/egress.rs
+++ b/src/platform/egress.rs
@@ -16,6 +16,7 @@
 use crate::gateway::exchange::Work;
 use crate::id::Offset;
 use crate::id::UpstreamId;
+use crate::reassign::duty::Report;
 use crate::upstream::Role;
 
 /// Path at which engines take orders.
@@ -157,6 +158,42 @@
     fields
 }
 
+/// Path at which engines report on themselves.
+pub const REPORT_PATH: &str = "/v1/report";
+
+#[derive(Deserialize)]
+struct ReportText {
+    stage: StageText,
+    /// Whether an order is being carried out.
+    busy: bool,
+    /// Orders accepted since the engine's start.
+    sequence: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum StageText {
+    Prefill,
+    Decode,
+}
+
+/// Decodes an engine's report on itself, as of some hundred milliseconds ago.
+///
+/// # Errors
+///
+/// Fails if the report is not whole.
+pub fn report(body: &[u8]) -> Result<Report, serde_json::Error> {
+    let text: ReportText = serde_json::from_slice(body)?;
+    Ok(Report {
+        role: match text.stage {
+            StageText::Prefill => Role::Prefill,
+            StageText::Decode => Role::Decode,
+        },
+        is_busy: text.busy,
+        orders: text.sequence,
+    })
+}
+
 /// Returns the body of an order to take a role, valid while the engine has accepted `orders`.
 ///
 /// ```
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 use serde::Deserialize;
 
+use crate::fleet::Beat;
 use crate::fleet::Row;
 use crate::fleet::State;
 use crate::id::UpstreamId;
@@ -20,7 +21,8 @@
     /// Half of the work that an engine does; a `decode` engine reads prompts as well, slower.
     #[serde(default)]
     stage: Option<StageText>,
-    /// Orders accepted since `born`; absent for plain services.
+    /// Counts the writings of the entry since `born`; not the orders that a report counts under
+    /// the same name.
     #[serde(default)]
     sequence: u64,
     /// Unix milliseconds of the upstream's start; absent where no upstream reuses its name.
@@ -42,22 +44,22 @@
     Decode,
 }
 
-/// Decodes the entry of the upstream `id`.
+/// Decodes the entry of the upstream `id` and how often it has been written.
 ///
 /// ```
 /// use pistachiohall::platform::registry;
 /// let text = br#"{"service": "desk", "address": "127.0.0.1:9", "zone": "derby", "slots": 6,
 ///     "state": "ready", "sequence": 0, "born": 5}"#;
-/// assert_eq!(registry::decode("i-1".into(), text).unwrap().born, 5);
+/// assert_eq!(registry::decode("i-1".into(), text).unwrap().0.born, 5);
 /// assert!(registry::decode("i-2".into(), b"{\"state\": \"odd\"}").is_err());
 /// ```
 ///
 /// # Errors
 ///
 /// Fails if the entry is not whole; it then names no upstream to use.
-pub fn decode(id: UpstreamId, text: &[u8]) -> Result<Row, serde_json::Error> {
+pub fn decode(id: UpstreamId, text: &[u8]) -> Result<(Row, Beat), serde_json::Error> {
     let entry: Entry = serde_json::from_slice(text)?;
-    Ok(Row {
+    let row = Row {
         id,
         born: entry.born,
         service: entry.service,
@@ -73,6 +75,6 @@
             StateText::Draining => State::Draining,
         },
         slots: entry.slots,
-        orders: entry.sequence,
-    })
+    };
+    Ok((row, entry.sequence))
 }
--- /dev/null
+++ b/src/reassign/mod.rs
@@ -0,0 +1,81 @@
+//! Gives engines the roles that the mix of work asks for.
+//!
+//! One host at a time gives orders: the one that holds the lease in the store. What is wanted is a
+//! pure decision; the lease and the orders are in [`term`] and [`duty`].
+
+pub mod duty;
+pub mod term;
+
+use std::collections::BTreeMap;
+
+use crate::fleet::Row;
+use crate::fleet::State;
+use crate::id::DomainId;
+use crate::id::UpstreamId;
+use crate::upstream::Role;
+
+/// Share of a service's engines that may change their role at the same time.
+const CHANGING_SHARE: f64 = 0.25;
+
+/// A role that an engine is to take.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Engine.
+    pub engine: UpstreamId,
+    /// Role to take.
+    pub role: Role,
+}
+
+/// Returns the changes that bring the engines of one service to `read_share`.
+///
+/// Each failure domain keeps at least one engine that generates, so that prompts are moved within
+/// the domain, and gets its own share of engines that read. `is_changing` tells the engines that
+/// are away for a change already; at most a quarter of all are at a time.
+///
+/// ```
+/// use pistachiohall::reassign;
+/// assert!(reassign::changes(&[], 0.67, |_| false).is_empty());
+/// ```
+pub fn changes<F>(engines: &[Row], read_share: f64, is_changing: F) -> Vec<Change>
+where
+    F: Fn(&UpstreamId) -> bool,
+{
+    let live = engines.iter().filter(|row| row.state == State::Ready);
+    let mut domains: BTreeMap<&DomainId, Vec<&Row>> = BTreeMap::new();
+    let mut total = 0;
+    for row in live {
+        domains.entry(&row.domain).or_default().push(row);
+        total += 1;
+    }
+    let changing = engines.iter().filter(|row| is_changing(&row.id)).count();
+    let most = ((f64::from(total) * CHANGING_SHARE) as usize).max(1);
+    let mut changes: Vec<Change> = Vec::new();
+    for rows in domains.into_values() {
+        changes.extend(domain_changes(&rows, read_share));
+    }
+    changes.retain(|change| !is_changing(&change.engine));
+    changes.truncate(most.saturating_sub(changing));
+    changes
+}
+
+fn domain_changes(rows: &[&Row], read_share: f64) -> Vec<Change> {
+    let most_readers = rows.len().saturating_sub(1);
+    let wanted = ((rows.len() as f64 * read_share).round() as usize).min(most_readers);
+    let readers: Vec<&&Row> = rows
+        .iter()
+        .filter(|row| row.role == Role::Prefill)
+        .collect();
+    let others: Vec<&&Row> = rows
+        .iter()
+        .filter(|row| row.role != Role::Prefill)
+        .collect();
+    let (from, role, count) = match readers.len() <= wanted {
+        true => (others, Role::Prefill, wanted - readers.len()),
+        false => (readers.clone(), Role::Decode, readers.len() - wanted),
+    };
+    let change = |row: &&&Row| Change {
+        engine: row.id.clone(),
+        role,
+    };
+    from.iter().take(count).map(change).collect()
+}
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -27,6 +27,9 @@
 const DEFAULT_BALANCER_LAG: Duration = Duration::from_millis(2800);
 /// Time for which the right to give orders is granted, if the settings do not say.
 const DEFAULT_LEASE: Duration = Duration::from_secs(3);
+/// Share of engines that read prompts, if the settings do not say: reading takes two thirds of the
+/// engine time that the users' mix asks for (docs/POLICY.md).
+const DEFAULT_READ_SHARE: f64 = 0.67;
 
 /// Settings of one gateway process.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,6 +58,8 @@
     pub shutdown_limit: Duration,
     /// Time between orders of two hosts.
     pub lease: Duration,
+    /// Share of a service's engines that read prompts for others.
+    pub read_share: f64,
 }
 
 impl Settings {
@@ -89,6 +94,7 @@
         let balancer_lag = source.optional("shutdown", "balancer_lag", unit::duration);
         let shutdown_limit = source.optional("shutdown", "limit", unit::duration);
         let lease = source.optional("orders", "lease", unit::duration);
+        let read_share = source.optional("orders", "read_share", unit::share);
         source.finish()?;
         Ok(Settings {
             name: name.unwrap_or_default(),
@@ -107,6 +113,7 @@
             balancer_lag: balancer_lag.unwrap_or(DEFAULT_BALANCER_LAG),
             shutdown_limit: shutdown_limit.unwrap_or(DEFAULT_LIMIT),
             lease: lease.unwrap_or(DEFAULT_LEASE),
+            read_share: read_share.unwrap_or(DEFAULT_READ_SHARE),
         })
     }
 }
--- a/src/settings/unit.rs
+++ b/src/settings/unit.rs
@@ -83,6 +83,14 @@
         .ok_or("a number of zero or more")
 }
 
+/// Parses a share from 0 to 1.
+pub fn share(text: &str) -> Parsed<f64> {
+    text.parse()
+        .ok()
+        .filter(|share| (0.0..=1.0).contains(share))
+        .ok_or("a number from 0 to 1")
+}
+
 /// Parses `yes` or `no`.
 pub fn flag(text: &str) -> Parsed<bool> {
     match text {
