Give engines that change their role no work, and spare readings

Change: hosts tell one another which engines are away; all are ordered at once while there is no load; a refused generation goes to a spare engine with the same memory, and a second reading counts as a repeat.

--- /dev/null
+++ b/src/gateway/allowance.rs
@@ -0,0 +1,82 @@
+//! What a request may still cost the upstreams.
+
+use super::exchange::Failure;
+
+/// Sends beyond the route's attempts that refusals by upstreams may cost one request.
+const SPARE_SENDS: u32 = 1;
+/// Times that a prompt may be read ahead for one request.
+const MOST_READS: u32 = 2;
+
+/// Sends that a request has had, and whether it may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Allowance {
+    attempts: u32,
+    sends: u32,
+    reads: u32,
+    may_have_run: bool,
+}
+
+impl Allowance {
+    /// Returns the allowance of a request that may be sent to `attempts` upstreams.
+    pub fn new(attempts: u32) -> Self {
+        Allowance {
+            attempts,
+            sends: 0,
+            reads: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Counts a send.
+    pub fn note_send(&mut self) {
+        self.sends += 1;
+    }
+
+    /// Counts a reading of the prompt ahead of its run, which is no send.
+    pub fn note_read(&mut self) {
+        self.reads += 1;
+    }
+
+    /// Notes why a send failed; one that left no byte does not count.
+    pub fn note_failure(&mut self, failure: &Failure) {
+        if matches!(failure, Failure::NotSent(_)) {
+            self.sends = self.sends.saturating_sub(1);
+        }
+        self.may_have_run |= !failure.is_not_run();
+    }
+
+    /// Returns whether the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Returns whether one more send is allowed.
+    ///
+    /// A request that may have run is sent again only if it is idempotent, and to no more
+    /// upstreams than the route allows; one that has not run may be refused once more.
+    ///
+    /// ```
+    /// use pistachiohall::gateway::allowance::Allowance;
+    /// use pistachiohall::gateway::exchange::Failure;
+    /// let mut allowance = Allowance::new(1);
+    /// allowance.note_send();
+    /// allowance.note_failure(&Failure::NotRun(http::StatusCode::SERVICE_UNAVAILABLE));
+    /// assert!(allowance.allows_more(false));
+    /// allowance.note_send();
+    /// allowance.note_failure(&Failure::Silent);
+    /// assert!(!allowance.allows_more(false));
+    /// ```
+    pub fn allows_more(&self, is_idempotent: bool) -> bool {
+        match self.may_have_run {
+            true => is_idempotent && self.sends < self.attempts,
+            false => self.sends < self.attempts + SPARE_SENDS && self.reads < MOST_READS,
+        }
+    }
+
+    /// Returns how many repeats a send costs now, with or without a reading ahead of it.
+    ///
+    /// The first send is free, and so is the first reading ahead.
+    pub fn repeats(&self, reads_ahead: bool) -> u32 {
+        u32::from(self.sends > 0) + u32::from(reads_ahead && self.reads > 0)
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! as immutable views. Decisions that can be tested alone are in `placement`, `retry`, `fleet` and
 //! `health`.
 
+pub mod allowance;
 pub mod call;
 pub mod events;
 pub mod exchange;
@@ -11,7 +12,9 @@
 pub mod health;
 pub mod listen;
 pub mod metrics;
+pub mod open;
 pub mod peers;
+pub mod place;
 pub mod plain;
 pub mod pool;
 pub mod process;
@@ -31,7 +34,6 @@
 use std::time::Instant;
 
 use crate::catalog::Catalog;
-use crate::fleet::Row;
 use crate::follow::View;
 use crate::gossip;
 use crate::id::ServiceId;
@@ -44,9 +46,11 @@
 use self::record::Counters;
 use self::target::Target;
 
-/// Time for which an engine that was ordered to change its role gets no work: the change, and until
-/// its entry shows it.
-const AWAY_TIME: Duration = Duration::from_millis(4500);
+/// Time for which an engine gets no work after it was last told to be away for a change of role;
+/// above the pause between two datagrams, one of them lost.
+const AWAY_TIME: Duration = Duration::from_millis(1200);
+/// Time without a request from which a host counts as idle.
+const IDLE_TIME: Duration = Duration::from_secs(3);
 /// Fewest connections to an upstream that a host may open, however many hosts there are.
 const LEAST_CONNECTIONS: usize = 8;
 /// Share of an upstream's connections that hosts use; the rest are for hosts not known yet.
@@ -69,6 +73,7 @@
     away: RefCell<HashMap<u32, Instant>>,
     repeats: Cell<window::Bounds>,
     is_leaving: Cell<bool>,
+    last_request: Cell<Option<Instant>>,
     view: RefCell<Arc<View>>,
     targets: RefCell<BTreeMap<UpstreamId, Rc<Target>>>,
     budgets: RefCell<HashMap<ServiceId, window::Window>>,
@@ -87,6 +92,7 @@
             news: RefCell::default(),
             away: RefCell::default(),
             is_leaving: Cell::default(),
+            last_request: Cell::default(),
             view: RefCell::default(),
             targets: RefCell::default(),
             budgets: RefCell::default(),
@@ -126,7 +132,6 @@
     pub fn adopt(&self, view: Arc<View>) {
         self.update_targets(&view);
         self.update_board(&view);
-        self.update_away(&view, Instant::now());
         *self.view.borrow_mut() = view;
     }
 
@@ -196,10 +201,29 @@
     pub fn note_away(&self, engines: &[u32], now: Instant) {
         let mut away = self.away.borrow_mut();
         for engine in engines {
-            away.entry(*engine).or_insert(now + AWAY_TIME);
+            away.insert(*engine, now + AWAY_TIME);
         }
     }
 
+    /// Returns the digests of the engines that are away.
+    pub fn away(&self, now: Instant) -> Vec<u32> {
+        let away = self.away.borrow();
+        let mut engines: Vec<u32> = away
+            .iter()
+            .filter(|(_, until)| now < **until)
+            .map(|(engine, _)| *engine)
+            .collect();
+        engines.sort_unstable();
+        engines
+    }
+
+    /// Returns whether no request has come for a while.
+    pub fn is_idle(&self, now: Instant) -> bool {
+        self.last_request
+            .get()
+            .is_none_or(|last| now.saturating_duration_since(last) > IDLE_TIME)
+    }
+
     /// Returns whether an engine is away for a change of its role.
     pub fn is_away(&self, id: &UpstreamId, now: Instant) -> bool {
         let away = self.away.borrow();
@@ -207,22 +231,6 @@
             .is_some_and(|until| now < *until)
     }
 
-    /// Forgets engines that are back with another role, or should be.
-    fn update_away(&self, view: &View, now: Instant) {
-        let before = self.view.borrow();
-        let has_changed = |digest: u32| {
-            let find = |rows: &[Row]| {
-                rows.iter()
-                    .find(|row| gossip::digest(&row.id) == digest)
-                    .map(|row| row.role)
-            };
-            find(&before.rows) != find(&view.rows)
-        };
-        self.away
-            .borrow_mut()
-            .retain(|digest, until| now < *until + AWAY_TIME && !has_changed(*digest));
-    }
-
     /// Returns an upstream by name.
     pub fn target(&self, id: &UpstreamId) -> Option<Rc<Target>> {
         self.targets.borrow().get(id).cloned()
@@ -244,13 +252,19 @@
 
     /// Counts a caller's request to a service.
     pub fn note_request(&self, service: &ServiceId, now: Instant) {
+        self.last_request.set(Some(now));
         self.with_budget(service, |budget| budget.note_request(now));
     }
 
-    /// Counts a repeat to a service if the budget allows one.
-    pub fn may_repeat(&self, service: &ServiceId, now: Instant) -> bool {
+    /// Counts a repeat that was not foreseen.
+    pub fn note_repeat(&self, service: &ServiceId, now: Instant) {
+        self.with_budget(service, |budget| budget.note_repeat(now));
+    }
+
+    /// Counts repeats to a service if the budget allows them.
+    pub fn may_repeat(&self, service: &ServiceId, count: u32, now: Instant) -> bool {
         let hosts = self.hosts.get();
-        let is_allowed = self.with_budget(service, |budget| budget.try_spend(hosts, now));
+        let is_allowed = self.with_budget(service, |budget| budget.try_spend(count, hosts, now));
         if !is_allowed {
             self.counters.add("repeats_denied");
         }
--- /dev/null
+++ b/src/gateway/open.rs
@@ -0,0 +1,350 @@
+//! Carries out a plan up to the first events of the answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time;
+
+use super::Gateway;
+use super::allowance::Allowance;
+use super::call::Call;
+use super::events::Splitter;
+use super::exchange;
+use super::exchange::Answer;
+use super::exchange::Failure;
+use super::exchange::Mark;
+use super::exchange::Terms;
+use super::exchange::Work;
+use super::place::Held;
+use super::place::Place;
+use super::plain;
+use super::pool::Connection;
+use super::record::Course;
+use super::target::Target;
+use crate::catalog::Kind;
+use crate::gossip;
+use crate::id::UpstreamId;
+use crate::placement::Plan;
+use crate::placement::cost;
+use crate::platform::egress;
+
+/// Share of the time left that one try of an idempotent request may take without a first event.
+const PATIENCE_SHARE: f64 = 0.4;
+
+/// A stream whose first events are there.
+#[derive(Debug)]
+pub struct Opened {
+    /// Status and fields of the answer.
+    pub head: Parts,
+    /// Body as it arrives.
+    pub body: Incoming,
+    /// Connection that the body arrives on.
+    pub connection: Connection,
+    /// Engine.
+    pub target: Rc<Target>,
+    /// Start of an event that is not whole yet.
+    pub splitter: Splitter,
+    /// First events.
+    pub first: Bytes,
+    /// Whether the stream has ended with them.
+    pub is_ended: bool,
+    /// Place at the engine.
+    pub place: Place,
+}
+
+/// What an engine's answer started with.
+#[derive(Debug)]
+pub enum Started {
+    /// A stream.
+    Stream(Opened),
+    /// A failure of the engine's own, whole.
+    Whole(exchange::WholeAnswer),
+}
+
+/// A request on its way: what it may still cost and what happened so far.
+#[derive(Debug)]
+pub struct Progress {
+    /// Request.
+    pub call: Call,
+    /// What it may still cost.
+    pub allowance: Allowance,
+    /// Engines that failed it.
+    pub tried: Vec<UpstreamId>,
+    /// What happened.
+    pub course: Course,
+}
+
+impl Progress {
+    fn note_failure(&mut self, gateway: &Gateway, engine: &UpstreamId, failure: &Failure) {
+        self.allowance.note_failure(failure);
+        self.tried.push(engine.clone());
+        plain::note_crash(gateway, &self.call, failure, Instant::now());
+    }
+
+    /// Returns whether the budget allows to carry out a plan now.
+    pub fn may_start(&self, gateway: &Gateway, plan: &Plan) -> bool {
+        let repeats = self.allowance.repeats(matches!(plan, Plan::Split { .. }));
+        repeats == 0 || gateway.may_repeat(&self.call.service, repeats, Instant::now())
+    }
+}
+
+/// Carries out a plan up to the first event.
+///
+/// # Errors
+///
+/// Fails as [`Failure`] says; a prompt that was read in vain leaves the request not run.
+pub async fn open(
+    gateway: &Rc<Gateway>,
+    progress: &mut Progress,
+    plan: &Plan,
+    after_event: Option<u64>,
+) -> Result<Started, Failure> {
+    match plan {
+        Plan::Refuse { reason, .. } => Err(Failure::NotSent((*reason).into())),
+        Plan::Whole { engine, urgency } => {
+            note_reading(gateway, &progress.call, engine);
+            let terms = terms(&progress.call, Work::Whole, *urgency, after_event);
+            start_at(gateway, progress, engine, &terms).await
+        }
+        Plan::Split {
+            reader,
+            generator,
+            spare,
+            urgency,
+        } => {
+            let mut held = read_at(gateway, progress, reader, *urgency).await?;
+            let handle = held.handle.clone();
+            let work = Work::Generate(&handle);
+            let terms = terms(&progress.call, work, *urgency, after_event);
+            let mut started = start_at(gateway, progress, generator, &terms).await;
+            if let (Err(Failure::NotRun(_) | Failure::NotSent(_)), Some(spare)) = (&started, spare)
+                && gateway.may_repeat(&progress.call.service, 1, Instant::now())
+            {
+                started = start_at(gateway, progress, spare, &terms).await;
+            }
+            held.is_taken = started.is_ok();
+            started
+        }
+    }
+}
+
+/// Sends a request to an engine and waits for the first events.
+async fn start_at(
+    gateway: &Rc<Gateway>,
+    progress: &mut Progress,
+    engine: &UpstreamId,
+    terms: &Terms<'_>,
+) -> Result<Started, Failure> {
+    progress.allowance.note_send();
+    let started = match gateway.target(engine) {
+        None => Err(Failure::NotSent("the engine is gone".into())),
+        Some(target) => {
+            let reading = match terms.work {
+                Work::Generate(_) => Duration::ZERO,
+                Work::Whole | Work::Read => reading(gateway, &progress.call, &target),
+            };
+            let place = Place::new(gateway, &target, reading, terms.urgency.unwrap_or_default());
+            start(target, &progress.call, terms, place).await
+        }
+    };
+    let outcome = summary(&started);
+    progress
+        .course
+        .step(format_args!("{engine}/{:?}={outcome}", terms.urgency));
+    if let Err(failure) = &started {
+        progress.note_failure(gateway, engine, failure);
+    }
+    started
+}
+
+/// Has an engine read the prompt; a first reading that is refused is a repeat as well.
+async fn read_at(
+    gateway: &Rc<Gateway>,
+    progress: &mut Progress,
+    engine: &UpstreamId,
+    urgency: u8,
+) -> Result<Held, Failure> {
+    let is_first = progress.allowance.repeats(true) == progress.allowance.repeats(false);
+    progress.allowance.note_read();
+    let held = match gateway.target(engine) {
+        None => Err(Failure::NotSent("the engine is gone".into())),
+        Some(target) => read(gateway, &progress.call, target, urgency).await,
+    };
+    let step = held.as_ref().map(|held| held.handle.tokens);
+    progress
+        .course
+        .step(format_args!("{engine}/{urgency}=read:{step:?}"));
+    if let Err(failure) = &held {
+        if is_first && matches!(failure, Failure::NotRun(_)) {
+            gateway.note_repeat(&progress.call.service, Instant::now());
+        }
+        progress.tried.push(engine.clone());
+    }
+    held
+}
+
+fn summary(started: &Result<Started, Failure>) -> compact_str::CompactString {
+    match started {
+        Ok(Started::Stream(_)) => "stream".into(),
+        Ok(Started::Whole(answer)) => {
+            compact_str::format_compact!("{}", answer.head.status.as_u16())
+        }
+        Err(failure) => compact_str::format_compact!("{failure:?}"),
+    }
+}
+
+fn terms<'a>(call: &Call, work: Work<'a>, urgency: u8, after_event: Option<u64>) -> Terms<'a> {
+    let now = Instant::now();
+    let until = match call.route.is_idempotent() || matches!(work, Work::Read) {
+        true => now + call.left(now).mul_f64(PATIENCE_SHARE),
+        false => call.deadline,
+    };
+    Terms {
+        work,
+        urgency: Some(urgency),
+        after_event,
+        until,
+        deadline: call.deadline,
+    }
+}
+
+/// Returns how long an engine is expected to read a prompt.
+fn reading(gateway: &Gateway, call: &Call, target: &Target) -> Duration {
+    let Some(prompt) = &call.ask.prompt else {
+        return Duration::ZERO;
+    };
+    let board = gateway.board.borrow();
+    let cached = board.cached(&target.row.id, &prompt.parts);
+    cost::reading(prompt, cached, target.row.role).mul_f64(board.pace(&target.row.id))
+}
+
+fn note_reading(gateway: &Gateway, call: &Call, engine: &UpstreamId) {
+    if let Some(prompt) = &call.ask.prompt {
+        let parts = &prompt.parts;
+        gateway.board.borrow_mut().note_reading(engine, parts);
+        gateway.news.borrow_mut().readings.push(gossip::Reading {
+            engine: gossip::digest(engine),
+            parts: parts.iter().map(|part| part.id).collect(),
+            tokens: parts.iter().map(|part| part.tokens as u32).collect(),
+        });
+    }
+}
+
+/// Has an engine read the prompt and keep it for another.
+async fn read(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    target: Rc<Target>,
+    urgency: u8,
+) -> Result<Held, Failure> {
+    let backlog = reading(gateway, call, &target);
+    let engine = target.row.id.clone();
+    let before = gateway.board.borrow().load(&engine, Instant::now()).backlog;
+    let _place = Place::new(gateway, &target, backlog, urgency);
+    note_reading(gateway, call, &engine);
+    let terms = terms(call, Work::Read, urgency, None);
+    let begun = Instant::now();
+    let exchange = async {
+        let answer = exchange::send(&target, call, &terms).await?;
+        let status = answer.head.status;
+        let answer = exchange::finish(&target, answer).await?;
+        if !status.is_success() {
+            return Err(Failure::NotRun(status));
+        }
+        egress::handle(&answer.body, target.row.address)
+            .map_err(|cause| Failure::Broken(compact_str::format_compact!("handle: {cause}")))
+    };
+    let ended = match time::timeout_at(terms.until.into(), exchange).await {
+        Ok(ended) => ended,
+        Err(_) => Err(Failure::Silent),
+    };
+    plain::note_health(&target, &ended);
+    match ended {
+        Ok(handle) => {
+            if before < backlog {
+                let expected = (before + backlog).as_secs_f64().max(0.001);
+                let ratio = begun.elapsed().as_secs_f64() / expected;
+                gateway.board.borrow_mut().note_pace(&engine, ratio);
+            }
+            Ok(Held {
+                handle,
+                reader: target,
+                is_taken: false,
+            })
+        }
+        // Reading is no run, whatever became of it.
+        Err(Failure::Broken(cause)) => Err(Failure::NotSent(cause)),
+        Err(Failure::Silent) => Err(Failure::NotSent("reading took too long".into())),
+        Err(failure) => Err(failure),
+    }
+}
+
+/// Sends a request and waits for the first events of its answer.
+async fn start(
+    target: Rc<Target>,
+    call: &Call,
+    terms: &Terms<'_>,
+    mut place: Place,
+) -> Result<Started, Failure> {
+    let exchange = async {
+        let answer = exchange::send(&target, call, terms).await?;
+        if answer.mark == Mark::Unsigned {
+            return Err(Failure::Broken("the answer is not signed".into()));
+        }
+        if !answer.head.status.is_success() || call.route.kind != Kind::Stream {
+            return exchange::finish(&target, answer).await.map(Started::Whole);
+        }
+        let Answer {
+            head,
+            mut body,
+            connection,
+            ..
+        } = answer;
+        let mut splitter = Splitter::default();
+        let (first, is_ended) = first_events(&mut body, &mut splitter).await?;
+        place.end_reading();
+        let target = Rc::clone(&target);
+        Ok(Started::Stream(Opened {
+            head,
+            body,
+            connection,
+            target,
+            splitter,
+            first,
+            is_ended,
+            place,
+        }))
+    };
+    let ended = match time::timeout_at(terms.until.into(), exchange).await {
+        Ok(ended) => ended,
+        Err(_) => Err(Failure::Silent),
+    };
+    plain::note_health(&target, &ended);
+    ended
+}
+
+async fn first_events(
+    body: &mut Incoming,
+    splitter: &mut Splitter,
+) -> Result<(Bytes, bool), Failure> {
+    loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                let Some(events) = frame.data_ref().and_then(|data| splitter.push(data)) else {
+                    continue;
+                };
+                return Ok((events, false));
+            }
+            Some(Err(cause)) => {
+                return Err(Failure::Broken(compact_str::format_compact!("{cause}")));
+            }
+            None if splitter.is_whole() => return Ok((Bytes::new(), true)),
+            None => return Err(Failure::Broken("the stream ended within an event".into())),
+        }
+    }
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,6 +23,7 @@
 use crate::id::HostId;
 use crate::placement::board::Load;
 use crate::quarantine::Suspect;
+use crate::reassign::Standing;
 use crate::reassign::duty::Away;
 
 /// Pause between two datagrams while loads change; a few arrivals at the whole site.
@@ -48,8 +49,8 @@
     pub hosts: watch::Receiver<Hosts>,
     /// Engines that this host has ordered to change their role.
     pub away: watch::Receiver<Away>,
-    /// This host's place among the hosts that are heard, in the order of their names.
-    pub rank: watch::Sender<usize>,
+    /// What this host's orders depend on.
+    pub standing: watch::Sender<Standing>,
 }
 
 /// Opens the socket that peers send to.
@@ -68,7 +69,7 @@
     let Sources {
         mut hosts,
         mut away,
-        rank,
+        standing,
     } = sources;
     let mut peers = Peers::default();
     let mut buffer = vec![0; DATAGRAM_BYTES];
@@ -79,8 +80,17 @@
         tokio::select! {
             _ = tick.tick() => {
                 told.tell(&gateway, &socket, &mut peers).await;
-                let own_rank = peers.rank(&gateway.settings.name, Instant::now());
-                rank.send_if_modified(|rank| std::mem::replace(rank, own_rank) != own_rank);
+                let now = Instant::now();
+                let newest = Standing {
+                    rank: peers.rank(&gateway.settings.name, now),
+                    is_idle: gateway.is_idle(now),
+                    away: gateway.away(now),
+                };
+                standing.send_if_modified(|held| {
+                    let is_changed = *held != newest;
+                    *held = newest;
+                    is_changed
+                });
             }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => take_in(&gateway, &mut peers, &buffer[..length], from),
@@ -131,6 +141,7 @@
         let now = Instant::now();
         let loads = loads(gateway);
         let news = gateway.news.take();
+        gateway.note_away(&self.away, now);
         let is_quiet = loads == self.loads && news.readings.is_empty() && news.suspects.is_empty();
         if is_quiet && now.duration_since(self.at) < QUIET_PAUSE {
             return;
--- /dev/null
+++ b/src/gateway/place.rs
@@ -0,0 +1,104 @@
+//! What a request holds at engines while it is served.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Method;
+use tokio::task;
+
+use super::Gateway;
+use super::exchange;
+use super::exchange::Handle;
+use super::target::Occupied;
+use super::target::Target;
+use crate::id::UpstreamId;
+use crate::placement;
+use crate::platform::egress;
+
+/// Time in which freed memory is given up; it lapses by itself later.
+const FREE_TIME: Duration = Duration::from_millis(500);
+
+/// A request's place at an engine, counted until it is dropped.
+#[derive(Debug)]
+pub struct Place {
+    gateway: Rc<Gateway>,
+    engine: UpstreamId,
+    backlog: Duration,
+    late: Duration,
+    _occupied: Occupied,
+}
+
+impl Place {
+    /// Takes a place for a request that is read in `reading` and served with `urgency`.
+    pub fn new(gateway: &Rc<Gateway>, target: &Rc<Target>, reading: Duration, urgency: u8) -> Self {
+        let engine = target.row.id.clone();
+        let (backlog, late) = match urgency < placement::URGENCY_LATE {
+            true => (reading, Duration::ZERO),
+            false => (Duration::ZERO, reading),
+        };
+        gateway.board.borrow_mut().change(&engine, |load| {
+            load.running += 1;
+            load.backlog += backlog;
+            load.late += late;
+        });
+        let gateway = Rc::clone(gateway);
+        Place {
+            gateway,
+            engine,
+            backlog,
+            late,
+            _occupied: target.occupy(),
+        }
+    }
+
+    /// Notes that the prompt has been read.
+    pub fn end_reading(&mut self) {
+        let backlog = std::mem::take(&mut self.backlog);
+        let late = std::mem::take(&mut self.late);
+        self.gateway
+            .board
+            .borrow_mut()
+            .change(&self.engine, |load| {
+                load.backlog = load.backlog.saturating_sub(backlog);
+                load.late = load.late.saturating_sub(late);
+            });
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.end_reading();
+        self.gateway
+            .board
+            .borrow_mut()
+            .change(&self.engine, |load| {
+                load.running = load.running.saturating_sub(1);
+            });
+    }
+}
+
+/// Memory that was read ahead; freed at its engine unless it was taken.
+#[derive(Debug)]
+pub struct Held {
+    /// Memory.
+    pub handle: Handle,
+    /// Engine that holds it.
+    pub reader: Rc<Target>,
+    /// Whether another engine has taken it.
+    pub is_taken: bool,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if self.is_taken {
+            return;
+        }
+        let (reader, path) = (Rc::clone(&self.reader), egress::handle_path(&self.handle));
+        task::spawn_local(async move {
+            let until = Instant::now() + FREE_TIME;
+            let freed = exchange::call_own(&reader, Method::DELETE, &path, until).await;
+            log::debug!("upstream={} path={path} freed={freed:?}", reader.row.id);
+        });
+    }
+}
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 
 use super::Gateway;
+use super::allowance::Allowance;
 use super::call::Call;
 use super::exchange;
 use super::exchange::Failure;
@@ -28,8 +29,6 @@
 const PATIENCE_TARGETS: f64 = 1.6;
 /// Share of the time left that one try may take while others are possible.
 const PATIENCE_SHARE: f64 = 0.45;
-/// Sends beyond the route's attempts that refusals by upstreams may cost one request.
-const SPARE_SENDS: u32 = 1;
 /// Time after which a refused caller may do better.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Cost of an upstream that failed just now, in requests in flight.
@@ -39,71 +38,6 @@
 /// Cost of an upstream in another failure domain, in requests in flight.
 const DISTANCE_COST: f64 = 0.5;
 
-/// What a request may still cost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Allowance {
-    attempts: u32,
-    sends: u32,
-    may_have_run: bool,
-}
-
-impl Allowance {
-    /// Returns the allowance of a request that may be sent to `attempts` upstreams.
-    pub fn new(attempts: u32) -> Self {
-        Allowance {
-            attempts,
-            sends: 0,
-            may_have_run: false,
-        }
-    }
-
-    /// Counts a send.
-    pub fn note_send(&mut self) {
-        self.sends += 1;
-    }
-
-    /// Notes why a send failed; one that left no byte does not count.
-    pub fn note_failure(&mut self, failure: &Failure) {
-        if matches!(failure, Failure::NotSent(_)) {
-            self.sends = self.sends.saturating_sub(1);
-        }
-        self.may_have_run |= !failure.is_not_run();
-    }
-
-    /// Returns whether the request may have run.
-    pub fn may_have_run(&self) -> bool {
-        self.may_have_run
-    }
-
-    /// Returns whether one more send is allowed.
-    ///
-    /// A request that may have run is sent again only if it is idempotent, and to no more
-    /// upstreams than the route allows; one that has not run may be refused once more.
-    ///
-    /// ```
-    /// use pistachiohall::gateway::exchange::Failure;
-    /// use pistachiohall::gateway::plain::Allowance;
-    /// let mut allowance = Allowance::new(1);
-    /// allowance.note_send();
-    /// allowance.note_failure(&Failure::NotRun(http::StatusCode::SERVICE_UNAVAILABLE));
-    /// assert!(allowance.allows_more(false));
-    /// allowance.note_send();
-    /// allowance.note_failure(&Failure::Silent);
-    /// assert!(!allowance.allows_more(false));
-    /// ```
-    pub fn allows_more(&self, is_idempotent: bool) -> bool {
-        match self.may_have_run {
-            true => is_idempotent && self.sends < self.attempts,
-            false => self.sends < self.attempts + SPARE_SENDS,
-        }
-    }
-
-    /// Returns whether a send now would be one more than the first.
-    pub fn is_repeat(&self) -> bool {
-        self.sends > 0
-    }
-}
-
 /// Serves a request.
 pub async fn serve(gateway: &Rc<Gateway>, call: &Call, course: &mut Course) -> Reply {
     let mut allowance = Allowance::new(call.route.attempts);
@@ -118,7 +52,7 @@
             course.step(format_args!("no-upstream"));
             return give_up(&allowance, held, course);
         };
-        if allowance.is_repeat() && !gateway.may_repeat(&call.service, now) {
+        if allowance.repeats(false) > 0 && !gateway.may_repeat(&call.service, 1, now) {
             course.step(format_args!("no-budget"));
             return give_up(&allowance, held, course);
         }
@@ -133,7 +67,7 @@
                 ));
                 let is_failure = answer.head.status.is_server_error();
                 let may_improve = call.route.kind == Kind::Safe && allowance.allows_more(true);
-                if !is_failure || !may_improve || allowance.is_repeat() && held.is_some() {
+                if !is_failure || !may_improve || held.is_some() {
                     course.note_first();
                     course.end(Outcome::Delivered);
                     return reply::deliver(answer);
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -43,6 +43,7 @@
 use crate::platform::ingress;
 use crate::platform::store::Store;
 use crate::reassign;
+use crate::reassign::Standing;
 use crate::reassign::duty::Away;
 use crate::reassign::duty::Officer;
 use crate::settings::gateway::Settings;
@@ -82,14 +83,14 @@
         peer: settings.peer_listen,
     };
     let hosts = follow::start(&views, own, clock, &store)?;
-    let (rank, own_rank) = watch::channel(0);
+    let (standing, known) = watch::channel(Standing::default());
     let (away, ordered) = watch::channel(Away::default());
     let officer = Officer {
         host: settings.name.clone(),
         lease: settings.lease,
         read_share: settings.read_share,
     };
-    reassign::duty::start(officer, view.clone(), own_rank, away, clock, &store)?;
+    reassign::duty::start(officer, view.clone(), known, away, clock, &store)?;
     if let Some(address) = settings.metrics_listen {
         super::metrics::start(address, &counters);
     }
@@ -101,7 +102,7 @@
     let peers = peers::Sources {
         hosts,
         away: ordered,
-        rank,
+        standing,
     };
     let sources = Sources {
         view,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,28 +10,24 @@
 use tokio::time;
 
 use super::Gateway;
-use super::call::Call;
 use super::exchange::Failure;
 use super::generate;
-use super::generate::Opened;
-use super::generate::Started;
+use super::open;
+use super::open::Opened;
+use super::open::Progress;
+use super::open::Started;
 use super::plain;
-use super::plain::Allowance;
-use super::record::Course;
 use super::record::Outcome;
 use super::reply::Piece;
+use crate::placement::Plan;
 
 /// A stream on its way to a caller.
 #[derive(Debug)]
 pub struct Flow {
     /// Gateway.
     pub gateway: Rc<Gateway>,
-    /// Request.
-    pub call: Call,
-    /// What the request may still cost.
-    pub allowance: Allowance,
-    /// What happened so far.
-    pub course: Course,
+    /// Request, what it may still cost and what happened so far.
+    pub progress: Progress,
     /// Where the pieces go.
     pub sender: mpsc::Sender<Piece>,
 }
@@ -52,7 +48,6 @@
 impl Flow {
     /// Passes the stream on to its end.
     pub async fn run(mut self, mut opened: Opened) {
-        let mut tried = Vec::new();
         loop {
             let end = match opened.is_ended {
                 true => End::Complete,
@@ -68,30 +63,35 @@
                     } = opened;
                     target.give_back(connection, &head);
                     let is_sent = self.sender.send(Piece::End).await.is_ok();
-                    self.course.end(if is_sent {
+                    self.progress.course.end(if is_sent {
                         Outcome::Delivered
                     } else {
                         Outcome::Left
                     });
                     return;
                 }
-                End::Left => return self.course.end(Outcome::Left),
+                End::Left => return self.progress.course.end(Outcome::Left),
                 End::Late => {
-                    self.course.step(format_args!("late"));
-                    return self.course.end(Outcome::Cut);
+                    self.progress.course.step(format_args!("late"));
+                    return self.progress.course.end(Outcome::Cut);
                 }
                 End::Broken(cause) => {
                     let id = opened.target.row.id.clone();
-                    self.course.step(format_args!("{id}=broken:{cause:?}"));
+                    self.progress
+                        .course
+                        .step(format_args!("{id}=broken:{cause:?}"));
                     let failure = Failure::Broken(cause);
                     opened.target.health().note_failure(Instant::now());
-                    plain::note_crash(&self.gateway, &self.call, &failure, Instant::now());
-                    tried.push(id);
-                    let last_id = opened.splitter.last_id().or(self.call.ask.after_event);
+                    plain::note_crash(&self.gateway, &self.progress.call, &failure, Instant::now());
+                    self.progress.tried.push(id);
+                    let last_id = opened
+                        .splitter
+                        .last_id()
+                        .or(self.progress.call.ask.after_event);
                     drop(opened);
-                    match self.resume(&mut tried, last_id).await {
+                    match self.resume(last_id).await {
                         Some(next) => opened = next,
-                        None => return self.course.end(Outcome::Cut),
+                        None => return self.progress.course.end(Outcome::Cut),
                     }
                 }
             }
@@ -104,7 +104,7 @@
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return End::Left,
-                frame = time::timeout_at(self.call.deadline.into(), opened.body.frame()) => frame,
+                frame = time::timeout_at(self.progress.call.deadline.into(), opened.body.frame()) => frame,
             };
             let events = match frame {
                 Err(_) => return End::Late,
@@ -125,7 +125,7 @@
 
     async fn send(&self, events: Bytes) -> Option<End> {
         let sending = self.sender.send(Piece::Events(events));
-        match time::timeout_at(self.call.deadline.into(), sending).await {
+        match time::timeout_at(self.progress.call.deadline.into(), sending).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(End::Left),
             Err(_) => Some(End::Late),
@@ -133,22 +133,20 @@
     }
 
     /// Goes on after the last whole event at another engine; none if that is not allowed.
-    async fn resume(
-        &mut self,
-        tried: &mut Vec<crate::id::UpstreamId>,
-        last_id: Option<u64>,
-    ) -> Option<Opened> {
+    async fn resume(&mut self, last_id: Option<u64>) -> Option<Opened> {
         let gateway = Rc::clone(&self.gateway);
-        self.allowance.note_failure(&Failure::Broken("cut".into()));
-        while self.allowance.allows_more(self.call.route.resumable) {
+        let is_resumable = self.progress.call.route.resumable;
+        self.progress
+            .allowance
+            .note_failure(&Failure::Broken("cut".into()));
+        while self.progress.allowance.allows_more(is_resumable) {
             let now = Instant::now();
-            if now >= self.call.deadline || !gateway.may_repeat(&self.call.service, now) {
-                self.course.step(format_args!("no-resume"));
+            let plan = generate::plan(&gateway, &self.progress.call, &self.progress.tried, now);
+            if now >= self.progress.call.deadline || !self.progress.may_start(&gateway, &plan) {
+                self.progress.course.step(format_args!("no-resume"));
                 return None;
             }
-            self.allowance.note_send();
-            let plan = generate::plan(&gateway, &self.call, tried, now);
-            let opening = generate::open(&gateway, &self.call, &plan, last_id, &mut self.course);
+            let opening = open::open(&gateway, &mut self.progress, &plan, last_id);
             let opened = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
@@ -163,14 +161,17 @@
                     return Some(opened);
                 }
                 Ok(Started::Whole(answer)) => {
-                    self.course
-                        .step(format_args!("resume={}", answer.head.status.as_u16()));
+                    let status = answer.head.status.as_u16();
+                    self.progress.course.step(format_args!("resume={status}"));
                     return None;
                 }
-                Err(failure) => {
-                    self.allowance.note_failure(&failure);
-                    generate::avoid(&plan, tried);
+                Err(failure) if matches!(plan, Plan::Refuse { .. }) => {
+                    self.progress
+                        .course
+                        .step(format_args!("no-resume={failure:?}"));
+                    return None;
                 }
+                Err(_) => (),
             }
         }
         None
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::gateway::call::Prompt;
+use crate::id::DomainId;
 use crate::id::PartId;
 use crate::id::UpstreamId;
 use crate::upstream::Role;
@@ -46,8 +47,8 @@
     pub id: UpstreamId,
     /// Role in force.
     pub role: Role,
-    /// Whether it is in the host's own failure domain.
-    pub is_near: bool,
+    /// Failure domain.
+    pub domain: DomainId,
     /// Whether it answered of late.
     pub is_trusted: bool,
     /// Requests that it runs at once.
@@ -91,6 +92,8 @@
         reader: UpstreamId,
         /// Engine that generates.
         generator: UpstreamId,
+        /// Engine that generates if the other refuses to.
+        spare: Option<UpstreamId>,
         /// Urgency at both.
         urgency: u8,
     },
@@ -108,6 +111,7 @@
 struct Way<'a> {
     reader: &'a Engine,
     generator: &'a Engine,
+    spare: Option<&'a Engine>,
     /// Time to the first event.
     wait: Duration,
     /// Wait and engine time together.
@@ -168,6 +172,7 @@
             false => Plan::Split {
                 reader,
                 generator,
+                spare: self.spare.map(|engine| engine.id.clone()),
                 urgency,
             },
         }
@@ -237,6 +242,7 @@
     Way {
         reader: engine,
         generator: engine,
+        spare: None,
         wait,
         cost: wait.as_secs_f64() + WORK_WEIGHT * reading.as_secs_f64() + crowding,
     }
@@ -249,19 +255,21 @@
     lane: Lane,
 ) -> Option<Way<'a>> {
     let reading = cost::reading(job.prompt, reader.cached, reader.role).mul_f64(reader.pace);
-    let generator = generators.iter().copied().min_by(|one, other| {
-        let cost = |engine: &Engine| {
-            let is_far = engine.is_near != reader.is_near;
-            engine.backlog.as_secs_f64() / 2.0
-                + cost::crowding(engine.running)
-                + cost::distance(is_far)
-        };
-        cost(one).total_cmp(&cost(other))
-    })?;
+    let load = |engine: &Engine| {
+        let distance = cost::distance(engine.domain != reader.domain);
+        engine.backlog.as_secs_f64() / 2.0 + cost::crowding(engine.running) + distance
+    };
+    let by_load = |one: &&Engine, other: &&Engine| load(one).total_cmp(&load(other));
+    let generator = generators.iter().copied().min_by(by_load)?;
+    let others = generators.iter().copied();
+    let spare = others
+        .filter(|engine| engine.id != generator.id)
+        .min_by(by_load);
     let wait = queue(reader, lane) + reading + MOVE_TIME;
     Some(Way {
         reader,
         generator,
+        spare,
         wait,
         cost: wait.as_secs_f64() + WORK_WEIGHT * reading.as_secs_f64(),
     })
--- a/src/reassign/duty.rs
+++ b/src/reassign/duty.rs
@@ -15,12 +15,14 @@
 use tokio::sync::watch;
 
 use super::Change;
+use super::Standing;
 use super::term::Held;
 use super::term::Term;
 use crate::clock;
 use crate::clock::Clock;
 use crate::fleet::Row;
 use crate::follow::View;
+use crate::gossip;
 use crate::id::HostId;
 use crate::id::UpstreamId;
 use crate::log::keyed::Keyed;
@@ -77,7 +79,7 @@
 pub fn start<C>(
     officer: Officer,
     view: watch::Receiver<Arc<View>>,
-    rank: watch::Receiver<usize>,
+    standing: watch::Receiver<Standing>,
     away: watch::Sender<Away>,
     clock: &C,
     store: &Store,
@@ -99,8 +101,8 @@
             loop {
                 clock.sleep(PAUSE);
                 let current = Arc::clone(&view.borrow());
-                let own_rank = *rank.borrow();
-                state.step(&current, own_rank, &clock, &store);
+                let known = standing.borrow().clone();
+                state.step(&current, &known, &clock, &store);
                 away.send_replace(state.away());
             }
         })?;
@@ -115,20 +117,20 @@
             .collect()
     }
 
-    fn step<C, K>(&mut self, view: &View, rank: usize, clock: &C, store: &K)
+    fn step<C, K>(&mut self, view: &View, standing: &Standing, clock: &C, store: &K)
     where
         C: Clock,
         K: Keyed,
     {
         let now = clock.now();
         self.forget_done(&view.rows, now);
-        let wanted = self.wanted(view);
+        let wanted = self.wanted(view, standing);
         if wanted.is_empty() {
             self.wanting_since = None;
             return;
         }
         let since = *self.wanting_since.get_or_insert(now);
-        let patience = SETTLE_TIME + RANK_DELAY * rank as u32;
+        let patience = SETTLE_TIME + RANK_DELAY * standing.rank as u32;
         if now.saturating_duration_since(since) < patience {
             return;
         }
@@ -145,7 +147,7 @@
         }
     }
 
-    fn wanted(&self, view: &View) -> Vec<Change> {
+    fn wanted(&self, view: &View, standing: &Standing) -> Vec<Change> {
         let Some(catalog) = &view.catalog else {
             return Vec::new();
         };
@@ -156,8 +158,15 @@
             .flat_map(|service| {
                 let rows = view.rows.iter().filter(|row| row.service == service.name);
                 let engines: Vec<Row> = rows.cloned().collect();
-                let is_changing = |id: &UpstreamId| self.given.contains_key(id);
-                super::changes(&engines, self.officer.read_share, is_changing)
+                let is_changing = |id: &UpstreamId| {
+                    self.given.contains_key(id) || standing.away.contains(&gossip::digest(id))
+                };
+                super::changes(
+                    &engines,
+                    self.officer.read_share,
+                    standing.is_idle,
+                    is_changing,
+                )
             })
             .collect()
     }
--- a/src/reassign/mod.rs
+++ b/src/reassign/mod.rs
@@ -14,9 +14,20 @@
 use crate::id::UpstreamId;
 use crate::upstream::Role;
 
-/// Share of a service's engines that may change their role at the same time.
+/// Share of a service's engines that may change their role at the same time under load.
 const CHANGING_SHARE: f64 = 0.25;
 
+/// What a host knows that its orders depend on, besides the view.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Place among the hosts that are heard, in the order of their names.
+    pub rank: usize,
+    /// Whether no request has come for a while.
+    pub is_idle: bool,
+    /// Digests of the names of engines that some host has ordered to change.
+    pub away: Vec<u32>,
+}
+
 /// A role that an engine is to take.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Change {
@@ -30,13 +41,13 @@
 ///
 /// Each failure domain keeps at least one engine that generates, so that prompts are moved within
 /// the domain, and gets its own share of engines that read. `is_changing` tells the engines that
-/// are away for a change already; at most a quarter of all are at a time.
+/// are away for a change already; at most a quarter of all are at a time, unless there is no load.
 ///
 /// ```
 /// use pistachiohall::reassign;
-/// assert!(reassign::changes(&[], 0.67, |_| false).is_empty());
+/// assert!(reassign::changes(&[], 0.67, false, |_| false).is_empty());
 /// ```
-pub fn changes<F>(engines: &[Row], read_share: f64, is_changing: F) -> Vec<Change>
+pub fn changes<F>(engines: &[Row], read_share: f64, is_idle: bool, is_changing: F) -> Vec<Change>
 where
     F: Fn(&UpstreamId) -> bool,
 {
@@ -48,7 +59,10 @@
         total += 1;
     }
     let changing = engines.iter().filter(|row| is_changing(&row.id)).count();
-    let most = ((f64::from(total) * CHANGING_SHARE) as usize).max(1);
+    let most = match is_idle {
+        true => total as usize,
+        false => ((f64::from(total) * CHANGING_SHARE) as usize).max(1),
+    };
     let mut changes: Vec<Change> = Vec::new();
     for rows in domains.into_values() {
         changes.extend(domain_changes(&rows, read_share));
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -52,25 +52,30 @@
     /// let bounds = Bounds { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
     /// let mut window = Window::new(bounds);
     /// let now = Instant::now();
-    /// let spent = (0..99).filter(|_| window.try_spend(2, now)).count();
+    /// let spent = (0..99).filter(|_| window.try_spend(1, 2, now)).count();
     /// assert_eq!(spent, 4);
     /// (0..100).for_each(|_| window.note_request(now));
-    /// assert!(window.try_spend(2, now));
-    /// assert!(window.try_spend(2, now + Duration::from_secs(30)));
+    /// assert!(window.try_spend(1, 2, now));
+    /// assert!(window.try_spend(1, 2, now + Duration::from_secs(30)));
     /// ```
     pub fn note_request(&mut self, now: Instant) {
         self.step(now).requests += 1;
     }
 
-    /// Counts a repeat if one is left to this host, being one of `hosts`.
-    pub fn try_spend(&mut self, hosts: usize, now: Instant) -> bool {
-        let is_left = self.left(hosts, now) >= 1.0;
+    /// Counts `count` repeats if they are left to this host, being one of `hosts`.
+    pub fn try_spend(&mut self, count: u32, hosts: usize, now: Instant) -> bool {
+        let is_left = self.left(hosts, now) >= f64::from(count);
         if is_left {
-            self.step(now).repeats += 1;
+            self.step(now).repeats += u64::from(count);
         }
         is_left
     }
 
+    /// Counts a repeat that was not foreseen, whether it is left or not.
+    pub fn note_repeat(&mut self, now: Instant) {
+        self.step(now).repeats += 1;
+    }
+
     /// Returns the repeats that are left to this host, being one of `hosts`.
     pub fn left(&mut self, hosts: usize, now: Instant) -> f64 {
         self.step(now);
