Test the request rules on stand-ins that speak the platform's protocol

A safe request is given up on early only if another upstream can take it: with one upstream left it failed with 502 after 240 ms (found by a test that failed first).

--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -5,10 +5,8 @@
 
 use anyhow::Context;
 use anyhow::Result;
-use flexi_logger::DeferredNow;
 use flexi_logger::Logger;
 use flexi_logger::LoggerHandle;
-use log::Record;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -17,6 +15,7 @@
 use crate::clock::Real;
 use crate::gateway::process;
 use crate::log::http::Http;
+use crate::logging;
 use crate::serve::Process;
 use crate::settings::Settings;
 use crate::settings::gateway;
@@ -51,11 +50,10 @@
 fn run_gateway(arguments: &Serve, text: &str) -> Result<ExitCode> {
     let file = arguments.settings.display().to_string();
     let settings = gateway::Settings::parse(&file, text)?;
-    let _logger = Logger::try_with_str(&arguments.log)?
-        .log_to_stdout()
-        .format(line)
-        .start()?;
-    match process::run(settings, arguments.settings.clone(), &Real)? {
+    let logger = logging::start(&arguments.log)?;
+    let finished = process::run(settings, arguments.settings.clone(), &Real);
+    logger.flush();
+    match finished? {
         true => Ok(ExitCode::SUCCESS),
         false => Ok(ExitCode::from(EXIT_FAULT)),
     }
@@ -63,21 +61,8 @@
 
 /// Starts logging to standard error, one structured line a record.
 fn start_logger(filter: &str) -> Result<LoggerHandle> {
-    let logger = Logger::try_with_str(filter)?.log_to_stderr().format(line);
+    let logger = Logger::try_with_str(filter)?
+        .log_to_stderr()
+        .format(logging::format);
     Ok(logger.start()?)
 }
-
-fn line(
-    out: &mut dyn std::io::Write,
-    now: &mut DeferredNow,
-    record: &Record<'_>,
-) -> std::io::Result<()> {
-    let time = now.now().to_rfc3339();
-    let target = record.target().trim_start_matches("pistachiohall::");
-    write!(
-        out,
-        "time={time} level={} part={target} {}",
-        record.level(),
-        record.args()
-    )
-}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -26,6 +26,7 @@
             return;
         }
     };
+    let address = server.server_addr();
     let counters = Arc::clone(counters);
     let thread = thread::Builder::new()
         .name("metrics".into())
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -58,10 +58,13 @@
 /// # Errors
 ///
 /// Fails if the address cannot be listened on.
-pub async fn open(address: SocketAddr) -> Result<UdpSocket> {
-    UdpSocket::bind(address)
-        .await
-        .with_context(|| format!("cannot hear peers on {address}"))
+pub fn open(address: SocketAddr) -> Result<std::net::UdpSocket> {
+    let open = || {
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        Ok::<_, std::io::Error>(socket)
+    };
+    open().with_context(|| format!("cannot hear peers on {address}"))
 }
 
 /// Exchanges datagrams with peers until the process ends.
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -58,7 +58,9 @@
         }
         allowance.note_send();
         tried.push(target.row.id.clone());
-        match attempt(&target, call, &allowance, now).await {
+        let has_other = pick(gateway, call, &tried, now).is_some();
+        let until = patience(call, &allowance, has_other, now);
+        match attempt(&target, call, until).await {
             Ok(answer) => {
                 course.step(format_args!(
                     "{}={}",
@@ -87,18 +89,13 @@
     }
 }
 
-async fn attempt(
-    target: &Rc<Target>,
-    call: &Call,
-    allowance: &Allowance,
-    now: Instant,
-) -> Result<WholeAnswer, Failure> {
+async fn attempt(target: &Rc<Target>, call: &Call, until: Instant) -> Result<WholeAnswer, Failure> {
     let _occupied = target.occupy();
     let terms = Terms {
         work: Work::Whole,
         urgency: None,
         after_event: None,
-        until: patience(call, allowance, now),
+        until,
         deadline: call.deadline,
     };
     let exchange = async {
@@ -142,8 +139,10 @@
 }
 
 /// Returns until when one try is waited for.
-fn patience(call: &Call, allowance: &Allowance, now: Instant) -> Instant {
-    if !call.route.is_idempotent() || !allowance.allows_more(true) {
+///
+/// Only an idempotent request that can go elsewhere is worth giving up on early.
+fn patience(call: &Call, allowance: &Allowance, has_other: bool, now: Instant) -> Instant {
+    if !has_other || !call.route.is_idempotent() || !allowance.allows_more(true) {
         return call.deadline;
     }
     let most = call.left(now).mul_f64(PATIENCE_SHARE);
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -20,6 +20,7 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::runtime;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -77,10 +78,11 @@
     let (views, view) = Views::new();
     let store = Store::new(settings.store);
     let notices = signals()?;
+    let socket = peers::open(settings.peer_listen)?;
     let own = follow::hosts::Own {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
-        peer: settings.peer_listen,
+        peer: socket.local_addr()?,
     };
     let hosts = follow::start(&views, own, clock, &store)?;
     let (standing, known) = watch::channel(Standing::default());
@@ -107,6 +109,7 @@
     let sources = Sources {
         view,
         peers,
+        socket,
         notices,
         file,
     };
@@ -141,6 +144,7 @@
 struct Sources {
     view: watch::Receiver<Arc<View>>,
     peers: peers::Sources,
+    socket: std::net::UdpSocket,
     notices: mpsc::Receiver<Notice>,
     file: PathBuf,
 }
@@ -149,22 +153,24 @@
     let Sources {
         view,
         peers: peer_sources,
+        socket,
         mut notices,
         file,
     } = sources;
     let callers = listen::open(gateway.settings.listen)?;
     let balancer = listen::open(gateway.settings.ready_listen)?;
     info!(
-        "host={} domain={} callers={} balancer={} store={} version={} outcome=started",
+        "host={} domain={} callers={} balancer={} peers={} store={} version={} outcome=started",
         gateway.settings.name,
         gateway.settings.domain,
         callers.local_addr()?,
         balancer.local_addr()?,
+        socket.local_addr()?,
         gateway.settings.store,
         env!("CARGO_PKG_VERSION")
     );
     task::spawn_local(follow_views(Rc::clone(&gateway), view));
-    let socket = peers::open(gateway.settings.peer_listen).await?;
+    let socket = UdpSocket::from_std(socket)?;
     task::spawn_local(peers::run(Rc::clone(&gateway), socket, peer_sources));
     task::spawn_local(sweep(Rc::clone(&gateway)));
     let (phase, connections) = start_listening(&gateway, callers, balancer);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod lease;
 pub mod listen;
 pub mod log;
+pub mod logging;
 pub mod member;
 pub mod once;
 pub mod order;
--- /dev/null
+++ b/src/standin/fleet/store.rs
@@ -0,0 +1,281 @@
+//! A stand-in for the platform's store: keyed topics, conditional appends, and its troubles.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use serde_json::json;
+
+use super::wire;
+use super::wire::Next;
+use super::wire::Request;
+use super::wire::Server;
+
+/// What is wrong with the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// Each call is answered 503 and not done.
+    Down,
+    /// Calls are not answered and not done.
+    Silent,
+    /// Appends are done and not answered.
+    LostAnswers,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    first: u64,
+    records: Vec<Vec<u8>>,
+    newest: BTreeMap<String, (u64, Vec<u8>)>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn append(&mut self, content: Vec<u8>) -> u64 {
+        let offset = self.end();
+        if let Some((key, value)) = split_key(&content) {
+            match value.is_empty() {
+                true => self.newest.remove(&key),
+                false => self.newest.insert(key, (offset, value)),
+            };
+        }
+        self.records.push(content);
+        offset
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    topics: HashMap<String, Topic>,
+    trouble: Trouble,
+    calls: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Store {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl Store {
+    /// Starts an empty store on a free port of the loopback.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be listened on.
+    pub fn start() -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let own = Arc::clone(&shared);
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::start(address, move |request, stream| {
+            handle(&own, &request, stream)
+        })?;
+        Ok(Store { shared, server })
+    }
+
+    /// Returns where it serves.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes what is wrong with it.
+    pub fn set_trouble(&self, trouble: Trouble) {
+        self.shared.state.lock().expect("store lock").trouble = trouble;
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns how many calls it got.
+    pub fn calls(&self) -> u64 {
+        self.shared.state.lock().expect("store lock").calls
+    }
+
+    /// Writes the newest record of a key.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut content = vec![key.len() as u8];
+        content.extend_from_slice(key.as_bytes());
+        content.extend_from_slice(value);
+        let mut state = self.shared.state.lock().expect("store lock");
+        state
+            .topics
+            .entry(topic.into())
+            .or_default()
+            .append(content);
+        self.shared.changed.notify_all();
+    }
+
+    /// Puts a configuration into force, as the operator does.
+    pub fn put_config(&self, config: &Value) {
+        self.put("keyed.op", "config", config.to_string().as_bytes());
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, topic: &str, key: &str) {
+        self.put(topic, key, b"");
+    }
+
+    /// Returns the newest value of a key.
+    pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.state.lock().expect("store lock");
+        let found = state.topics.get(topic)?.newest.get(key)?;
+        Some(found.1.clone())
+    }
+
+    /// Returns the keys of a topic.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let state = self.shared.state.lock().expect("store lock");
+        let topic = state.topics.get(topic);
+        topic.map_or_else(Vec::new, |topic| topic.newest.keys().cloned().collect())
+    }
+
+    /// Forgets the records of a topic; the newest of each key stay.
+    pub fn compact(&self, topic: &str) {
+        let mut state = self.shared.state.lock().expect("store lock");
+        let topic = state.topics.entry(topic.into()).or_default();
+        topic.first = topic.end();
+        topic.records.clear();
+    }
+}
+
+fn split_key(content: &[u8]) -> Option<(String, Vec<u8>)> {
+    let (length, rest) = content.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*length))?;
+    Some((String::from_utf8_lossy(key).into_owned(), value.to_vec()))
+}
+
+fn handle(shared: &Shared, request: &Request, stream: &mut TcpStream) -> io::Result<Next> {
+    let trouble = {
+        let mut state = shared.state.lock().expect("store lock");
+        state.calls += 1;
+        state.trouble
+    };
+    match trouble {
+        Trouble::Down => return answer(stream, 503, &json!({})),
+        Trouble::Silent => {
+            let state = shared.state.lock().expect("store lock");
+            let _state = shared
+                .changed
+                .wait_while(state, |state| state.trouble == Trouble::Silent)
+                .expect("store lock");
+            return Ok(Next::Close);
+        }
+        Trouble::None | Trouble::LostAnswers => (),
+    }
+    let topic = request.query.get("topic").cloned().unwrap_or_default();
+    match (request.method.as_str(), request.path.as_str()) {
+        ("POST", "/v1/log-append") => {
+            let (status, body) = append(shared, &topic, request);
+            match trouble == Trouble::LostAnswers {
+                true => Ok(Next::Close),
+                false => answer(stream, status, &body),
+            }
+        }
+        ("GET", "/v1/log-read") => read(shared, &topic, request, stream),
+        ("GET", "/v1/log-newest") => {
+            let body = newest(shared, &topic);
+            answer(stream, 200, &body)
+        }
+        _ => answer(stream, 404, &json!({})),
+    }
+}
+
+fn answer(stream: &mut TcpStream, status: u16, body: &Value) -> io::Result<Next> {
+    let fields = [("Content-Type", "application/json")];
+    wire::answer(stream, status, &fields, body.to_string().as_bytes())?;
+    Ok(Next::Keep)
+}
+
+fn append(shared: &Shared, name: &str, request: &Request) -> (u16, Value) {
+    if matches!(name, "keyed.op" | "keyed.servers") {
+        return (403, json!({}));
+    }
+    let mut state = shared.state.lock().expect("store lock");
+    let topic = state.topics.entry(name.into()).or_default();
+    let at = request.query.get("at").and_then(|at| at.parse().ok());
+    if at.is_some_and(|at: u64| at != topic.end()) {
+        return (412, json!({"end_offset": topic.end()}));
+    }
+    let Some((length, content)) = request.body.split_at_checked(4) else {
+        return (400, json!({}));
+    };
+    let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]);
+    if length as usize != content.len() {
+        return (400, json!({}));
+    }
+    let offset = topic.append(content.to_vec());
+    shared.changed.notify_all();
+    (200, json!({"offset": offset, "end_offset": offset + 1}))
+}
+
+fn newest(shared: &Shared, name: &str) -> Value {
+    let state = shared.state.lock().expect("store lock");
+    let Some(topic) = state.topics.get(name) else {
+        return json!({"items": [], "more": false, "end_offset": 0});
+    };
+    let items = topic.newest.iter().map(|(key, (offset, value))| {
+        json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
+    });
+    json!({"items": items.collect::<Vec<_>>(), "more": false, "end_offset": topic.end()})
+}
+
+fn read(
+    shared: &Shared,
+    name: &str,
+    request: &Request,
+    stream: &mut TcpStream,
+) -> io::Result<Next> {
+    let number = |name: &str| {
+        request
+            .query
+            .get(name)
+            .and_then(|value| value.parse::<u64>().ok())
+    };
+    let from = number("from").unwrap_or_default();
+    let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
+    let state = shared.state.lock().expect("store lock");
+    let has_none = |state: &mut State| {
+        let end = state.topics.get(name).map_or(0, Topic::end);
+        end <= from && state.trouble == Trouble::None
+    };
+    let (state, _) = shared
+        .changed
+        .wait_timeout_while(state, wait, has_none)
+        .expect("store lock");
+    let empty = Topic::default();
+    let topic = state.topics.get(name).unwrap_or(&empty);
+    if from < topic.first {
+        let body = json!({"first_offset": topic.first});
+        drop(state);
+        return answer(stream, 410, &body);
+    }
+    let mut body = topic.end().to_be_bytes().to_vec();
+    body.extend_from_slice(&topic.first.to_be_bytes());
+    for record in topic.records.iter().skip((from - topic.first) as usize) {
+        body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+        body.extend_from_slice(record);
+    }
+    drop(state);
+    wire::answer(stream, 200, &[], &body)?;
+    Ok(Next::Keep)
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod deployment;
 pub mod engine;
+pub mod fleet;
 pub mod plain;
 pub mod platform;
 mod server;
--- /dev/null
+++ b/tests/gateway/belief.rs
@@ -0,0 +1,187 @@
+//! Configuration and upstreams, as the store tells them, and while it does not.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use pistachiohall::standin::fleet;
+use pistachiohall::standin::fleet::replica::Replica;
+use pistachiohall::standin::fleet::store::Store;
+use pistachiohall::standin::fleet::store::Trouble;
+
+use super::site::Gateway;
+use super::site::NO_ORDERS;
+use super::site::Site;
+use super::site::wait_for;
+
+fn without_route(version: u64, prefix: &str) -> Value {
+    let mut config = fleet::config(version);
+    let routes = config["routes"].as_array_mut().unwrap();
+    routes.retain(|route| route["path_prefix"] != prefix);
+    config
+}
+
+#[test]
+fn refuses_before_the_first_configuration() {
+    let store = Store::start().unwrap();
+    let gateway = Gateway::start("h1", store.address(), NO_ORDERS);
+    assert_eq!(gateway.readiness(), 503);
+    let answer = gateway.call("GET", "/read/a", "r1", &[]);
+    assert_eq!(answer.status, 503, "404 needs a configuration");
+    store.put_config(&fleet::config(1));
+    gateway.wait_ready();
+    assert_eq!(gateway.call("GET", "/none/a", "r2", &[]).status, 404);
+}
+
+#[test]
+fn puts_a_new_configuration_into_force_in_time() {
+    let site = Site::desks(&["c1"]);
+    let begun = Instant::now();
+    site.store.put_config(&without_route(9, "/read/"));
+    wait_for("the dropped route", || {
+        site.gateway.call("GET", "/read/a", "r", &[]).status == 404
+    });
+    assert!(begun.elapsed() < Duration::from_secs(2));
+}
+
+#[test]
+fn never_goes_back_to_an_older_configuration() {
+    let site = Site::desks(&["c1"]);
+    site.store.put_config(&without_route(9, "/read/"));
+    site.gateway.wait_line(&["config=9 ", "outcome=in-force"]);
+    site.store.put_config(&fleet::config(5));
+    site.gateway
+        .wait_line(&["config=5 ", "outcome=ignored-older"]);
+    assert_eq!(site.gateway.call("GET", "/read/a", "r", &[]).status, 404);
+}
+
+#[test]
+fn keeps_its_configuration_when_it_cannot_be_read_or_is_gone() {
+    let site = Site::desks(&["c1"]);
+    site.store
+        .put("keyed.op", "config", b"{not a configuration");
+    site.gateway
+        .wait_line(&["config=unreadable", "outcome=ignored"]);
+    site.store.remove("keyed.op", "config");
+    site.store.compact("keyed.op");
+    site.store.put("keyed.op", "other", b"{}");
+    site.gateway
+        .wait_line(&["topic=keyed.op", "outcome=read-anew"]);
+    assert_eq!(site.gateway.call("GET", "/read/a", "r", &[]).status, 200);
+}
+
+#[test]
+fn serves_through_an_outage_of_the_store() {
+    let site = Site::desks(&["c1"]);
+    site.store.set_trouble(Trouble::Down);
+    site.gateway
+        .wait_line(&["dependency=store", "outcome=lost"]);
+    assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 200);
+    assert_eq!(site.gateway.readiness(), 200);
+    site.store.set_trouble(Trouble::None);
+    site.gateway
+        .wait_line(&["dependency=store", "outcome=back"]);
+    site.store.put_config(&without_route(9, "/read/"));
+    site.gateway.wait_line(&["config=9 ", "outcome=in-force"]);
+}
+
+#[test]
+fn notices_a_store_that_went_silent() {
+    let site = Site::desks(&["c1"]);
+    site.store.set_trouble(Trouble::Silent);
+    site.gateway
+        .wait_line(&["dependency=store", "outcome=lost"]);
+    assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 200);
+}
+
+#[test]
+fn gives_a_leaving_upstream_no_new_work() {
+    let site = Site::desks(&["c1", "c2"]);
+    site.replicas["c1"].register(&site.store, "draining");
+    site.gateway.wait_line(&["upstream=c1 ", "state=Draining"]);
+    let before = site.replicas["c1"].seen().len();
+    for number in 0..20 {
+        let answer = site
+            .gateway
+            .call("GET", "/read/a", &format!("r{number}"), &[]);
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(site.replicas["c1"].seen().len(), before);
+}
+
+#[test]
+fn uses_no_upstream_whose_entry_was_removed() {
+    let site = Site::desks(&["c1", "c2"]);
+    site.store.remove("keyed.servers", "c1");
+    site.gateway.wait_line(&["upstream=c1 ", "outcome=removed"]);
+    for number in 0..10 {
+        assert_eq!(
+            site.gateway
+                .call("GET", "/read/a", &format!("r{number}"), &[])
+                .status,
+            200
+        );
+    }
+    assert!(site.replicas["c1"].seen().is_empty());
+}
+
+#[test]
+fn ignores_entries_that_name_no_upstream() {
+    let site = Site::desks(&["c1"]);
+    let forged: [(&str, Value); 4] = [
+        ("f1", json!({"service": "desk"})),
+        (
+            "f2",
+            json!({"service": "desk", "address": 7, "zone": "derby", "slots": 1, "state": "ready"}),
+        ),
+        (
+            "f3",
+            json!({"service": "desk", "address": "127.0.0.1:1", "zone": "derby", "slots": 1, "state": "odd"}),
+        ),
+        ("f4", json!("text")),
+    ];
+    for (id, entry) in &forged {
+        site.store
+            .put("keyed.servers", id, entry.to_string().as_bytes());
+        site.gateway
+            .wait_line(&[&format!("upstream=\"{id}\""), "outcome=ignored"]);
+    }
+    for number in 0..6 {
+        assert_eq!(
+            site.gateway
+                .call("POST", "/act/a", &format!("r{number}"), &[])
+                .status,
+            200
+        );
+    }
+}
+
+/// Another upstream has the address: it answers 421, and the request goes elsewhere.
+#[test]
+fn tries_elsewhere_when_another_upstream_has_the_address() {
+    let mut site = Site::desks(&["c1", "c2"]);
+    let address = site.replicas["c1"].address();
+    site.replicas.remove("c1");
+    let other = Replica::start_at(address, "x9", "lm", "derby", None).unwrap();
+    for number in 0..6 {
+        assert_eq!(
+            site.gateway
+                .call("POST", "/act/a", &format!("r{number}"), &[])
+                .status,
+            200
+        );
+    }
+    assert_eq!(other.runs(), 0);
+    assert!(!other.seen().is_empty(), "the case came about");
+}
+
+#[test]
+fn finds_peers_through_the_store() {
+    let site = Site::desks(&["c1"]);
+    let second = Gateway::start("h2", site.store.address(), NO_ORDERS);
+    second.wait_line(&["peers=1 "]);
+    site.gateway.wait_line(&["peers=1 "]);
+    assert_eq!(site.store.keys("keyed.hosts"), ["h1", "h2"]);
+}
--- /dev/null
+++ b/tests/gateway/lifecycle.rs
@@ -0,0 +1,120 @@
+//! Start, reload, metrics and the graceful end of a gateway.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use pistachiohall::standin::fleet::replica::Manner;
+
+use super::site::NO_ORDERS;
+use super::site::Site;
+use super::site::wait_for;
+
+const QUICK_END: &str = "[orders]\nread_share = 0\n[shutdown]\nbalancer_lag = 300ms\nlimit = 8s\n";
+
+/// Requests that run when the signal comes are answered whole, and so is one on a connection
+/// that stays open.
+#[test]
+fn ends_without_cutting_a_request() {
+    let mut site = Site::start(&["c1"], &[("d1", "decode")], QUICK_END);
+    site.replicas["c1"].set_pause(Duration::from_millis(800));
+    site.replicas["d1"].set_pause(Duration::from_millis(200));
+    let mut plain = site.gateway.client();
+    let mut stream = site.gateway.client();
+    let sizes = [("Pistachiohall-Token-Count", "20,6")];
+    plain.send("POST", "/act/a", "r1", &[], b"").unwrap();
+    stream.send("POST", "/draft/a", "r2", &sizes, b"").unwrap();
+    wait_for("both run", || site.runs() == 2);
+    site.replicas["c1"].set_pause(Duration::ZERO);
+    site.gateway.signal("-TERM");
+    site.gateway.wait_line(&["outcome=leaving"]);
+    assert_eq!(site.gateway.readiness(), 503);
+    let answer = site.gateway.call("GET", "/read/a", "r3", &[]);
+    assert_eq!(answer.status, 200, "the balancer may still send requests");
+    assert_eq!(answer.fields["connection"], "close");
+    let answer = plain.receive().unwrap();
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    let answer = stream.receive().unwrap();
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert!(plain.is_ended().unwrap());
+    assert_eq!(site.gateway.wait(), Some(0));
+    site.gateway.wait_line(&["finished=true", "outcome=left"]);
+}
+
+#[test]
+fn gives_up_what_hangs_at_the_end() {
+    let more = "[orders]\nread_share = 0\n[shutdown]\nbalancer_lag = 100ms\nlimit = 1s\n";
+    let mut site = Site::start(&["c1"], &[], more);
+    site.replicas["c1"].set_manner(Manner::Hang);
+    let mut client = site.gateway.client();
+    client.send("POST", "/act/a", "r1", &[], b"").unwrap();
+    wait_for("it runs", || site.runs() == 1);
+    site.gateway.signal("-TERM");
+    assert_eq!(site.gateway.wait(), Some(1));
+}
+
+#[test]
+fn reloads_its_settings_and_keeps_them_if_they_are_wrong() {
+    let site = Site::desks(&["c1"]);
+    let store = site.store.address();
+    site.gateway.rewrite(
+        "h1",
+        store,
+        "[repeats]\nslack = 7\n[orders]\nread_share = 0\n",
+    );
+    site.gateway.signal("-HUP");
+    site.gateway.wait_line(&["slack: 7.0", "outcome=reloaded"]);
+    site.gateway
+        .rewrite("h1", store, "[repeats]\nslack = many\n");
+    site.gateway.signal("-HUP");
+    site.gateway
+        .wait_line(&["`slack` is `many`", "outcome=kept-old-settings"]);
+    assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 200);
+}
+
+#[test]
+fn counts_and_logs_each_request() {
+    let site = Site::desks(&["c1"]);
+    assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 200);
+    site.replicas["c1"].set_manner(Manner::Shed);
+    assert_eq!(site.gateway.call("POST", "/act/a", "r2", &[]).status, 503);
+    site.gateway.wait_line(&[
+        "request=r1 ",
+        "config=3 ",
+        "outcome=delivered",
+        "trail=\"c1=200\"",
+    ]);
+    site.gateway
+        .wait_line(&["request=r2 ", "outcome=refused", "c1=NotRun(503)"]);
+    let metrics = site.gateway.metrics();
+    assert!(
+        metrics.contains("pistachiohall_requests_delivered_total 1\n"),
+        "{metrics}"
+    );
+    assert!(
+        metrics.contains("pistachiohall_requests_refused_total 1\n"),
+        "{metrics}"
+    );
+    assert!(
+        metrics.contains("pistachiohall_total_ms_count{route=\"read\"} 1\n"),
+        "{metrics}"
+    );
+}
+
+/// A process that was killed finds everything in the store again.
+#[rstest]
+#[case(0)]
+#[case(1)]
+fn recovers_after_a_kill(#[case] more_configs: u64) {
+    let mut site = Site::desks(&["c1"]);
+    for number in 0..more_configs {
+        let config = pistachiohall::standin::fleet::config(10 + number);
+        site.store.put_config(&config);
+    }
+    site.gateway.signal("-KILL");
+    assert_eq!(site.gateway.wait(), None);
+    site.gateway = super::site::Gateway::start("h1", site.store.address(), NO_ORDERS);
+    site.gateway.wait_ready();
+    site.gateway.wait_line(&["upstream=c1 ", "outcome=added"]);
+    assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 200);
+}
--- /dev/null
+++ b/tests/gateway/mod.rs
@@ -0,0 +1,8 @@
+//! A gateway as a real process on the platform's stand-ins, rule by rule.
+
+mod belief;
+mod input;
+mod lifecycle;
+mod model;
+mod plain;
+mod site;
--- /dev/null
+++ b/tests/gateway/model.rs
@@ -0,0 +1,160 @@
+//! Requests to models: prompts read at one engine and generated at another, streams resumed.
+
+use std::time::Duration;
+
+use pistachiohall::standin::fleet::client::Answer;
+use pistachiohall::standin::fleet::replica::Manner;
+use pistachiohall::standin::fleet::replica::Replica;
+
+use super::site::NO_ORDERS;
+use super::site::Site;
+use super::site::wait_for;
+
+const LONG_PROMPT: [(&str, &str); 2] = [
+    ("Pistachiohall-Token-Count", "9000,4"),
+    ("Pistachiohall-Prompt-Prefix", "a1:2500,b2:3500,c3:3000"),
+];
+const SHORT_PROMPT: [(&str, &str); 2] = [
+    ("Pistachiohall-Token-Count", "200,4"),
+    ("Pistachiohall-Prompt-Prefix", "a1:50,b2:30,c3:120"),
+];
+
+fn events(numbers: std::ops::RangeInclusive<u64>) -> String {
+    numbers
+        .map(|number| format!("id: {number}\ndata: token {number}\n\n"))
+        .collect()
+}
+
+fn assert_whole(answer: &Answer) {
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, events(1..=4));
+    assert!(answer.is_whole);
+}
+
+#[test]
+fn reads_at_one_engine_and_generates_at_another() {
+    let site = Site::start(&[], &[("p1", "prefill"), ("d1", "decode")], NO_ORDERS);
+    assert_whole(&site.gateway.call("POST", "/ask/a", "r1", &LONG_PROMPT));
+    let read = &site.replicas["p1"].seen()[0];
+    assert_eq!(read.field("pistachiohall-stage"), "prefill");
+    let generated = &site.replicas["d1"].seen()[0];
+    let source = format!("{}/hr1", site.replicas["p1"].address());
+    assert_eq!(generated.field("pistachiohall-kv-source"), source);
+    assert_eq!(generated.field("pistachiohall-token-count"), "9000,4");
+}
+
+#[test]
+fn reads_a_short_prompt_where_it_generates() {
+    let site = Site::start(&[], &[("p1", "prefill"), ("d1", "decode")], NO_ORDERS);
+    assert_whole(&site.gateway.call("POST", "/draft/a", "r1", &SHORT_PROMPT));
+    assert!(site.replicas["p1"].seen().is_empty());
+    assert_eq!(site.replicas["d1"].runs(), 1);
+}
+
+#[test]
+fn keeps_requests_of_one_subject_together() {
+    let engines = [
+        ("p1", "prefill"),
+        ("p2", "prefill"),
+        ("p3", "prefill"),
+        ("d1", "decode"),
+    ];
+    let site = Site::start(&[], &engines, NO_ORDERS);
+    for number in 0..12 {
+        assert_whole(
+            &site
+                .gateway
+                .call("POST", "/ask/a", &format!("r{number}"), &LONG_PROMPT),
+        );
+    }
+    let used = ["p1", "p2", "p3"]
+        .into_iter()
+        .filter(|id| !site.replicas[*id].seen().is_empty());
+    assert_eq!(used.count(), 1);
+}
+
+#[test]
+fn resumes_a_broken_stream_at_an_event_boundary() {
+    let site = Site::start(&[], &[("d1", "decode"), ("d2", "decode")], NO_ORDERS);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(Manner::Break(3)));
+    let mut client = site.gateway.client();
+    site.replicas["d1"].set_pause(Duration::from_millis(5));
+    client
+        .send("POST", "/ask/a", "r1", &SHORT_PROMPT, b"")
+        .unwrap();
+    let answer = client.receive().unwrap();
+    // The second engine breaks off in its first event, and two attempts are allowed.
+    assert_eq!(answer.body, events(1..=2));
+    assert!(!answer.is_whole, "a cut answer must not look complete");
+    assert_eq!(site.runs(), 2);
+    let resumed = |replica: &Replica| {
+        let seen = replica.seen();
+        seen.iter().any(|seen| seen.field("last-event-id") == "2")
+    };
+    assert!(site.replicas.values().any(resumed));
+}
+
+#[test]
+fn delivers_a_resumed_stream_whole() {
+    let site = Site::start(&[], &[("d1", "decode"), ("d2", "decode")], NO_ORDERS);
+    site.replicas["d1"].set_manner(Manner::Break(3));
+    for number in 0..6 {
+        assert_whole(
+            &site
+                .gateway
+                .call("POST", "/ask/a", &format!("r{number}"), &SHORT_PROMPT),
+        );
+    }
+    assert!(
+        site.replicas["d1"].runs() > 0,
+        "the engine that breaks off was used"
+    );
+}
+
+#[test]
+fn does_not_resume_a_stream_that_must_run_once() {
+    let site = Site::start(&[], &[("d1", "decode"), ("d2", "decode")], NO_ORDERS);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(Manner::Break(3)));
+    let answer = site.gateway.call("POST", "/draft/a", "r1", &SHORT_PROMPT);
+    assert_eq!(answer.body, events(1..=2));
+    assert!(!answer.is_whole);
+    assert_eq!(site.runs(), 1);
+}
+
+#[test]
+fn goes_on_where_the_caller_left_off() {
+    let site = Site::start(&[], &[("d1", "decode")], NO_ORDERS);
+    let mut fields = SHORT_PROMPT.to_vec();
+    fields.push(("Last-Event-Id", "2"));
+    let answer = site.gateway.call("POST", "/ask/a", "r1", &fields);
+    assert_eq!(answer.body, events(3..=4));
+}
+
+#[test]
+fn refuses_truly_when_no_engine_generates() {
+    let site = Site::start(&[], &[("p1", "prefill"), ("d1", "decode")], NO_ORDERS);
+    site.replicas["d1"].set_manner(Manner::Shed);
+    let answer = site.gateway.call("POST", "/draft/a", "r1", &LONG_PROMPT);
+    assert_eq!(answer.status, 503);
+    assert!(answer.fields.contains_key("retry-after"));
+    assert_eq!(site.runs(), 0);
+}
+
+/// The role policy wants two of three engines to read; the lease's offset is the fencing token.
+#[test]
+fn orders_engines_to_read() {
+    let engines = [("e1", "decode"), ("e2", "decode"), ("e3", "decode")];
+    let site = Site::start(&[], &engines, "[orders]\nread_share = 0.67\nlease = 1s\n");
+    let readers = || {
+        let roles = site.replicas.values().map(Replica::role);
+        roles.filter(|(stage, _)| *stage == Some("prefill")).count()
+    };
+    wait_for("two engines read", || readers() == 2);
+    let orders: u64 = site.replicas.values().map(|replica| replica.role().1).sum();
+    assert_eq!(orders, 2);
+    assert!(site.store.newest("keyed.lease", "orders").is_some());
+}
--- /dev/null
+++ b/tests/gateway/plain.rs
@@ -0,0 +1,273 @@
+//! Requests to plain services: whole answers, true refusals, one run.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+
+use pistachiohall::standin::fleet::replica::Manner;
+use pistachiohall::standin::fleet::replica::STAMP;
+
+use super::site::Site;
+use super::site::wait_for;
+
+const WHOLE: &str = "the whole answer";
+
+#[test]
+fn passes_an_answer_on_unchanged() {
+    let site = Site::desks(&["c1"]);
+    let answer = site
+        .gateway
+        .call("GET", "/read/a?b=c", "r1", &[("X-Own", "kept")]);
+    assert_eq!((answer.status, answer.body.as_str()), (200, WHOLE));
+    assert_eq!(answer.fields["pistachiohall-server-stamp"], STAMP);
+    assert_eq!(answer.fields["pistachiohall-request-id"], "r1");
+    let seen = &site.replicas["c1"].seen()[0];
+    assert_eq!(
+        (seen.method.as_str(), seen.path.as_str()),
+        ("GET", "/read/a")
+    );
+    assert_eq!(seen.field("x-own"), "kept");
+    assert_eq!(seen.field("pistachiohall-expect-instance"), "c1");
+}
+
+#[test]
+fn strips_fields_that_are_the_systems_to_set() {
+    let site = Site::desks(&["c1"]);
+    let own = [
+        ("Pistachiohall-Kv-Hold", "h"),
+        ("Pistachiohall-Pin-Ms", "9"),
+        ("Pistachiohall-Kv-Backup", "127.0.0.1:9"),
+        ("Pistachiohall-Kv-Source", "127.0.0.1:9/h"),
+        ("Pistachiohall-Stage", "prefill"),
+        ("Pistachiohall-Expect-Instance", "other"),
+        ("Pistachiohall-Request-Priority", "0"),
+        ("Kv-Fetch", "127.0.0.1:9"),
+        ("Connection", "X-Hop"),
+        ("X-Hop", "dropped"),
+    ];
+    assert_eq!(site.gateway.call("GET", "/read/a", "r1", &own).status, 200);
+    let seen = &site.replicas["c1"].seen()[0];
+    for (name, value) in own {
+        assert_ne!(seen.field(&name.to_lowercase()), value, "{name}");
+    }
+}
+
+/// An answer that is not the upstream's own, whole one never reaches a caller as a success.
+#[rstest]
+#[case(Manner::Reset)]
+#[case(Manner::Foreign)]
+#[case(Manner::Unsigned)]
+#[case(Manner::Short)]
+#[case(Manner::Encoded)]
+fn fails_an_unsafe_request_whose_answer_is_in_doubt(#[case] manner: Manner) {
+    let site = Site::desks(&["c1", "c2"]);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(manner));
+    let answer = site.gateway.call("POST", "/act/a", "r1", &[]);
+    assert_eq!(answer.status, 502, "it may have run, so no refusal");
+    assert_eq!(site.runs(), 1, "an unsafe request runs once at most");
+}
+
+#[rstest]
+#[case(Manner::Reset)]
+#[case(Manner::Foreign)]
+#[case(Manner::Unsigned)]
+#[case(Manner::Short)]
+#[case(Manner::Encoded)]
+#[case(Manner::Fail)]
+#[case(Manner::Hang)]
+fn tries_a_safe_request_elsewhere(#[case] manner: Manner) {
+    let site = Site::desks(&["c1", "c2"]);
+    site.replicas["c1"].set_manner(manner);
+    for number in 0..8 {
+        let answer = site
+            .gateway
+            .call("GET", "/read/a", &format!("r{number}"), &[]);
+        assert_eq!((answer.status, answer.body.as_str()), (200, WHOLE));
+    }
+}
+
+#[test]
+fn sends_a_safe_request_to_no_more_upstreams_than_allowed() {
+    let site = Site::desks(&["c1", "c2", "c3"]);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(Manner::Reset));
+    assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 502);
+    assert_eq!(site.runs(), 2);
+}
+
+#[test]
+fn passes_on_an_upstreams_own_failure() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_manner(Manner::Fail);
+    let answer = site.gateway.call("POST", "/act/a", "r1", &[]);
+    assert_eq!((answer.status, answer.body.as_str()), (500, "failed"));
+    assert_eq!(answer.fields["pistachiohall-server-stamp"], STAMP);
+}
+
+#[test]
+fn refuses_truly_when_all_upstreams_refuse() {
+    let site = Site::desks(&["c1", "c2"]);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(Manner::Shed));
+    let answer = site.gateway.call("POST", "/act/a", "r1", &[]);
+    assert_eq!(answer.status, 503);
+    assert!(answer.fields["retry-after"].parse::<f64>().unwrap() > 0.0);
+    assert_eq!(site.runs(), 0);
+}
+
+#[test]
+fn tries_an_unsafe_request_elsewhere_after_a_refusal() {
+    let site = Site::desks(&["c1", "c2"]);
+    site.replicas["c1"].set_manner(Manner::Shed);
+    for number in 0..8 {
+        let answer = site
+            .gateway
+            .call("POST", "/act/a", &format!("r{number}"), &[]);
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(site.runs(), 8);
+}
+
+/// A refusal promises that the request has not run and never will; silence proves nothing.
+#[test]
+fn does_not_call_a_silent_request_refused() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_manner(Manner::Hang);
+    let begun = Instant::now();
+    let deadline = [("Pistachiohall-Deadline-Ms", "600")];
+    let answer = site.gateway.call("POST", "/act/a", "r1", &deadline);
+    assert_eq!(answer.status, 502);
+    assert!(begun.elapsed() < Duration::from_millis(600 + 500));
+}
+
+#[test]
+fn answers_at_the_routes_timeout() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_manner(Manner::Hang);
+    let begun = Instant::now();
+    let deadline = [("Pistachiohall-Deadline-Ms", "9000")];
+    let answer = site.gateway.call("POST", "/act/a", "r1", &deadline);
+    assert_eq!(answer.status, 502);
+    let taken = begun.elapsed();
+    assert!(taken >= Duration::from_millis(2000), "{taken:?}");
+    assert!(taken < Duration::from_millis(2500), "{taken:?}");
+}
+
+#[test]
+fn passes_on_what_is_left_of_the_deadline() {
+    let site = Site::desks(&["c1", "c2"]);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(Manner::Hang));
+    let deadline = [("Pistachiohall-Deadline-Ms", "1000")];
+    assert_eq!(
+        site.gateway.call("GET", "/read/a", "r1", &deadline).status,
+        502
+    );
+    let mut left: Vec<u64> = site
+        .replicas
+        .values()
+        .flat_map(|replica| replica.seen())
+        .map(|seen| seen.field("pistachiohall-deadline-ms").parse().unwrap())
+        .collect();
+    left.sort_unstable();
+    assert_eq!(left.len(), 2);
+    assert!(left[1] <= 1000);
+    assert!(
+        left[0] <= 1000 - 240,
+        "the second send is told what is left: {left:?}"
+    );
+}
+
+#[test]
+fn cancels_the_upstreams_work_when_the_caller_leaves() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_manner(Manner::Hang);
+    let mut client = site.gateway.client();
+    client.send("POST", "/act/a", "r1", &[], b"").unwrap();
+    wait_for("arrival", || site.runs() == 1);
+    let left_at = Instant::now();
+    drop(client);
+    wait_for("cancellation", || {
+        site.replicas["c1"].seen()[0].left_after.is_some()
+    });
+    assert!(left_at.elapsed() < Duration::from_millis(500));
+    site.gateway.wait_line(&["request=r1 ", "outcome=left"]);
+}
+
+#[test]
+fn does_not_reuse_a_connection_after_a_second_answer() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_manner(Manner::Extra);
+    for number in 0..6 {
+        let answer = site
+            .gateway
+            .call("GET", "/read/a", &format!("r{number}"), &[]);
+        assert_eq!((answer.status, answer.body.as_str()), (200, WHOLE));
+    }
+}
+
+#[test]
+fn gives_no_bytes_beyond_the_answer() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_manner(Manner::Extra);
+    let mut client = site.gateway.client();
+    for number in 0..4 {
+        client
+            .send("GET", "/read/a", &format!("r{number}"), &[], b"")
+            .unwrap();
+        let answer = client.receive().unwrap();
+        assert_eq!(
+            answer.fields["pistachiohall-request-id"],
+            format!("r{number}")
+        );
+        assert_eq!(answer.body, WHOLE);
+    }
+}
+
+/// All upstreams fail: repeats stay within the share of the budget that one of two hosts has.
+#[test]
+fn keeps_repeats_within_the_budget() {
+    let bounds =
+        "[orders]\nread_share = 0\n[repeats]\nratio = 0.2\nslack = 10\nhosts_expected = 1\n";
+    let site = Site::start(&["c1", "c2"], &[], bounds);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(Manner::Fail));
+    let requests = 60;
+    for number in 0..requests {
+        site.gateway
+            .call("GET", "/read/a", &format!("r{number}"), &[]);
+    }
+    let repeats = site.arrivals() - requests;
+    assert!(repeats > 0);
+    assert!(repeats as f64 <= 0.2 * requests as f64 + 10.0, "{repeats}");
+}
+
+/// A request that crashes each upstream that runs it is not sent to a third one.
+#[test]
+fn holds_back_a_request_that_crashes_upstreams() {
+    let site = Site::desks(&["c1", "c2", "c3"]);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(Manner::Reset));
+    let send = |number: u32, body: &[u8]| {
+        let mut client = site.gateway.client();
+        client
+            .send("POST", "/act/a", &format!("r{number}"), &[], body)
+            .unwrap();
+        client.receive().unwrap().status
+    };
+    let statuses: Vec<u16> = (0..5).map(|number| send(number, b"crash")).collect();
+    assert_eq!(statuses, [502, 502, 503, 503, 503]);
+    assert_eq!(site.runs(), 2);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(Manner::Sound));
+    assert_eq!(send(9, b"another"), 200);
+}
--- /dev/null
+++ b/tests/gateway/site.rs
@@ -0,0 +1,235 @@
+//! A gateway process, a store and upstreams on loopback.
+
+use std::collections::HashMap;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use pistachiohall::standin::fleet;
+use pistachiohall::standin::fleet::client;
+use pistachiohall::standin::fleet::client::Answer;
+use pistachiohall::standin::fleet::client::Client;
+use pistachiohall::standin::fleet::replica::Replica;
+use pistachiohall::standin::fleet::store::Store;
+
+/// Longest wait for something that must come about, far above what it takes on a busy machine.
+pub const LONG: Duration = Duration::from_secs(30);
+/// Pause between two looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+
+/// Waits until `holds`; panics with `what` if it does not come about.
+pub fn wait_for<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < LONG, "did not come about: {what}");
+        thread::sleep(LOOK_PAUSE);
+    }
+}
+
+/// A gateway in a process of its own; killed when dropped.
+pub struct Gateway {
+    child: Child,
+    addresses: HashMap<String, SocketAddr>,
+    settings: PathBuf,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Gateway {
+    /// Starts a gateway; `more` is added to its settings.
+    pub fn start(name: &str, store: SocketAddr, more: &str) -> Self {
+        let unique = uuid::Uuid::now_v7();
+        let settings = std::env::temp_dir().join(format!("{name}-{unique}.ini"));
+        let mut gateway = Gateway {
+            child: spawn(&settings, &text(name, store, more)),
+            addresses: HashMap::new(),
+            settings,
+            lines: Arc::default(),
+        };
+        gateway.read_lines();
+        gateway
+    }
+
+    fn read_lines(&mut self) {
+        let out = self.child.stdout.take().unwrap();
+        let lines = Arc::clone(&self.lines);
+        thread::spawn(move || {
+            for line in BufReader::new(out).lines() {
+                let Ok(line) = line else { return };
+                lines.lock().unwrap().push(line);
+            }
+        });
+        wait_for("start", || self.line(&["outcome=started"]).is_some());
+        let started = self.line(&["outcome=started"]).unwrap();
+        self.addresses = started
+            .split(' ')
+            .filter_map(|pair| pair.split_once('='))
+            .filter_map(|(name, value)| Some((name.to_owned(), value.parse().ok()?)))
+            .collect();
+    }
+
+    /// Returns the first log line that contains all `words`.
+    pub fn line(&self, words: &[&str]) -> Option<String> {
+        let lines = self.lines.lock().unwrap();
+        let holds = |line: &&String| words.iter().all(|word| line.contains(word));
+        lines.iter().find(holds).cloned()
+    }
+
+    /// Returns where callers are served.
+    pub fn callers(&self) -> SocketAddr {
+        self.addresses["callers"]
+    }
+
+    /// Returns the status of the readiness question.
+    pub fn readiness(&self) -> u16 {
+        client::call(self.addresses["balancer"], "GET", "/v1/readyz", "r", &[])
+            .map_or(0, |answer| answer.status)
+    }
+
+    /// Returns the metrics.
+    pub fn metrics(&self) -> String {
+        let line = self.line(&["metrics=", "outcome=served"]).unwrap();
+        let pair = line
+            .split(' ')
+            .find_map(|pair| pair.strip_prefix("metrics="));
+        let address = pair.unwrap().parse().unwrap();
+        client::call(address, "GET", "/metrics", "m", &[])
+            .unwrap()
+            .body
+    }
+
+    /// Waits until the gateway is ready.
+    pub fn wait_ready(&self) {
+        wait_for("readiness", || self.readiness() == 200);
+    }
+
+    /// Waits until the gateway has logged a line that contains all `words`.
+    pub fn wait_line(&self, words: &[&str]) {
+        wait_for(&words.join(" "), || self.line(words).is_some());
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        Command::new("kill").args([name, &id]).status().unwrap();
+    }
+
+    /// Writes other settings over the file.
+    pub fn rewrite(&self, name: &str, store: SocketAddr, more: &str) {
+        std::fs::write(&self.settings, text(name, store, more)).unwrap();
+    }
+
+    /// Waits for the end and returns the exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+
+    /// Calls on a connection of its own.
+    pub fn call(&self, method: &str, path: &str, id: &str, fields: &[(&str, &str)]) -> Answer {
+        client::call(self.callers(), method, path, id, fields).unwrap()
+    }
+
+    /// Opens a connection.
+    pub fn client(&self) -> Client {
+        Client::connect(self.callers()).unwrap()
+    }
+}
+
+fn text(name: &str, store: SocketAddr, more: &str) -> String {
+    format!(
+        "[gateway]\nname = {name}\ndomain = derby\nlisten = 127.0.0.1:0\n\
+         ready_listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\nmetrics_listen = 127.0.0.1:0\n\
+         store = {store}\n{more}"
+    )
+}
+
+fn spawn(settings: &PathBuf, text: &str) -> Child {
+    std::fs::write(settings, text).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_pistachiohall"))
+        .arg("serve")
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap()
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // A process that has ended by itself cannot be killed again.
+        let _killed = self.child.kill();
+        let _status = self.child.wait();
+        let _removed = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// A store, upstreams and one gateway that knows them.
+pub struct Site {
+    /// Store.
+    pub store: Store,
+    /// Upstreams by name.
+    pub replicas: HashMap<String, Replica>,
+    /// Gateway.
+    pub gateway: Gateway,
+}
+
+/// Settings for tests of the rules on requests: no orders, and a budget that does not bind.
+pub const NO_ORDERS: &str = "[orders]\nread_share = 0\n[repeats]\nslack = 1000\n";
+
+impl Site {
+    /// Starts plain services named `desks` and engines named `engines` with their stages.
+    pub fn start(desks: &[&str], engines: &[(&str, &'static str)], more: &str) -> Self {
+        let store = Store::start().unwrap();
+        store.put_config(&fleet::config(3));
+        let mut replicas = HashMap::new();
+        for id in desks {
+            let replica = Replica::start(id, "desk", "derby", None).unwrap();
+            replicas.insert((*id).to_owned(), replica);
+        }
+        for (id, stage) in engines {
+            let replica = Replica::start(id, "lm", "derby", Some(stage)).unwrap();
+            replicas.insert((*id).to_owned(), replica);
+        }
+        for replica in replicas.values() {
+            replica.register(&store, "ready");
+        }
+        let gateway = Gateway::start("h1", store.address(), more);
+        gateway.wait_ready();
+        for id in replicas.keys() {
+            gateway.wait_line(&[&format!("upstream={id} "), "outcome=added"]);
+        }
+        Site {
+            store,
+            replicas,
+            gateway,
+        }
+    }
+
+    /// Starts plain services alone.
+    pub fn desks(ids: &[&str]) -> Self {
+        Site::start(ids, &[], NO_ORDERS)
+    }
+
+    /// Returns how many requests ran on all upstreams.
+    pub fn runs(&self) -> usize {
+        self.replicas.values().map(Replica::runs).sum()
+    }
+
+    /// Returns how many requests reached any upstream.
+    pub fn arrivals(&self) -> usize {
+        self.replicas
+            .values()
+            .map(|replica| replica.seen().len())
+            .sum()
+    }
+}
--- a/tests/it.rs
+++ b/tests/it.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod fuzz;
+mod gateway;
 mod matrix;
 mod once;
 mod orders;
