Test placement, budgets, registry, lease and roles without network or clock

Change: 45 tests of the pure modules, each named for the load or trouble that it answers; event splitting and repeats under random cuts and storms.

--- /dev/null
+++ b/tests/decisions/budget.rs
@@ -0,0 +1,61 @@
+//! Repeats under a retry storm.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+
+use pistachiohall::retry::window::Bounds;
+use pistachiohall::retry::window::Window;
+
+const BOUNDS: Bounds = Bounds {
+    ratio: 0.2,
+    slack: 56.0,
+    window: Duration::from_secs(10),
+};
+
+/// Every request fails on every host: all repeats of any ten seconds stay within the bounds.
+#[rstest]
+#[case(1, 200)]
+#[case(8, 20)]
+#[case(11, 5)]
+fn a_storm_on_all_hosts_stays_within_the_shared_budget(#[case] hosts: usize, #[case] rate: u64) {
+    let start = Instant::now();
+    let step = Duration::from_millis(100);
+    let mut windows: Vec<Window> = (0..hosts).map(|_| Window::new(BOUNDS)).collect();
+    let mut repeats = Vec::new();
+    for tick in 0..600_u32 {
+        let now = start + step * tick;
+        let mut spent = 0;
+        for window in &mut windows {
+            for _ in 0..rate {
+                window.note_request(now);
+                spent += u64::from(window.try_spend(1, hosts, now));
+            }
+        }
+        repeats.push(spent);
+    }
+    let requests_in_window = hosts as u64 * rate * 100;
+    let allowed = 0.2 * requests_in_window as f64 + 56.0;
+    for span in repeats.windows(100) {
+        let sum: u64 = span.iter().sum();
+        assert!(sum as f64 <= allowed, "{sum} repeats, {allowed} allowed");
+    }
+}
+
+/// A service that nobody asks for earns nothing: only the host's share of the slack is there.
+#[test]
+fn without_requests_only_the_slack_is_spent() {
+    let mut window = Window::new(BOUNDS);
+    let now = Instant::now();
+    let spent = (0..1000).filter(|_| window.try_spend(1, 8, now)).count();
+    assert!((1..=7).contains(&spent), "{spent}");
+}
+
+#[test]
+fn repeats_that_were_not_foreseen_count_as_well() {
+    let mut window = Window::new(BOUNDS);
+    let now = Instant::now();
+    (0..100).for_each(|_| window.note_repeat(now));
+    assert!(!window.try_spend(1, 1, now));
+}
--- /dev/null
+++ b/tests/decisions/fleet.rs
@@ -0,0 +1,125 @@
+//! The registry: departures, lapses, stale and restarted entries.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use pistachiohall::fleet::Change;
+use pistachiohall::fleet::Fleet;
+use pistachiohall::fleet::LAPSE_TIME;
+use pistachiohall::fleet::RETURN_TIME;
+use pistachiohall::fleet::Row;
+use pistachiohall::fleet::State;
+use pistachiohall::upstream::Role;
+
+fn row(id: &str, born: u64) -> Row {
+    Row {
+        id: id.into(),
+        born,
+        service: "lm".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "derby".into(),
+        role: Role::Decode,
+        state: State::Ready,
+        slots: 8,
+    }
+}
+
+fn draining(id: &str, born: u64) -> Row {
+    Row {
+        state: State::Draining,
+        ..row(id, born)
+    }
+}
+
+fn fleet(ids: &[&str], now: Instant) -> Fleet {
+    let mut fleet = Fleet::default();
+    let written = ids.iter().map(|id| Change::Written(row(id, 1), 5));
+    fleet.apply(written.collect(), now);
+    fleet
+}
+
+fn ids(fleet: &Fleet) -> Vec<String> {
+    fleet.rows().iter().map(|row| row.id.to_string()).collect()
+}
+
+#[test]
+fn a_departure_ends_use_at_once() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"], now);
+    fleet.apply(vec![Change::Removed("a".into())], now);
+    assert_eq!(ids(&fleet), ["b"]);
+}
+
+/// Entries taken away together are a lapse; live upstreams write theirs again within a second.
+#[test]
+fn a_mass_lapse_is_borne_for_a_while() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b", "c"], now);
+    fleet.apply(
+        vec![Change::Removed("a".into()), Change::Removed("b".into())],
+        now,
+    );
+    assert_eq!(ids(&fleet), ["a", "b", "c"]);
+    fleet.apply(vec![Change::Written(row("a", 1), 6)], now + LAPSE_TIME / 2);
+    let gone = fleet.sweep(now + LAPSE_TIME);
+    assert_eq!(gone, ["b"]);
+    assert_eq!(ids(&fleet), ["a", "c"]);
+}
+
+/// After an outage an entry may be missing for two seconds although its upstream lives.
+#[test]
+fn entries_missing_after_an_outage_have_time_to_come_back() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"], now);
+    fleet.note_return(now);
+    fleet.replace(vec![(row("b", 1), 9)], now);
+    assert_eq!(ids(&fleet), ["a", "b"]);
+    assert!(
+        fleet
+            .sweep(now + RETURN_TIME - Duration::from_millis(1))
+            .is_empty()
+    );
+    assert_eq!(fleet.sweep(now + RETURN_TIME), ["a"]);
+}
+
+/// A draining upstream that vanishes has left, however many vanish with it.
+#[test]
+fn a_draining_upstream_is_never_a_lapse() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"], now);
+    fleet.apply(vec![Change::Written(draining("a", 1), 6)], now);
+    fleet.apply(
+        vec![Change::Removed("a".into()), Change::Removed("b".into())],
+        now,
+    );
+    assert_eq!(ids(&fleet), ["b"]);
+}
+
+#[test]
+fn an_old_entry_does_not_undo_draining() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a"], now);
+    fleet.apply(vec![Change::Written(draining("a", 1), 7)], now);
+    fleet.apply(
+        vec![
+            Change::Written(row("a", 1), 6),
+            Change::Written(row("a", 1), 8),
+        ],
+        now,
+    );
+    assert_eq!(fleet.rows()[0].state, State::Draining);
+}
+
+#[test]
+fn a_restarted_upstream_is_another_one() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a"], now);
+    fleet.apply(vec![Change::Written(draining("a", 1), 7)], now);
+    fleet.apply(vec![Change::Written(row("a", 2), 1)], now);
+    assert_eq!(
+        (fleet.rows()[0].born, fleet.rows()[0].state),
+        (2, State::Ready)
+    );
+    fleet.apply(vec![Change::Written(row("a", 1), 99)], now);
+    assert_eq!(fleet.rows()[0].born, 2);
+}
--- /dev/null
+++ b/tests/decisions/logging.rs
@@ -0,0 +1,65 @@
+//! Log lines never hold up the thread that writes them.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+
+use pistachiohall::logging::Ring;
+
+/// A standard output that takes nothing until it is opened.
+#[derive(Clone, Default)]
+struct Gate {
+    shared: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+}
+
+impl Gate {
+    fn open(&self) {
+        self.shared.0.lock().unwrap().0 = true;
+        self.shared.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.shared.0.lock().unwrap().1.clone()).unwrap()
+    }
+}
+
+impl Write for Gate {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let state = self.shared.0.lock().unwrap();
+        let mut state = self.shared.1.wait_while(state, |state| !state.0).unwrap();
+        state.1.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_stuck_output_costs_lines_and_no_time() {
+    let gate = Gate::default();
+    let ring = Ring::start(gate.clone(), 10).unwrap();
+    for number in 0..100 {
+        ring.push(format!("line {number}\n").into_bytes());
+    }
+    gate.open();
+    ring.push(b"last\n".to_vec());
+    // The ring may still be full; flushing waits for room.
+    ring.flush();
+    ring.push(b"after\n".to_vec());
+    ring.flush();
+    let text = gate.text();
+    let kept = text.lines().filter(|line| line.starts_with("line")).count();
+    assert!((10..=11).contains(&kept), "{text}");
+    let told: usize = text
+        .lines()
+        .filter_map(|line| line.split("dropped_lines=").nth(1))
+        .map(|count| count.parse::<usize>().unwrap())
+        .sum();
+    let last = usize::from(!text.contains("last"));
+    assert_eq!(kept + told, 100 + last, "{text}");
+    assert!(text.contains("after"));
+}
--- /dev/null
+++ b/tests/decisions/mod.rs
@@ -0,0 +1,10 @@
+//! Decisions without network and clock, each under the load or trouble that it answers.
+
+mod budget;
+mod catalog;
+mod events;
+mod fleet;
+mod logging;
+mod placement;
+mod reassign;
+mod term;
--- /dev/null
+++ b/tests/decisions/placement.rs
@@ -0,0 +1,269 @@
+//! Placing requests to models under the mixes that the users describe.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use pistachiohall::gateway::call::Part;
+use pistachiohall::gateway::call::Prompt;
+use pistachiohall::placement;
+use pistachiohall::placement::Board;
+use pistachiohall::placement::Engine;
+use pistachiohall::placement::Job;
+use pistachiohall::placement::Plan;
+use pistachiohall::placement::board::Load;
+use pistachiohall::placement::cost;
+use pistachiohall::upstream::Role;
+
+fn engine(id: &str, role: Role) -> Engine {
+    Engine {
+        id: id.into(),
+        role,
+        domain: "derby".into(),
+        is_trusted: true,
+        slots: 64,
+        running: 0,
+        backlog: Duration::ZERO,
+        late: Duration::ZERO,
+        cached: 0,
+        pace: 1.0,
+    }
+}
+
+fn fleet() -> Vec<Engine> {
+    let readers = (1..=6).map(|number| engine(&format!("p{number}"), Role::Prefill));
+    let generators = (1..=3).map(|number| engine(&format!("d{number}"), Role::Decode));
+    readers.chain(generators).collect()
+}
+
+fn long(subject: u64) -> Prompt {
+    Prompt {
+        tokens: 9190,
+        most_generated: 2,
+        parts: vec![
+            Part {
+                id: 1,
+                tokens: 2520,
+            },
+            Part {
+                id: subject,
+                tokens: 3780,
+            },
+            Part {
+                id: 1000 + subject,
+                tokens: 2890,
+            },
+        ],
+    }
+}
+
+fn short() -> Prompt {
+    Prompt {
+        tokens: 220,
+        most_generated: 89,
+        parts: vec![Part { id: 7, tokens: 47 }, Part { id: 8, tokens: 173 }],
+    }
+}
+
+fn job(prompt: &Prompt) -> Job<'_> {
+    Job {
+        prompt,
+        target_left: Duration::from_millis(150),
+        left: Duration::from_secs(2),
+    }
+}
+
+fn reader(plan: &Plan) -> Option<&str> {
+    match plan {
+        Plan::Split { reader, .. } => Some(reader),
+        _ => None,
+    }
+}
+
+/// Long reading beside short writing: engines that generate are kept free of long prompts.
+#[test]
+fn long_prompts_are_read_apart_from_generation() {
+    let engines = fleet();
+    let prompt = long(5);
+    let plan = placement::plan(&job(&prompt), &engines);
+    assert!(
+        reader(&plan).is_some_and(|reader| reader.starts_with('p')),
+        "{plan:?}"
+    );
+    let prompt = short();
+    let plan = placement::plan(&job(&prompt), &engines);
+    assert!(matches!(plan, Plan::Whole { engine, .. } if engine.starts_with('d')));
+}
+
+/// Sessions come back to the same engine on every host, and spread over all of them.
+#[test]
+fn subjects_stay_where_they_were_and_spread() {
+    let engines = fleet();
+    let mut used: HashMap<String, usize> = HashMap::new();
+    for subject in 0..600 {
+        let prompt = long(subject);
+        let plan = placement::plan(&job(&prompt), &engines);
+        let again = placement::plan(&job(&prompt), &engines);
+        assert_eq!(plan, again);
+        *used.entry(reader(&plan).unwrap().to_owned()).or_default() += 1;
+    }
+    assert_eq!(used.len(), 6);
+    assert!(
+        used.values().all(|count| (60..=140).contains(count)),
+        "{used:?}"
+    );
+}
+
+/// A popular subject: its engine backs up, and the next in order takes over before it is late.
+#[test]
+fn a_hot_subject_overflows_to_the_next_engine() {
+    let mut engines = fleet();
+    let prompt = long(5);
+    let home = reader(&placement::plan(&job(&prompt), &engines))
+        .unwrap()
+        .to_owned();
+    let index = engines.iter().position(|engine| engine.id == home).unwrap();
+    engines[index].cached = 6300;
+    engines[index].backlog = Duration::from_millis(20);
+    let plan = placement::plan(&job(&prompt), &engines);
+    assert_eq!(
+        reader(&plan),
+        Some(home.as_str()),
+        "what is kept outweighs a short wait"
+    );
+    engines[index].backlog = Duration::from_millis(140);
+    let plan = placement::plan(&job(&prompt), &engines);
+    assert_ne!(reader(&plan), Some(home.as_str()));
+}
+
+/// Twice the demand: what cannot be on time goes behind, and what cannot even be late is refused
+/// at once with the time until there is room.
+#[test]
+fn overload_is_late_first_and_refused_then() {
+    let prompt = long(5);
+    let with_backlog = |on_time, late| {
+        let mut engines = fleet();
+        for engine in &mut engines {
+            engine.backlog = Duration::from_millis(on_time);
+            engine.late = Duration::from_millis(late);
+        }
+        placement::plan(&job(&prompt), &engines)
+    };
+    let urgency = |plan: &Plan| match plan {
+        Plan::Split { urgency, .. } => Some(*urgency),
+        _ => None,
+    };
+    let on_time = urgency(&with_backlog(20, 500)).unwrap();
+    let late = urgency(&with_backlog(150, 0)).unwrap();
+    assert!(on_time < late);
+    match with_backlog(400, 600) {
+        Plan::Refuse { retry_after, .. } => {
+            assert!(retry_after >= Duration::from_millis(200), "{retry_after:?}");
+        }
+        plan => panic!("{plan:?}"),
+    }
+}
+
+/// A full fleet refuses; one free slot is not refused.
+#[test]
+fn no_refusal_while_there_is_room() {
+    let prompt = short();
+    let mut engines = fleet();
+    engines
+        .iter_mut()
+        .for_each(|engine| engine.running = engine.slots);
+    let plan = placement::plan(&job(&prompt), &engines);
+    assert!(matches!(plan, Plan::Refuse { .. }));
+    engines.last_mut().unwrap().running = 0;
+    let plan = placement::plan(&job(&prompt), &engines);
+    assert!(matches!(plan, Plan::Whole { engine, .. } if engine == "d3"));
+}
+
+/// All engines that read are lost: those that generate read as well.
+#[test]
+fn without_readers_generators_read() {
+    let engines: Vec<Engine> = fleet().split_off(6);
+    let prompt = long(5);
+    let plan = placement::plan(&job(&prompt), &engines);
+    assert!(matches!(plan, Plan::Whole { .. }), "{plan:?}");
+}
+
+/// An engine that failed just now is avoided while another can do the work.
+#[test]
+fn engines_that_failed_are_avoided() {
+    let mut engines = fleet();
+    let prompt = long(5);
+    let home = reader(&placement::plan(&job(&prompt), &engines))
+        .unwrap()
+        .to_owned();
+    let index = engines.iter().position(|engine| engine.id == home).unwrap();
+    engines[index].is_trusted = false;
+    let plan = placement::plan(&job(&prompt), &engines);
+    assert_ne!(reader(&plan), Some(home.as_str()));
+}
+
+/// Prompts move within a failure domain where an engine there can generate.
+#[test]
+fn generation_stays_in_the_readers_domain() {
+    let mut engines = fleet();
+    for (engine, domain) in engines.iter_mut().zip(["a", "b", "c"].into_iter().cycle()) {
+        engine.domain = domain.into();
+    }
+    for subject in 0..50 {
+        let prompt = long(subject);
+        let plan = placement::plan(&job(&prompt), &engines);
+        let Plan::Split {
+            reader,
+            generator,
+            spare,
+            ..
+        } = plan
+        else {
+            panic!("{plan:?}")
+        };
+        let domain = |id: &str| {
+            engines
+                .iter()
+                .find(|engine| engine.id == id)
+                .unwrap()
+                .domain
+                .clone()
+        };
+        assert_eq!(domain(&reader), domain(&generator));
+        assert!(spare.is_some_and(|spare| spare != generator));
+    }
+}
+
+/// Loads of peers are states: the newest counts, and silence makes them void.
+#[test]
+fn peers_loads_count_until_they_fall_silent() {
+    let mut board = Board::default();
+    let engine = "e1".into();
+    board.add(&engine, 1000);
+    let now = Instant::now();
+    let load = |running| Load {
+        running,
+        ..Load::default()
+    };
+    let digest = pistachiohall::gossip::digest("e1");
+    board.note_peer(&"h2".into(), &HashMap::from([(digest, load(3))]), now);
+    board.note_peer(&"h3".into(), &HashMap::from([(digest, load(2))]), now);
+    board.change(&engine, |own| own.running += 1);
+    assert_eq!(board.load(&engine, now).running, 6);
+    board.note_peer(&"h2".into(), &HashMap::new(), now);
+    assert_eq!(board.load(&engine, now).running, 3);
+    assert_eq!(board.load(&engine, now + Duration::from_secs(2)).running, 1);
+}
+
+/// The cost model agrees with the users' description: 341 tokens a millisecond, half when mixed.
+#[test]
+fn reading_times_follow_the_engines_description() {
+    let prompt = Prompt {
+        tokens: 3410,
+        ..Prompt::default()
+    };
+    let alone = cost::reading(&prompt, 0, Role::Prefill).as_secs_f64() * 1000.0;
+    let mixed = cost::reading(&prompt, 0, Role::Decode).as_secs_f64() * 1000.0;
+    assert!((10.0..12.5).contains(&alone), "{alone}");
+    assert!((20.0..23.0).contains(&mixed), "{mixed}");
+}
--- /dev/null
+++ b/tests/decisions/reassign.rs
@@ -0,0 +1,93 @@
+//! Which engines change their role.
+
+use rstest::rstest;
+
+use pistachiohall::fleet::Row;
+use pistachiohall::fleet::State;
+use pistachiohall::reassign;
+use pistachiohall::reassign::Change;
+use pistachiohall::upstream::Role;
+
+fn rows(domains: usize, each: usize, readers_each: usize) -> Vec<Row> {
+    let numbers = (0..domains).flat_map(|domain| (0..each).map(move |number| (domain, number)));
+    numbers
+        .map(|(domain, number)| Row {
+            id: format!("e{domain}-{number}").into(),
+            born: 1,
+            service: "lm".into(),
+            address: "127.0.0.1:9".parse().unwrap(),
+            domain: format!("z{domain}").into(),
+            role: match number < readers_each {
+                true => Role::Prefill,
+                false => Role::Decode,
+            },
+            state: State::Ready,
+            slots: 64,
+        })
+        .collect()
+}
+
+fn apply(rows: &mut [Row], changes: &[Change]) {
+    for change in changes {
+        let row = rows.iter_mut().find(|row| row.id == change.engine).unwrap();
+        row.role = change.role;
+    }
+}
+
+/// However the roles were, changes in steps of a quarter end at the share, with an engine that
+/// generates left in each failure domain, and then stop.
+#[rstest]
+#[case(3, 3, 1, 6)]
+#[case(3, 4, 1, 9)]
+#[case(3, 4, 0, 9)]
+#[case(3, 3, 3, 6)]
+#[case(3, 15, 4, 30)]
+#[case(3, 1, 0, 0)]
+fn changes_come_to_an_end_at_the_share(
+    #[case] domains: usize,
+    #[case] each: usize,
+    #[case] readers_each: usize,
+    #[case] expected: usize,
+) {
+    let mut rows = rows(domains, each, readers_each);
+    for _ in 0..20 {
+        let changes = reassign::changes(&rows, 0.67, false, |_| false);
+        assert!(changes.len() <= (domains * each / 4).max(1));
+        apply(&mut rows, &changes);
+    }
+    assert!(reassign::changes(&rows, 0.67, false, |_| false).is_empty());
+    let readers = rows.iter().filter(|row| row.role == Role::Prefill).count();
+    assert_eq!(readers, expected);
+    for domain in 0..domains {
+        let name = format!("z{domain}");
+        let generates = |row: &&Row| row.domain == name && row.role == Role::Decode;
+        assert!(rows.iter().any(|row| generates(&row)));
+    }
+}
+
+/// Nobody is harmed while there is no load: all engines change at once.
+#[test]
+fn an_idle_fleet_changes_at_once() {
+    let mut rows = rows(3, 4, 1);
+    let changes = reassign::changes(&rows, 0.67, true, |_| false);
+    apply(&mut rows, &changes);
+    assert!(reassign::changes(&rows, 0.67, true, |_| false).is_empty());
+}
+
+#[test]
+fn engines_that_change_already_count_and_are_not_ordered_again() {
+    let rows = rows(3, 4, 1);
+    let first = reassign::changes(&rows, 0.67, false, |_| false);
+    let is_first =
+        |id: &pistachiohall::id::UpstreamId| first.iter().any(|change| change.engine == *id);
+    assert!(reassign::changes(&rows, 0.67, false, is_first).is_empty());
+}
+
+#[test]
+fn a_draining_engine_gets_no_order() {
+    let mut rows = rows(1, 4, 0);
+    rows[0].state = State::Draining;
+    let changes = reassign::changes(&rows, 0.67, true, |_| false);
+    assert!(!changes.is_empty());
+    assert!(changes.iter().all(|change| change.engine != rows[0].id));
+}
--- a/tests/it.rs
+++ b/tests/it.rs
@@ -1,6 +1,7 @@
 //! Tests of the whole program.
 
 mod common;
+mod decisions;
 mod fuzz;
 mod gateway;
 mod matrix;
