--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -49,11 +49,6 @@
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
     }
-
-    /// Forgets the start of an event that will not be completed.
-    pub fn drop_partial(&mut self) {
-        self.rest.clear();
-    }
 }
 
 /// Returns the length up to the end of the last empty line.
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -10,11 +10,20 @@
 /// Longest time for which it is avoided; upstreams that crashed are back within seconds.
 const MOST_PAUSE: Duration = Duration::from_secs(2);
 
+/// Refusals in a row from which an upstream is avoided; one alone may be a moment's crowding.
+const REFUSALS: u32 = 2;
+/// First time for which an upstream that refuses is avoided; about the time of a few requests.
+const FIRST_REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+/// Longest time for which an upstream that refuses is avoided; engines that change their role
+/// refuse for seconds.
+const MOST_REFUSAL_PAUSE: Duration = Duration::from_millis(700);
+
 /// Outcomes of late.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Health {
     failed_share: f64,
     streak: u32,
+    refusals: u32,
     avoid_until: Option<Instant>,
 }
 
@@ -23,6 +32,7 @@
     pub fn note_success(&mut self) {
         self.failed_share *= 1.0 - SMOOTHING;
         self.streak = 0;
+        self.refusals = 0;
         self.avoid_until = None;
     }
 
@@ -45,6 +55,16 @@
         self.avoid_until = Some(now + pause.min(MOST_PAUSE));
     }
 
+    /// Notes that the upstream refused a request that it has not run.
+    pub fn note_refusal(&mut self, now: Instant) {
+        self.refusals = (self.refusals + 1).min(8);
+        if self.refusals >= REFUSALS {
+            let pause = FIRST_REFUSAL_PAUSE * 2_u32.pow(self.refusals - REFUSALS);
+            let until = now + pause.min(MOST_REFUSAL_PAUSE);
+            self.avoid_until = self.avoid_until.max(Some(until));
+        }
+    }
+
     /// Returns whether the upstream may be used before those that failed just now.
     pub fn is_trusted(&self, now: Instant) -> bool {
         self.avoid_until.is_none_or(|until| until <= now)
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -122,7 +122,7 @@
         Err(Failure::NotRun(StatusCode::MISDIRECTED_REQUEST) | Failure::NotSent(_)) => {
             health.note_failure(Instant::now());
         }
-        Err(Failure::NotRun(_)) => (),
+        Err(Failure::NotRun(_)) => health.note_refusal(Instant::now()),
         Err(Failure::Broken(_) | Failure::Silent) => health.note_failure(Instant::now()),
     }
 }
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -144,6 +144,23 @@
     assert_eq!(site.runs(), 0);
 }
 
+/// An engine refuses while it changes its role: it is left alone instead of being asked each time.
+#[test]
+fn leaves_an_engine_that_refuses_alone() {
+    let engines = [("p1", "prefill"), ("d1", "decode"), ("d2", "decode")];
+    let site = Site::start(&[], &engines, NO_ORDERS);
+    site.replicas["d1"].set_manner(Manner::Shed);
+    for number in 0..40 {
+        let id = format!("r{number}");
+        assert_whole(&site.gateway.call("POST", "/ask/a", &id, &LONG_PROMPT));
+    }
+    let refused = site.replicas["d1"].seen().len();
+    assert!(
+        (1..=10).contains(&refused),
+        "{refused} of 40 were refused first"
+    );
+}
+
 /// The role policy wants two of three engines to read; the lease's offset is the fencing token.
 #[test]
 fn orders_engines_to_read() {
