--- a/src/reassign/mod.rs
+++ b/src/reassign/mod.rs
@@ -40,7 +40,8 @@
 /// Returns the changes that bring the engines of one service to `read_share`.
 ///
 /// Each failure domain keeps at least one engine that generates, so that prompts are moved within
-/// the domain, and gets its own share of engines that read. `is_changing` tells the engines that
+/// the domain, and gets its own share of engines that read. The engines that started last change
+/// first: they have the least work to finish and the least to forget. `is_changing` tells the engines that
 /// are away for a change already; at most a quarter of all are at a time, unless there is no load.
 ///
 /// ```
@@ -87,9 +88,11 @@
         true => (others, Role::Prefill, wanted - readers.len()),
         false => (readers.clone(), Role::Decode, readers.len() - wanted),
     };
+    let mut newest_first = from;
+    newest_first.sort_by_key(|row| std::cmp::Reverse(row.born));
     let change = |row: &&&Row| Change {
         engine: row.id.clone(),
         role,
     };
-    from.iter().take(count).map(change).collect()
+    newest_first.iter().take(count).map(change).collect()
 }
--- a/tests/decisions/reassign.rs
+++ b/tests/decisions/reassign.rs
@@ -83,6 +83,17 @@
     assert!(reassign::changes(&rows, 0.67, false, is_first).is_empty());
 }
 
+/// A release under load: an engine that has just started is away for three seconds, one with
+/// streams to finish for ten or more.
+#[test]
+fn the_newest_engines_change_first() {
+    let mut rows = rows(1, 4, 1);
+    rows[2].born = 9;
+    let changes = reassign::changes(&rows, 0.5, false, |_| false);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].engine, rows[2].id);
+}
+
 #[test]
 fn a_draining_engine_gets_no_order() {
     let mut rows = rows(1, 4, 0);
