Learn from peers while the store is away

Cause: a host that was restarted during an outage of the store knew no configuration until the store was back. Change: peers tell what they believe over TCP at the address of their datagrams; a host asks the peer it heard last after two seconds. Adopting a configuration decides and stores under one lock. check knows gateway settings.

--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -12,6 +12,7 @@
 use crate::cli::Check;
 use crate::publish;
 use crate::settings::Settings;
+use crate::settings::gateway;
 
 use super::EXIT_FAULT;
 use super::print;
@@ -37,7 +38,11 @@
     for path in &settings {
         let file = path.display().to_string();
         let text = fs::read_to_string(path).with_context(|| format!("cannot read {file}"))?;
-        if let Err(faults) = Settings::parse(&file, &text) {
+        let parsed = match gateway::is_gateway(&text) {
+            true => gateway::Settings::parse(&file, &text).map(drop),
+            false => Settings::parse(&file, &text).map(drop),
+        };
+        if let Err(faults) = parsed {
             report
                 .faults
                 .extend(faults.0.iter().map(ToString::to_string));
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::id::Birth;
 use crate::id::DomainId;
 use crate::id::ServiceId;
@@ -24,7 +27,7 @@
 const MASS_LAPSE: usize = 2;
 
 /// Whether an upstream takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// Takes work.
     Ready,
@@ -33,7 +36,7 @@
 }
 
 /// What an upstream says of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// Name.
     pub id: UpstreamId,
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -46,6 +46,8 @@
 pub struct View {
     /// Configuration in force; none before the first one was read.
     pub catalog: Option<Arc<Catalog>>,
+    /// The same as the operator wrote it, for peers that start without the store.
+    pub config: Arc<Vec<u8>>,
     /// Upstreams.
     pub rows: Arc<Vec<Row>>,
     /// Whether the registry was read at least once.
@@ -79,24 +81,37 @@
         self.sender.send_replace(Arc::new(view.clone()));
     }
 
-    /// Puts a configuration into force unless it is older than the one in force.
-    pub fn adopt(&self, catalog: Catalog, source: &str) {
-        let held = self
-            .view
-            .lock()
-            .expect("view lock")
-            .catalog
-            .as_ref()
-            .map(|held| held.version());
-        let version = catalog.version();
-        if held.is_some_and(|held| held >= version) {
-            if held != Some(version) {
-                warn!("config={version} source={source} held={held:?} outcome=ignored-older");
+    /// Puts a configuration into force unless it is unreadable or older than the one in force.
+    pub fn adopt(&self, config: Vec<u8>, source: &str) {
+        let catalog = match config::decode(&config) {
+            Ok(catalog) => catalog,
+            Err(cause) => {
+                let cause = cause.to_string();
+                warn!("config=unreadable source={source} outcome=ignored cause={cause:?}");
+                return;
             }
-            return;
+        };
+        self.publish(|view| {
+            let held = view.catalog.as_ref().map(|held| held.version());
+            let version = catalog.version();
+            if held.is_some_and(|held| held >= version) {
+                if held != Some(version) {
+                    warn!("config={version} source={source} held={held:?} outcome=ignored-older");
+                }
+                return;
+            }
+            info!("config={version} source={source} replaced={held:?} outcome=in-force");
+            view.catalog = Some(Arc::new(catalog));
+            view.config = Arc::new(config);
+        });
+    }
+
+    /// Takes over a peer's upstreams unless the registry was read.
+    pub fn adopt_rows(&self, rows: Vec<Row>) {
+        if !self.view.lock().expect("view lock").has_registry {
+            info!("upstreams={} source=peer outcome=taken-over", rows.len());
+            self.set_rows(rows);
         }
-        info!("config={version} source={source} replaced={held:?} outcome=in-force");
-        self.publish(|view| view.catalog = Some(Arc::new(catalog)));
     }
 
     /// Publishes the upstreams if they changed, and logs how.
@@ -274,13 +289,7 @@
         .filter(|record| record.key == store::CONFIG_KEY)
         .filter_map(|record| record.value);
     for content in contents {
-        match config::decode(&content) {
-            Ok(catalog) => board.adopt(catalog, "store"),
-            Err(cause) => warn!(
-                "config=unreadable outcome=ignored cause={:?}",
-                cause.to_string()
-            ),
-        }
+        board.adopt(content, "store");
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! `health`.
 
 pub mod allowance;
+pub mod bootstrap;
 pub mod call;
 pub mod events;
 pub mod exchange;
@@ -28,6 +29,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,6 +76,7 @@
     repeats: Cell<window::Bounds>,
     is_leaving: Cell<bool>,
     last_request: Cell<Option<Instant>>,
+    last_heard: Cell<Option<SocketAddr>>,
     view: RefCell<Arc<View>>,
     targets: RefCell<BTreeMap<UpstreamId, Rc<Target>>>,
     budgets: RefCell<HashMap<ServiceId, window::Window>>,
@@ -93,6 +96,7 @@
             away: RefCell::default(),
             is_leaving: Cell::default(),
             last_request: Cell::default(),
+            last_heard: Cell::default(),
             view: RefCell::default(),
             targets: RefCell::default(),
             budgets: RefCell::default(),
@@ -101,8 +105,28 @@
 
     /// Returns whether new connections should come here.
     pub fn is_ready(&self) -> bool {
+        !self.is_leaving.get() && self.knows_all()
+    }
+
+    /// Returns whether the configuration and the upstreams are known.
+    pub fn knows_all(&self) -> bool {
         let view = self.view.borrow();
-        !self.is_leaving.get() && view.catalog.is_some() && view.has_registry
+        view.catalog.is_some() && view.has_registry
+    }
+
+    /// Returns what this host believes.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    /// Returns where the peer is that was heard last.
+    pub fn last_heard(&self) -> Option<SocketAddr> {
+        self.last_heard.get()
+    }
+
+    /// Notes where a peer was heard from.
+    pub fn note_heard(&self, peer: SocketAddr) {
+        self.last_heard.set(Some(peer));
     }
 
     /// Notes that the process was asked to end.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -205,6 +205,7 @@
         }
     };
     let now = Instant::now();
+    gateway.note_heard(from);
     let known = peers.known();
     let is_newest = peers.note(&beat, from, now);
     if peers.known() != known {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -1,6 +1,7 @@
 //! One gateway process: its threads, its start, its reload and its graceful end.
 
 use std::fs;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,6 +30,7 @@
 use tokio::time;
 
 use super::Gateway;
+use super::bootstrap;
 use super::listen;
 use super::listen::Connections;
 use super::listen::Phase;
@@ -107,6 +109,7 @@
         standing,
     };
     let sources = Sources {
+        views,
         view,
         peers,
         socket,
@@ -142,6 +145,7 @@
 /// What the loop hears from other threads, and where its settings are.
 #[derive(Debug)]
 struct Sources {
+    views: Arc<Views>,
     view: watch::Receiver<Arc<View>>,
     peers: peers::Sources,
     socket: std::net::UdpSocket,
@@ -151,6 +155,7 @@
 
 async fn serve_until_asked(gateway: Rc<Gateway>, sources: Sources) -> Result<bool> {
     let Sources {
+        views,
         view,
         peers: peer_sources,
         socket,
@@ -170,10 +175,13 @@
         env!("CARGO_PKG_VERSION")
     );
     task::spawn_local(follow_views(Rc::clone(&gateway), view));
+    let peer_address = socket.local_addr()?;
     let socket = UdpSocket::from_std(socket)?;
     task::spawn_local(peers::run(Rc::clone(&gateway), socket, peer_sources));
     task::spawn_local(sweep(Rc::clone(&gateway)));
+    task::spawn_local(bootstrap::ask_peers(Rc::clone(&gateway), views));
     let (phase, connections) = start_listening(&gateway, callers, balancer);
+    answer_peers(&gateway, peer_address);
     while let Some(Notice::Reload) = notices.recv().await {
         reload(&gateway, &file);
     }
@@ -216,6 +224,26 @@
     }
 }
 
+/// Answers peers that start without the store; without it this host serves on.
+fn answer_peers(gateway: &Rc<Gateway>, address: SocketAddr) {
+    let listener = match listen::open(address) {
+        Ok(listener) => listener,
+        Err(cause) => {
+            warn!("peers={address} outcome=beliefs-not-told cause={cause:?}");
+            return;
+        }
+    };
+    let own = Rc::clone(gateway);
+    let answer =
+        move |request: Request<Incoming>| std::future::ready(bootstrap::answer(&own, &request));
+    // The sender is kept by the task, so that the listener stays to the end of the process.
+    let (phase, follower) = watch::channel(Phase::Open);
+    task::spawn_local(async move {
+        listen::accept(listener, answer, follower, Connections::default()).await;
+        drop(phase);
+    });
+}
+
 async fn follow_views(gateway: Rc<Gateway>, mut view: watch::Receiver<Arc<View>>) {
     loop {
         let newest = Arc::clone(&view.borrow_and_update());
--- a/tests/gateway/belief.rs
+++ b/tests/gateway/belief.rs
@@ -177,6 +177,24 @@
     assert!(!other.seen().is_empty(), "the case came about");
 }
 
+/// The store is away while a host starts again: peers tell it what they believe.
+#[test]
+fn learns_from_peers_while_the_store_is_away() {
+    let site = Site::desks(&["c1"]);
+    let mut second = Gateway::start("h2", site.store.address(), NO_ORDERS);
+    second.wait_line(&["peers=1 "]);
+    site.gateway.wait_line(&["peers=1 "]);
+    site.store.set_trouble(Trouble::Down);
+    second.restart();
+    second.wait_ready();
+    second.wait_line(&["config=3 ", "source=peer", "outcome=in-force"]);
+    assert_eq!(second.call("GET", "/read/a", "r1", &[]).status, 200);
+    site.store.set_trouble(Trouble::None);
+    second.wait_line(&["dependency=store", "outcome=back"]);
+    site.store.put_config(&without_route(9, "/read/"));
+    second.wait_line(&["config=9 ", "source=store", "outcome=in-force"]);
+}
+
 #[test]
 fn finds_peers_through_the_store() {
     let site = Site::desks(&["c1"]);
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -130,6 +130,18 @@
         std::fs::write(&self.settings, text(name, store, more)).unwrap();
     }
 
+    /// Kills the process and starts it again with the same peer address.
+    pub fn restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        let peers = format!("peer_listen = {}", self.addresses["peers"]);
+        let text = text.replace("peer_listen = 127.0.0.1:0", &peers);
+        self.lines = Arc::default();
+        self.child = spawn(&self.settings, &text);
+        self.read_lines();
+    }
+
     /// Waits for the end and returns the exit code.
     pub fn wait(&mut self) -> Option<i32> {
         self.child.wait().unwrap().code()
