--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -33,6 +33,8 @@
 use crate::placement::cost;
 use crate::platform::egress;
 
+/// Urgency of a request that names none, the last of the scale.
+const LEAST_URGENT: u8 = 9;
 /// Share of the time left that one try of an idempotent request may take without a first event.
 const PATIENCE_SHARE: f64 = 0.4;
 
@@ -123,6 +125,7 @@
             let terms = terms(&progress.call, work, *urgency, after_event);
             let mut started = start_at(gateway, progress, generator, &terms).await;
             if let (Err(Failure::NotRun(_) | Failure::NotSent(_)), Some(spare)) = (&started, spare)
+                && progress.allowance.allows_more(false)
                 && gateway.may_repeat(&progress.call.service, 1, Instant::now())
             {
                 started = start_at(gateway, progress, spare, &terms).await;
@@ -141,6 +144,7 @@
     terms: &Terms<'_>,
 ) -> Result<Started, Failure> {
     progress.allowance.note_send();
+    let urgency = terms.urgency.unwrap_or(LEAST_URGENT);
     let started = match gateway.target(engine) {
         None => Err(Failure::NotSent("the engine is gone".into())),
         Some(target) => {
@@ -148,14 +152,14 @@
                 Work::Generate(_) => Duration::ZERO,
                 Work::Whole | Work::Read => reading(gateway, &progress.call, &target),
             };
-            let place = Place::new(gateway, &target, reading, terms.urgency.unwrap_or_default());
+            let place = Place::new(gateway, &target, reading, urgency);
             start(target, &progress.call, terms, place).await
         }
     };
     let outcome = summary(&started);
     progress
         .course
-        .step(format_args!("{engine}/{:?}={outcome}", terms.urgency));
+        .step(format_args!("{engine}/{urgency}={outcome}"));
     if let Err(failure) = &started {
         progress.note_failure(gateway, engine, failure);
     }
