Hear a peer whose clock was set back, and bound request heads

Cause: found by reading the change: a peer that started again after its clock was set back was ignored for good, since its start was earlier than that of its former life; a prompt read where it is generated was noted as kept before its reading was weighed; a head could grow to some 400 KiB. Tests of each but the second.

--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -34,6 +34,8 @@
 /// Longest time for a request's head to arrive, and for a connection to stay idle; above the
 /// fifteen seconds that callers are told of.
 const HEAD_TIME: Duration = Duration::from_secs(20);
+/// Largest head of a request, with room above the 16 KiB that callers keep to.
+const HEAD_BYTES: usize = 64 << 10;
 /// Unacknowledged data older than this ends a connection.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a failed accept, such as one for lack of descriptors.
@@ -149,6 +151,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIME)
+        .max_buf_size(HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -109,7 +109,6 @@
     match plan {
         Plan::Refuse { reason, .. } => Err(Failure::NotSent((*reason).into())),
         Plan::Whole { engine, urgency } => {
-            note_reading(gateway, &progress.call, engine);
             let terms = terms(&progress.call, Work::Whole, *urgency, after_event);
             start_at(gateway, progress, engine, &terms).await
         }
@@ -153,6 +152,9 @@
                 Work::Whole | Work::Read => reading(gateway, &progress.call, &target),
             };
             let place = Place::new(gateway, &target, reading, urgency);
+            if matches!(terms.work, Work::Whole) {
+                note_reading(gateway, &progress.call, engine);
+            }
             start(target, &progress.call, terms, place).await
         }
     };
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -133,10 +133,13 @@
     /// ```
     pub fn note(&mut self, beat: &Beat, from: SocketAddr, now: Instant) -> bool {
         let host = HostId::from(beat.host.as_str());
-        if let Some(peer) = self.peers.get(&host)
-            && (beat.born, beat.sequence) <= (peer.born, peer.sequence)
-        {
-            return false;
+        if let Some(peer) = self.peers.get(&host) {
+            let is_repeated = beat.born == peer.born && beat.sequence <= peer.sequence;
+            // A clock that was set back gives a new life an earlier start; silence tells.
+            let is_of_before = beat.born < peer.born && is_recent(peer.heard, now);
+            if is_repeated || is_of_before {
+                return false;
+            }
         }
         self.add(&host, from);
         if let Some(peer) = self.peers.get_mut(&host) {
--- /dev/null
+++ b/tests/decisions/gossip.rs
@@ -0,0 +1,52 @@
+//! Datagrams that cross, repeat, or come from another life of a peer.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use pistachiohall::gossip::Beat;
+use pistachiohall::gossip::Peers;
+use pistachiohall::gossip::SILENCE;
+
+fn beat(born: u64, sequence: u64) -> Beat {
+    Beat {
+        host: "h2".into(),
+        born,
+        sequence,
+        ..Beat::default()
+    }
+}
+
+#[test]
+fn datagrams_that_cross_do_not_bring_back_old_loads() {
+    let mut peers = Peers::default();
+    let from = "127.0.0.1:9".parse().unwrap();
+    let now = Instant::now();
+    assert!(peers.note(&beat(5, 2), from, now));
+    assert!(!peers.note(&beat(5, 2), from, now));
+    assert!(!peers.note(&beat(5, 1), from, now));
+    assert!(peers.note(&beat(6, 1), from, now));
+    assert!(!peers.note(&beat(5, 9), from, now));
+}
+
+/// The clock of a host was set back before it started again.
+#[test]
+fn a_new_life_with_an_earlier_start_is_heard_after_a_silence() {
+    let mut peers = Peers::default();
+    let from = "127.0.0.1:9".parse().unwrap();
+    let now = Instant::now();
+    assert!(peers.note(&beat(5, 100), from, now));
+    let later = now + SILENCE + Duration::from_millis(1);
+    assert!(peers.note(&beat(3, 1), from, later));
+    assert!(peers.note(&beat(3, 2), from, later));
+}
+
+/// Peers that answer are told each time, others once in a while.
+#[test]
+fn silent_peers_are_told_less_often() {
+    let mut peers = Peers::default();
+    peers.add(&"h2".into(), "127.0.0.1:9".parse().unwrap());
+    let start = Instant::now();
+    let step = Duration::from_millis(20);
+    let told = (0..200_u32).filter(|tick| !peers.due(start + step * *tick).is_empty());
+    assert_eq!(told.count(), 2);
+}
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -4,6 +4,7 @@
 mod catalog;
 mod events;
 mod fleet;
+mod gossip;
 mod logging;
 mod placement;
 mod reassign;
--- a/tests/gateway/input.rs
+++ b/tests/gateway/input.rs
@@ -39,6 +39,20 @@
     assert_eq!(site.arrivals(), 0);
 }
 
+#[test]
+fn rejects_a_head_that_does_not_end() {
+    let site = Site::desks(&["c1"]);
+    let mut client = site.gateway.client();
+    client
+        .send_raw(b"GET /read/a HTTP/1.1\r\nHost: lm.example\r\n")
+        .unwrap();
+    let field = format!("X-Long: {}\r\n", "x".repeat(8000));
+    for _ in 0..9 {
+        client.send_raw(field.as_bytes()).unwrap();
+    }
+    assert_eq!(client.receive().unwrap().status, 431);
+}
+
 /// A request inside the body of another is a body.
 #[rstest]
 #[case("Content-Length: 84\r\n\r\n")]
