Keep few idle connections to an upstream

Engines bound the connections of all callers and still counted those of the dead processes; since requests that must run once get connections of their own, each host had left some forty idle ones at each engine. Change: at most eight idle connections an upstream; readings, which may be repeated, reuse them. The test failed first (30 idle connections for 4 s).

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -138,9 +138,8 @@
 ///
 /// Fails as [`Failure`] says; an answer that says that the request has not run is one.
 pub async fn send(target: &Rc<Target>, call: &Call, terms: &Terms<'_>) -> Result<Answer, Failure> {
-    let mut connection = target
-        .connect(call.route.is_idempotent(), terms.until)
-        .await?;
+    let may_repeat = call.route.is_idempotent() || matches!(terms.work, Work::Read);
+    let mut connection = target.connect(may_repeat, terms.until).await?;
     let left = terms.deadline.saturating_duration_since(Instant::now());
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.ask.method.clone();
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -28,6 +28,9 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Idle time after which a connection is not used again.
 const IDLE_TIME: Duration = Duration::from_secs(4);
+/// Idle connections kept to one upstream. Upstreams bound the connections of all hosts together,
+/// and those of a host that lost power stay open there for a while.
+const MOST_IDLE: usize = 8;
 /// How much earlier than the upstream an idle connection is given up.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
 
@@ -159,6 +162,9 @@
         if time.is_zero() || connection.sender.is_closed() {
             return;
         }
+        if self.idle.borrow().len() >= MOST_IDLE {
+            self.close_oldest();
+        }
         self.idle.borrow_mut().push(Idle {
             connection,
             until: now + time,
--- a/src/standin/fleet/replica.rs
+++ b/src/standin/fleet/replica.rs
@@ -193,6 +193,11 @@
         (state.stage, state.orders)
     }
 
+    /// Returns how many connections are open.
+    pub fn open_connections(&self) -> usize {
+        self.server.open_connections()
+    }
+
     /// Ends all open connections.
     pub fn cut_connections(&self) {
         self.server.cut_connections();
--- a/src/standin/fleet/wire.rs
+++ b/src/standin/fleet/wire.rs
@@ -104,6 +104,11 @@
         self.address
     }
 
+    /// Returns how many connections are open.
+    pub fn open_connections(&self) -> usize {
+        self.streams.lock().expect("stream lock").len()
+    }
+
     /// Ends all open connections.
     pub fn cut_connections(&self) {
         for (_, stream) in self.streams.lock().expect("stream lock").drain() {
--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -238,6 +238,27 @@
     }
 }
 
+/// A burst is over: the upstream, which bounds the connections of all hosts, has few of them left.
+#[test]
+fn keeps_few_connections_after_a_burst() {
+    let alone = "[orders]\nread_share = 0\n[repeats]\nhosts_expected = 1\n";
+    let site = Site::start(&["c1"], &[], alone);
+    site.replicas["c1"].set_pause(Duration::from_millis(300));
+    let mut clients: Vec<_> = (0..30).map(|_| site.gateway.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let id = format!("r{number}");
+        client.send("GET", "/read/a", &id, &[], b"").unwrap();
+    }
+    for client in &mut clients {
+        assert_eq!(client.receive().unwrap().status, 200);
+    }
+    let begun = Instant::now();
+    wait_for("few connections", || {
+        site.replicas["c1"].open_connections() <= 8
+    });
+    assert!(begun.elapsed() < Duration::from_secs(2));
+}
+
 /// All upstreams fail: repeats stay within the share of the budget that one of two hosts has.
 #[test]
 fn keeps_repeats_within_the_budget() {
