Try again on a connection of its own

Trace: late second answers were waiting on several kept connections; the first try met one and the second try the next, so that a safe request failed with 502. Change: only a first try uses a kept connection.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -126,6 +126,8 @@
     pub urgency: Option<u8>,
     /// Event after which a stream goes on.
     pub after_event: Option<u64>,
+    /// Whether a kept connection may be used: one on which a late byte arrives costs a try.
+    pub may_reuse: bool,
     /// When to stop waiting for the head of the answer.
     pub until: Instant,
     /// When the request has to be answered in full; the upstream is told what is left of it.
@@ -138,8 +140,7 @@
 ///
 /// Fails as [`Failure`] says; an answer that says that the request has not run is one.
 pub async fn send(target: &Rc<Target>, call: &Call, terms: &Terms<'_>) -> Result<Answer, Failure> {
-    let may_repeat = call.route.is_idempotent() || matches!(terms.work, Work::Read);
-    let mut connection = target.connect(may_repeat, terms.until).await?;
+    let mut connection = target.connect(terms.may_reuse, terms.until).await?;
     let left = terms.deadline.saturating_duration_since(Instant::now());
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.ask.method.clone();
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -214,6 +214,7 @@
         work,
         urgency: Some(urgency),
         after_event,
+        may_reuse: call.route.is_idempotent() || matches!(work, Work::Read),
         until,
         deadline: call.deadline,
     }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -62,7 +62,8 @@
         tried.push(target.row.id.clone());
         let has_other = pick(gateway, call, &tried, now).is_some();
         let until = patience(call, &allowance, has_other, now);
-        match attempt(&target, call, until).await {
+        let may_reuse = call.route.is_idempotent() && tried.len() == 1;
+        match attempt(&target, call, may_reuse, until).await {
             Ok(answer) => {
                 course.step(format_args!(
                     "{}={}",
@@ -106,12 +107,18 @@
     }
 }
 
-async fn attempt(target: &Rc<Target>, call: &Call, until: Instant) -> Result<WholeAnswer, Failure> {
+async fn attempt(
+    target: &Rc<Target>,
+    call: &Call,
+    may_reuse: bool,
+    until: Instant,
+) -> Result<WholeAnswer, Failure> {
     let _occupied = target.occupy();
     let terms = Terms {
         work: Work::Whole,
         urgency: None,
         after_event: None,
+        may_reuse,
         until,
         deadline: call.deadline,
     };
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -105,12 +105,12 @@
     /// Fails with [`Failure::NotSent`] if there is none in time.
     pub async fn get(
         &self,
-        is_idempotent: bool,
+        may_reuse: bool,
         most: usize,
         until: Instant,
     ) -> Result<Connection, Failure> {
         let now = Instant::now();
-        if is_idempotent && let Some(connection) = self.take(now) {
+        if may_reuse && let Some(connection) = self.take(now) {
             return Ok(connection);
         }
         if self.open.get() >= most {
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -80,15 +80,11 @@
     /// # Errors
     ///
     /// Fails with [`Failure::NotSent`] if there is none in time or the upstream leaves.
-    pub async fn connect(
-        &self,
-        is_idempotent: bool,
-        until: Instant,
-    ) -> Result<Connection, Failure> {
+    pub async fn connect(&self, may_reuse: bool, until: Instant) -> Result<Connection, Failure> {
         let connection = self
             .shared
             .pool
-            .get(is_idempotent, self.most_connections, until)
+            .get(may_reuse, self.most_connections, until)
             .await?;
         match self.takes_work() {
             true => Ok(connection),
--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -238,6 +238,24 @@
     }
 }
 
+/// Late second answers wait on several kept connections: the second try takes none of these.
+#[test]
+fn tries_again_on_a_connection_of_its_own() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_manner(Manner::Late);
+    site.replicas["c1"].set_pause(Duration::from_millis(100));
+    let mut clients: Vec<_> = (0..4).map(|_| site.gateway.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let id = format!("r{number}");
+        client.send("GET", "/read/a", &id, &[], b"").unwrap();
+    }
+    for client in &mut clients {
+        assert_eq!(client.receive().unwrap().body, WHOLE);
+    }
+    let answer = site.gateway.call("GET", "/read/a", "after", &[]);
+    assert_eq!((answer.status, answer.body.as_str()), (200, WHOLE));
+}
+
 /// A burst is over: the upstream, which bounds the connections of all hosts, has few of them left.
 #[test]
 fn keeps_few_connections_after_a_burst() {
