Try an ended connection's request again, and bind one port for both protocols

Cause: two tests failed once each under load. gives_no_bytes_beyond_the_answer: a kept connection ended before the request was on it (not sent), and with one upstream left the request was refused although another connection would have served it. learns_from_peers: the port that the datagrams got was taken for TCP by another process, so that the host could not be asked. Change: a second try after a request that was not sent goes to the same upstream on a new connection, once; where any port will do, one free for both protocols is taken, and an address that is taken ends the start with an error.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -53,16 +53,19 @@
     pub standing: watch::Sender<Standing>,
 }
 
-/// Opens the socket that peers send to.
+/// Opens the socket that peers send to, and a listener at the same address for their questions.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be listened on.
-pub fn open(address: SocketAddr) -> Result<std::net::UdpSocket> {
+pub fn open(address: SocketAddr) -> Result<(std::net::UdpSocket, std::net::TcpListener)> {
     let open = || {
-        let socket = std::net::UdpSocket::bind(address)?;
+        // Where any port will do, it has to be free for both protocols.
+        let listener = std::net::TcpListener::bind(address)?;
+        let socket = std::net::UdpSocket::bind(listener.local_addr()?)?;
         socket.set_nonblocking(true)?;
-        Ok::<_, std::io::Error>(socket)
+        listener.set_nonblocking(true)?;
+        Ok::<_, std::io::Error>((socket, listener))
     };
     open().with_context(|| format!("cannot hear peers on {address}"))
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -50,7 +50,9 @@
             return give_up(&allowance, held, course);
         }
         let other = pick(gateway, call, &tried, now);
-        let Some(target) = other.or_else(|| again(gateway, call, &last, now)) else {
+        let is_second = tried.len() == 1;
+        let same = || again(gateway, call, &last, now).filter(|_| is_second);
+        let Some(target) = other.or_else(same) else {
             course.step(format_args!("no-upstream"));
             return give_up(&allowance, held, course);
         };
@@ -93,8 +95,8 @@
     }
 }
 
-/// Returns any upstream for a second try after a broken answer, which may be the connection's
-/// fault rather than the upstream's.
+/// Returns any upstream for a second try after a broken answer or a connection that had ended,
+/// which may be the connection's fault rather than the upstream's.
 fn again(
     gateway: &Gateway,
     call: &Call,
@@ -102,7 +104,7 @@
     now: Instant,
 ) -> Option<Rc<Target>> {
     match last {
-        Some(Failure::Broken(_)) => pick(gateway, call, &[], now),
+        Some(Failure::Broken(_) | Failure::NotSent(_)) => pick(gateway, call, &[], now),
         _ => None,
     }
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -1,7 +1,6 @@
 //! One gateway process: its threads, its start, its reload and its graceful end.
 
 use std::fs;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -80,7 +79,7 @@
     let (views, view) = Views::new();
     let store = Store::new(settings.store);
     let notices = signals()?;
-    let socket = peers::open(settings.peer_listen)?;
+    let (socket, questions) = peers::open(settings.peer_listen)?;
     let own = follow::hosts::Own {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
@@ -113,6 +112,7 @@
         view,
         peers,
         socket,
+        questions,
         notices,
         file,
     };
@@ -149,6 +149,7 @@
     view: watch::Receiver<Arc<View>>,
     peers: peers::Sources,
     socket: std::net::UdpSocket,
+    questions: std::net::TcpListener,
     notices: mpsc::Receiver<Notice>,
     file: PathBuf,
 }
@@ -159,6 +160,7 @@
         view,
         peers: peer_sources,
         socket,
+        questions,
         mut notices,
         file,
     } = sources;
@@ -175,13 +177,12 @@
         env!("CARGO_PKG_VERSION")
     );
     task::spawn_local(follow_views(Rc::clone(&gateway), view));
-    let peer_address = socket.local_addr()?;
     let socket = UdpSocket::from_std(socket)?;
     task::spawn_local(peers::run(Rc::clone(&gateway), socket, peer_sources));
     task::spawn_local(sweep(Rc::clone(&gateway)));
     task::spawn_local(bootstrap::ask_peers(Rc::clone(&gateway), views));
     let (phase, connections) = start_listening(&gateway, callers, balancer);
-    answer_peers(&gateway, peer_address);
+    answer_peers(&gateway, TcpListener::from_std(questions)?);
     while let Some(Notice::Reload) = notices.recv().await {
         reload(&gateway, &file);
     }
@@ -224,15 +225,8 @@
     }
 }
 
-/// Answers peers that start without the store; without it this host serves on.
-fn answer_peers(gateway: &Rc<Gateway>, address: SocketAddr) {
-    let listener = match listen::open(address) {
-        Ok(listener) => listener,
-        Err(cause) => {
-            warn!("peers={address} outcome=beliefs-not-told cause={cause:?}");
-            return;
-        }
-    };
+/// Answers peers that start without the store.
+fn answer_peers(gateway: &Rc<Gateway>, listener: TcpListener) {
     let own = Rc::clone(gateway);
     let answer =
         move |request: Request<Incoming>| std::future::ready(bootstrap::answer(&own, &request));
