--- a/src/cli.rs
+++ b/src/cli.rs
@@ -61,6 +61,9 @@
     /// Show latencies by class or caller.
     #[command(after_help = "Example: pistachiohall histograms --host 127.0.0.1:8181 --callers")]
     Histograms(Histograms),
+    /// Tell what became of a request, from the logs of all hosts.
+    #[command(after_help = "Example: pistachiohall explain 9c41d07be2a35f68 front-*.log")]
+    Explain(Explain),
     /// Run a small deployment with faults on stand-ins, and check its promises.
     #[command(after_help = "Example: pistachiohall demo")]
     Demo(Demo),
@@ -100,6 +103,15 @@
     pub format: Format,
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct Explain {
+    /// Identifier of the request, as its caller sent it.
+    pub id: String,
+    /// Log files; the standard input if there are none.
+    pub logs: Vec<PathBuf>,
+}
+
 /// Arguments of `publish`.
 #[derive(Debug, Args)]
 pub struct Publish {
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands behind the command line.
 
 mod check;
+mod explain;
 mod orders;
 mod publish;
 mod serve;
@@ -37,6 +38,7 @@
         Command::Drain(drain) => orders::drain(&drain),
         Command::Order(order) => orders::order(&order),
         Command::Histograms(histograms) => show::histograms(&histograms),
+        Command::Explain(explain) => explain::run(&explain),
         Command::Demo(demo) => demo::run(&demo),
         Command::Experiment(experiment) => experiment::run(&experiment),
         Command::StandIn(stand_in) => stand_in::run(stand_in),
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -5,8 +5,6 @@
 
 use anyhow::Context;
 use anyhow::Result;
-use flexi_logger::Logger;
-use flexi_logger::LoggerHandle;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
@@ -30,7 +28,7 @@
         return run_gateway(arguments, &text);
     }
     let settings = Settings::parse(&file, &text)?;
-    let _logger = start_logger(&arguments.log)?;
+    let _logger = logging::start(&arguments.log, &settings.name)?;
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let platform = Http::new(settings.platform);
     let process = Process::start(settings, Real, platform)?;
@@ -50,7 +48,7 @@
 fn run_gateway(arguments: &Serve, text: &str) -> Result<ExitCode> {
     let file = arguments.settings.display().to_string();
     let settings = gateway::Settings::parse(&file, text)?;
-    let logger = logging::start(&arguments.log)?;
+    let logger = logging::start(&arguments.log, &settings.name)?;
     let finished = process::run(settings, arguments.settings.clone(), &Real);
     logger.flush();
     match finished? {
@@ -58,11 +56,3 @@
         false => Ok(ExitCode::from(EXIT_FAULT)),
     }
 }
-
-/// Starts logging to standard error, one structured line a record.
-fn start_logger(filter: &str) -> Result<LoggerHandle> {
-    let logger = Logger::try_with_str(filter)?
-        .log_to_stderr()
-        .format(logging::format);
-    Ok(logger.start()?)
-}
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -75,7 +75,7 @@
     match Service::parse(&format!("{name}.hall.ini"), text) {
         Ok(service) => Some(Arc::new(service)),
         Err(faults) => {
-            error!("service={name} published file has faults: {faults}");
+            error!(service:% = name, cause:% = faults; "published file has faults");
             None
         }
     }
--- /dev/null
+++ b/src/explain/account.rs
@@ -0,0 +1,300 @@
+//! What became of a request, and what its hosts believed then.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use super::line::Line;
+
+/// Time before and after a request's end in which other hosts' lines on its upstreams are shown;
+/// a lapsed entry is noticed by all hosts well within it.
+const NEARBY: Duration = Duration::from_secs(5);
+/// Fields by which a line tells what a belief is about.
+const SUBJECTS: [&str; 5] = ["config", "dependency", "upstream", "peers", "lease"];
+/// Event of the line that each request leaves when it ends.
+const ENDED: &str = "request ended";
+/// Event of the line that tells how many requests left no line.
+const LEFT_OUT: &str = "lines of delivered requests left out";
+
+/// A belief and how old it was when the request ended.
+#[derive(Debug, Clone)]
+pub struct Belief {
+    /// Line by which it changed last.
+    pub line: Line,
+    /// Time from then to the request's end.
+    pub age: Duration,
+}
+
+/// The end of a request on one host.
+#[derive(Debug, Clone)]
+pub struct Ending {
+    /// The request's line.
+    pub line: Line,
+    /// What the host believed: configuration, store, peers, and the upstreams that were tried.
+    pub beliefs: Vec<Belief>,
+    /// What all hosts logged of the tried upstreams shortly before and after.
+    pub nearby: Vec<Line>,
+}
+
+/// All that logs tell of one request.
+#[derive(Debug, Clone, Default)]
+pub struct Account {
+    /// Identifier.
+    pub id: String,
+    /// Its ends, one for each try of its caller, in order of time.
+    pub endings: Vec<Ending>,
+    /// Lines that were read.
+    pub read: usize,
+    /// Requests that left no line, because many others were delivered in the same second.
+    pub left_out: i64,
+}
+
+impl Account {
+    /// Gathers the account of the request `id` from log lines in any order of hosts.
+    ///
+    /// ```
+    /// use pistachiohall::explain::Account;
+    /// let lines = [
+    ///     r#"{"time":"2026-01-01T00:00:01Z","host":"h1","event":"configuration in force","config":4}"#,
+    ///     r#"{"time":"2026-01-01T00:00:03Z","host":"h1","event":"request ended","request":"r1",
+    ///         "config":4,"outcome":"refused","trail":[{"ms":1,"step":"no-upstream"}]}"#,
+    /// ];
+    /// let account = Account::gather("r1", lines);
+    /// assert_eq!(account.endings[0].beliefs[0].age.as_secs(), 2);
+    /// assert!(account.to_string().contains("no-upstream"));
+    /// ```
+    pub fn gather<Lines, Text>(id: &str, lines: Lines) -> Self
+    where
+        Lines: IntoIterator<Item = Text>,
+        Text: AsRef<str>,
+    {
+        let mut account = Account {
+            id: id.to_owned(),
+            ..Account::default()
+        };
+        let mut requests = Vec::new();
+        let mut changes = Vec::new();
+        for line in lines {
+            account.read += 1;
+            let Some(line) = Line::parse(line.as_ref()) else {
+                continue;
+            };
+            if line.event == LEFT_OUT {
+                account.left_out += line.number("left_out").unwrap_or_default();
+            }
+            match line.text("request") {
+                Some(request) if request == id => requests.push(line),
+                Some(_) => (),
+                None => changes.push(line),
+            }
+        }
+        requests.sort_by_key(|line| line.time);
+        // A stable sort: lines of one host and one instant stay as they were written.
+        changes.sort_by_key(|line| line.time);
+        account.endings = requests
+            .into_iter()
+            .map(|line| Ending::new(line, &changes))
+            .collect();
+        account
+    }
+}
+
+impl Ending {
+    fn new(line: Line, changes: &[Line]) -> Self {
+        let tried = upstreams(&line);
+        let is_tried = |change: &Line| {
+            change
+                .text("upstream")
+                .is_some_and(|name| tried.contains(&name))
+        };
+        let mut beliefs = BTreeMap::new();
+        let known = changes
+            .iter()
+            .filter(|change| change.host == line.host && change.time <= line.time);
+        for change in known {
+            if change.text("upstream").is_some() && !is_tried(change) {
+                continue;
+            }
+            if let Some(subject) = subject(change) {
+                beliefs.insert(subject, change);
+            }
+        }
+        let beliefs = beliefs
+            .into_values()
+            .map(|change| Belief {
+                line: change.clone(),
+                age: gap(change.time, line.time),
+            })
+            .collect();
+        let nearby = changes
+            .iter()
+            .filter(|change| is_tried(change))
+            .filter(|change| gap(change.time, line.time).max(gap(line.time, change.time)) <= NEARBY)
+            .filter(|change| change.host != line.host || change.time > line.time)
+            .cloned()
+            .collect();
+        Ending {
+            line,
+            beliefs,
+            nearby,
+        }
+    }
+
+    /// Says in words what the outcome and the steps mean.
+    pub fn cause(&self) -> String {
+        let steps = steps(&self.line);
+        let last = steps.last().map_or("", |(_, step)| step.as_str());
+        let tried = upstreams(&self.line);
+        match self.line.text("outcome").as_deref() {
+            Some("delivered") => "the upstream's whole answer was passed on".into(),
+            Some("rejected") => format!(
+                "malformed or without a route: {}",
+                self.line.text("reason").unwrap_or_default()
+            ),
+            Some("refused") if tried.is_empty() => {
+                format!("not run: no upstream was asked ({last})")
+            }
+            Some("refused") => format!(
+                "not run: {} asked, none took it ({last})",
+                count(tried.len())
+            ),
+            Some("failed") => format!("may have run: no whole answer came ({last})"),
+            Some("cut") => format!("broken off after its first event ({last})"),
+            Some("left") => "the caller left before its end".into(),
+            outcome => format!("outcome {}", outcome.unwrap_or("unknown")),
+        }
+    }
+}
+
+/// Returns what a line's belief is about, or nothing if it changes none.
+fn subject(line: &Line) -> Option<(usize, String)> {
+    let place = SUBJECTS
+        .iter()
+        .position(|name| line.fields.contains_key(*name))?;
+    let detail = match SUBJECTS[place] {
+        "upstream" => line.text("upstream"),
+        "dependency" => line.text("topic"),
+        _ => None,
+    };
+    Some((place, detail.unwrap_or_default()))
+}
+
+fn gap(from: SystemTime, to: SystemTime) -> Duration {
+    // Zero if `from` is the later one.
+    to.duration_since(from).unwrap_or_default()
+}
+
+fn steps(line: &Line) -> Vec<(i64, String)> {
+    let trail = line.fields.get("trail").and_then(|trail| trail.as_array());
+    let steps = trail.into_iter().flatten();
+    steps
+        .filter_map(|step| {
+            let text = step.get("step")?.as_str()?.to_owned();
+            Some((step.get("ms")?.as_i64()?, text))
+        })
+        .collect()
+}
+
+/// Returns the upstreams that a request's steps name, each once.
+fn upstreams(line: &Line) -> Vec<String> {
+    let mut names = Vec::new();
+    for (_, step) in steps(line) {
+        let Some((name, _)) = step.split_once('=') else {
+            continue;
+        };
+        let name = name.split('/').next().unwrap_or(name);
+        if !["refuse", "resume"].contains(&name) && !names.iter().any(|known| known == name) {
+            names.push(name.to_owned());
+        }
+    }
+    names
+}
+
+fn count(upstreams: usize) -> String {
+    match upstreams {
+        1 => "1 upstream was".into(),
+        more => format!("{more} upstreams were"),
+    }
+}
+
+impl fmt::Display for Account {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.endings.is_empty() {
+            return writeln!(
+                formatter,
+                "request {}: no line in {} lines read; {} delivered requests left no line",
+                self.id, self.read, self.left_out
+            );
+        }
+        for ending in &self.endings {
+            ending.write(formatter)?;
+        }
+        Ok(())
+    }
+}
+
+impl Ending {
+    fn write(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let line = &self.line;
+        let text = |name| line.text(name).unwrap_or_else(|| "?".into());
+        writeln!(
+            formatter,
+            "request {} on {}: {} at {}",
+            text("request"),
+            line.host,
+            text("outcome"),
+            humantime::format_rfc3339_millis(line.time)
+        )?;
+        writeln!(formatter, "  cause: {}", self.cause())?;
+        if line.event == ENDED {
+            writeln!(
+                formatter,
+                "  route {} of configuration {}, service {}",
+                text("route"),
+                text("config"),
+                text("service")
+            )?;
+            writeln!(
+                formatter,
+                "  first answer after {} ms, end after {} ms, {} ms left",
+                text("first_ms"),
+                text("total_ms"),
+                text("left_ms")
+            )?;
+        }
+        writeln!(formatter, "  steps:")?;
+        for (ms, step) in steps(line) {
+            writeln!(formatter, "    {ms:>6} ms  {step}")?;
+        }
+        writeln!(formatter, "  believed by {}:", line.host)?;
+        for belief in &self.beliefs {
+            let age = humantime::format_duration(Duration::from_millis(
+                u64::try_from(belief.age.as_millis()).unwrap_or(u64::MAX),
+            ));
+            writeln!(
+                formatter,
+                "    {} ({}), {age} old",
+                belief.line.event,
+                belief.line.describe(&[])
+            )?;
+        }
+        if self.nearby.is_empty() {
+            return Ok(());
+        }
+        writeln!(formatter, "  logged of these upstreams around then:")?;
+        for near in &self.nearby {
+            let sign = if near.time < line.time { '-' } else { '+' };
+            let apart = gap(near.time, line.time).max(gap(line.time, near.time));
+            writeln!(
+                formatter,
+                "    {sign}{} ms on {}: {} ({})",
+                apart.as_millis(),
+                near.host,
+                near.event,
+                near.describe(&[])
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/src/follow/hosts.rs
+++ b/src/follow/hosts.rs
@@ -96,13 +96,14 @@
     };
     while let Err(error) = store.put(store::HOST_TOPIC, pair) {
         warn!(
-            "host={} outcome=entry-not-written cause={:?}",
-            own.name,
-            error.to_string()
+            host:% = own.name,
+            outcome = "entry-not-written",
+            cause:% = error;
+            "host entry not written"
         );
         clock.sleep(FAILURE_PAUSE);
     }
-    info!("host={} peer={} outcome=entry-written", own.name, own.peer);
+    info!(peer:% = own.peer, outcome = "entry-written"; "host entry written");
 }
 
 fn decode(host: &HostId, value: &[u8]) -> Option<SocketAddr> {
@@ -110,8 +111,11 @@
         Ok(entry) => Some(entry.peer),
         Err(cause) => {
             warn!(
-                "host={host} entry=unreadable outcome=ignored cause={:?}",
-                cause.to_string()
+                peer:% = host,
+                entry = "unreadable",
+                outcome = "ignored",
+                cause:% = cause;
+                "host entry unreadable"
             );
             None
         }
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -87,7 +87,13 @@
             Ok(catalog) => catalog,
             Err(cause) => {
                 let cause = cause.to_string();
-                warn!("config=unreadable source={source} outcome=ignored cause={cause:?}");
+                warn!(
+                    config = "unreadable",
+                    source:% = source,
+                    outcome = "ignored",
+                    cause:% = cause;
+                    "configuration unreadable"
+                );
                 return;
             }
         };
@@ -96,11 +102,23 @@
             let version = catalog.version();
             if held.is_some_and(|held| held >= version) {
                 if held != Some(version) {
-                    warn!("config={version} source={source} held={held:?} outcome=ignored-older");
+                    warn!(
+                        config = version,
+                        source:% = source,
+                        held:? = held,
+                        outcome = "ignored-older";
+                        "older configuration ignored"
+                    );
                 }
                 return;
             }
-            info!("config={version} source={source} replaced={held:?} outcome=in-force");
+            info!(
+                config = version,
+                source:% = source,
+                replaced:? = held,
+                outcome = "in-force";
+                "configuration in force"
+            );
             view.catalog = Some(Arc::new(catalog));
             view.config = Arc::new(config);
         });
@@ -109,7 +127,12 @@
     /// Takes over a peer's upstreams unless the registry was read.
     pub fn adopt_rows(&self, rows: Vec<Row>) {
         if !self.view.lock().expect("view lock").has_registry {
-            info!("upstreams={} source=peer outcome=taken-over", rows.len());
+            info!(
+                upstreams = rows.len(),
+                source = "peer",
+                outcome = "taken-over";
+                "upstreams taken over from a peer"
+            );
             self.set_rows(rows);
         }
     }
@@ -136,18 +159,31 @@
         match before.iter().find(|held| held.id == row.id) {
             Some(held) if held == row => (),
             Some(held) => info!(
-                "upstream={} born={} state={:?} was={:?} role={:?} was_role={:?} outcome=changed",
-                row.id, row.born, row.state, held.state, row.role, held.role
+                upstream:% = row.id,
+                born = row.born,
+                state:? = row.state,
+                was:? = held.state,
+                role:? = row.role,
+                was_role:? = held.role,
+                outcome = "changed";
+                "upstream changed"
             ),
             None => info!(
-                "upstream={} born={} service={} address={} domain={} state={:?} role={:?} outcome=added",
-                row.id, row.born, row.service, row.address, row.domain, row.state, row.role
+                upstream:% = row.id,
+                born = row.born,
+                service:% = row.service,
+                address:% = row.address,
+                domain:% = row.domain,
+                state:? = row.state,
+                role:? = row.role,
+                outcome = "added";
+                "upstream added"
             ),
         }
     }
     for held in before {
         if !after.iter().any(|row| row.id == held.id) {
-            info!("upstream={} born={} outcome=removed", held.id, held.born);
+            info!(upstream:% = held.id, born = held.born, outcome = "removed"; "upstream removed");
         }
     }
 }
@@ -221,8 +257,11 @@
                 }
                 Err(ChangesError::Gap(first)) => {
                     warn!(
-                        "topic={} next={next} first={first} outcome=read-anew",
-                        self.topic
+                        topic:% = self.topic,
+                        next = next,
+                        first = first,
+                        outcome = "read-anew";
+                        "topic read anew after a gap"
                     );
                 }
                 Err(ChangesError::Read(error)) => return Err(error),
@@ -238,9 +277,11 @@
         self.failures += 1;
         if self.failures == LOST_AFTER {
             warn!(
-                "dependency=store topic={} outcome=lost cause={:?}",
-                self.topic,
-                error.to_string()
+                dependency = "store",
+                topic:% = self.topic,
+                outcome = "lost",
+                cause:% = error;
+                "dependency lost"
             );
         }
     }
@@ -250,8 +291,11 @@
         let was_lost = self.failures >= LOST_AFTER;
         if was_lost {
             info!(
-                "dependency=store topic={} failures={} outcome=back",
-                self.topic, self.failures
+                dependency = "store",
+                topic:% = self.topic,
+                failures = self.failures,
+                outcome = "back";
+                "dependency back"
             );
         }
         self.failures = 0;
@@ -314,7 +358,7 @@
             Err(error) => reader.note_failure(&error),
         }
         for id in fleet.sweep(now) {
-            info!("upstream={id} outcome=gone reason=lapsed");
+            info!(upstream:% = id, outcome = "gone", reason = "lapsed"; "upstream gone");
         }
         if is_read {
             board.set_rows(fleet.rows());
@@ -355,9 +399,11 @@
         Ok((row, beat)) => Some(Change::Written(row, beat)),
         Err(cause) => {
             warn!(
-                "upstream={:?} entry=unreadable outcome=ignored cause={:?}",
-                record.key,
-                cause.to_string()
+                upstream:% = record.key,
+                entry = "unreadable",
+                outcome = "ignored",
+                cause:% = cause;
+                "upstream entry unreadable"
             );
             None
         }
--- a/src/gateway/bootstrap.rs
+++ b/src/gateway/bootstrap.rs
@@ -78,8 +78,18 @@
                     views.adopt(belief.config.into_bytes(), "peer");
                     views.adopt_rows(belief.rows);
                 }
-                Ok(Err(cause)) => info!("peer={peer} outcome=no-belief cause={cause:?}"),
-                Err(_) => info!("peer={peer} outcome=no-belief cause=\"no answer in time\""),
+                Ok(Err(cause)) => info!(
+                    peer:% = peer,
+                    outcome = "no-belief",
+                    cause:% = cause;
+                    "peer has no belief to take over"
+                ),
+                Err(_) => info!(
+                    peer:% = peer,
+                    outcome = "no-belief",
+                    cause = "no answer in time";
+                    "peer has no belief to take over"
+                ),
             }
         }
         time::sleep(PAUSE).await;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -178,8 +178,12 @@
     let ended = time::timeout_at(terms.until.into(), finish(target, answer)).await;
     match ended {
         Ok(Ok(_)) => (),
-        Ok(Err(failure)) => log::debug!("upstream={} refusal not whole: {failure}", target.row.id),
-        Err(_) => log::debug!("upstream={} refusal not whole in time", target.row.id),
+        Ok(Err(failure)) => {
+            log::debug!(upstream:% = target.row.id, cause:% = failure; "refusal not whole");
+        }
+        Err(_) => {
+            log::debug!(upstream:% = target.row.id; "refusal not whole in time");
+        }
     }
     Err(Failure::NotRun(status))
 }
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -119,7 +119,7 @@
                 });
             }
             Err(cause) => {
-                warn!("outcome=not-accepted cause={:?}", cause.to_string());
+                warn!(outcome = "not-accepted", cause:% = cause; "connection not accepted");
                 time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -132,7 +132,7 @@
     F: Future<Output = Reply> + 'static,
 {
     if let Err(cause) = set_options(&stream) {
-        log::debug!("connection not set up: {cause}");
+        log::debug!(cause:% = cause; "connection not set up");
         return;
     }
     let own_phase = phase.clone();
@@ -162,7 +162,7 @@
         }
     };
     if let Err(cause) = ended {
-        log::debug!("a caller's connection ended: {cause}");
+        log::debug!(cause:% = cause; "a caller's connection ended");
     }
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -20,8 +20,10 @@
         Ok(server) => server,
         Err(cause) => {
             warn!(
-                "metrics={address} outcome=not-served cause={:?}",
-                cause.to_string()
+                metrics:% = address,
+                outcome = "not-served",
+                cause:% = cause;
+                "metrics not served"
             );
             return;
         }
@@ -32,10 +34,12 @@
         .name("metrics".into())
         .spawn(move || answer(&server, &counters));
     match thread {
-        Ok(_) => info!("metrics={address} path={PATH} outcome=served"),
+        Ok(_) => info!(metrics:% = address, path:% = PATH, outcome = "served"; "metrics served"),
         Err(cause) => warn!(
-            "metrics={address} outcome=not-served cause={:?}",
-            cause.to_string()
+            metrics:% = address,
+            outcome = "not-served",
+            cause:% = cause;
+            "metrics not served"
         ),
     }
 }
@@ -47,7 +51,7 @@
             false => Response::from_string("not found\n").with_status_code(404),
         };
         if let Err(cause) = request.respond(response) {
-            log::debug!("metrics not delivered: {cause}");
+            log::debug!(cause:% = cause; "metrics not delivered");
         }
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -100,7 +100,7 @@
             }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => take_in(&gateway, &mut peers, &buffer[..length], from),
-                Err(cause) => log::debug!("a datagram was lost: {cause}"),
+                Err(cause) => log::debug!(cause:% = cause; "a datagram was lost"),
             },
             Ok(()) = away.changed() => {
                 let ordered: Vec<u32> = away.borrow_and_update().keys().map(|id| gossip::digest(id)).collect();
@@ -167,15 +167,17 @@
         let datagram = beat.encode_to_vec();
         for address in peers.due(now) {
             if let Err(cause) = socket.try_send_to(&datagram, address) {
-                log::debug!("peer={address} not told: {cause}");
+                log::debug!(peer:% = address, cause:% = cause; "datagram not sent");
             }
         }
         let heard = peers.heard(now);
         if heard != self.heard {
             info!(
-                "peers={heard} was={} known={} outcome=changed",
-                self.heard,
-                peers.known()
+                peers = heard,
+                was = self.heard,
+                known = peers.known(),
+                outcome = "changed";
+                "peers heard changed"
             );
             gateway.counters.set("peers_heard", heard as i64);
             self.heard = heard;
@@ -203,7 +205,7 @@
     let beat = match Beat::decode(datagram) {
         Ok(beat) => beat,
         Err(cause) => {
-            warn!("peer={from} outcome=ignored cause={:?}", cause.to_string());
+            warn!(peer:% = from, outcome = "ignored", cause:% = cause; "datagram ignored");
             return;
         }
     };
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -98,7 +98,7 @@
         task::spawn_local(async move {
             let until = Instant::now() + FREE_TIME;
             let freed = exchange::call_own(&reader, Method::DELETE, &path, until).await;
-            log::debug!("upstream={} path={path} freed={freed:?}", reader.row.id);
+            log::debug!(upstream:% = reader.row.id, path:% = path, freed:? = freed; "handle freed");
         });
     }
 }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -206,7 +206,7 @@
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let driver = task::spawn_local(async move {
         if let Err(cause) = connection.await {
-            log::debug!("upstream={address} connection ended: {cause}");
+            log::debug!(address:% = address, cause:% = cause; "connection to an upstream ended");
         }
     });
     Ok((sender, driver))
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -133,8 +133,10 @@
                 };
                 if let Err(cause) = sender.try_send(notice) {
                     warn!(
-                        "signal={signal} outcome=ignored cause={:?}",
-                        cause.to_string()
+                        signal:% = signal,
+                        outcome = "ignored",
+                        cause:% = cause;
+                        "signal not handled"
                     );
                 }
             }
@@ -167,14 +169,14 @@
     let callers = listen::open(gateway.settings.listen)?;
     let balancer = listen::open(gateway.settings.ready_listen)?;
     info!(
-        "host={} domain={} callers={} balancer={} peers={} store={} version={} outcome=started",
-        gateway.settings.name,
-        gateway.settings.domain,
-        callers.local_addr()?,
-        balancer.local_addr()?,
-        socket.local_addr()?,
-        gateway.settings.store,
-        env!("CARGO_PKG_VERSION")
+        domain:% = gateway.settings.domain,
+        callers:% = callers.local_addr()?,
+        balancer:% = balancer.local_addr()?,
+        peers:% = socket.local_addr()?,
+        store:% = gateway.settings.store,
+        version:% = env!("CARGO_PKG_VERSION"),
+        outcome = "started";
+        "started"
     );
     task::spawn_local(follow_views(Rc::clone(&gateway), view));
     let socket = UdpSocket::from_std(socket)?;
@@ -244,11 +246,7 @@
         let was_ready = gateway.is_ready();
         gateway.adopt(newest);
         if gateway.is_ready() != was_ready {
-            info!(
-                "host={} ready={}",
-                gateway.settings.name,
-                gateway.is_ready()
-            );
+            info!(ready = gateway.is_ready(); "readiness changed");
         }
         if view.changed().await.is_err() {
             return;
@@ -275,11 +273,19 @@
             let is_same = settings == gateway.settings;
             gateway.set_repeats(settings.repeats);
             info!(
-                "file={name:?} same={is_same} repeats={:?} outcome=reloaded",
-                settings.repeats
+                file:% = name,
+                same = is_same,
+                repeats:? = settings.repeats,
+                outcome = "reloaded";
+                "settings reloaded"
             );
         }
-        Err(fault) => warn!("file={name:?} outcome=kept-old-settings cause={fault:?}"),
+        Err(fault) => warn!(
+            file:% = name,
+            outcome = "kept-old-settings",
+            cause:% = fault;
+            "settings not reloaded"
+        ),
     }
 }
 
@@ -289,9 +295,9 @@
     gateway.leave();
     phase.send_replace(Phase::Closing);
     info!(
-        "host={} connections={} outcome=leaving",
-        gateway.settings.name,
-        connections.open()
+        connections = connections.open(),
+        outcome = "leaving";
+        "leaving"
     );
     time::sleep(gateway.settings.balancer_lag).await;
     phase.send_replace(Phase::Closed);
@@ -304,9 +310,10 @@
     }
     let is_finished = connections.open() == 0;
     info!(
-        "host={} after_ms={} finished={is_finished} outcome=left",
-        gateway.settings.name,
-        begun.elapsed().as_millis()
+        after_ms = begun.elapsed().as_millis() as u64,
+        finished = is_finished,
+        outcome = "left";
+        "left"
     );
     is_finished
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -10,28 +10,51 @@
 use compact_str::CompactString;
 use hdrhistogram::Histogram;
 use log::info;
+use serde::Serialize;
 
 use super::call::Call;
 use crate::id::RouteId;
+use crate::logging::sample::Sampler;
+use crate::logging::sample::Verdict;
 
 /// Longest latency told apart, in milliseconds.
 const MOST_MS: u64 = 600_000;
 /// Routes told apart in histograms; the rest share one row.
 const MOST_ROUTES: usize = 256;
+/// Requests that went well and are logged in a second; the others are counted. Failures and
+/// refusals are always logged. 200 lines of 400 bytes are 80 KB/s.
+const DELIVERED_LINES: u32 = 200;
 /// Row of the routes beyond the limit.
 const OTHER_ROUTES: &str = "(others)";
 /// Quantiles served.
 const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
 
 /// Counters and histograms, read by the metrics server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Counters {
+    sampler: Mutex<Sampler>,
     counts: Mutex<BTreeMap<CompactString, u64>>,
     gauges: Mutex<BTreeMap<&'static str, i64>>,
     latencies: Mutex<BTreeMap<(RouteId, &'static str), Histogram<u32>>>,
 }
 
+impl Default for Counters {
+    fn default() -> Self {
+        Counters {
+            sampler: Mutex::new(Sampler::new(DELIVERED_LINES)),
+            counts: Mutex::default(),
+            gauges: Mutex::default(),
+            latencies: Mutex::default(),
+        }
+    }
+}
+
 impl Counters {
+    /// Decides whether the line of a request that went well is logged.
+    fn judge_line(&self, now: Instant) -> Verdict {
+        self.sampler.lock().expect("sampler lock").judge(now)
+    }
+
     /// Adds one to a counter.
     pub fn add(&self, name: &str) {
         let mut counts = self.counts.lock().expect("counter lock");
@@ -118,12 +141,20 @@
     }
 }
 
+/// One step of a request, such as an upstream and what it answered.
+#[derive(Debug, Serialize)]
+struct Step {
+    /// Milliseconds from the request's arrival.
+    ms: u64,
+    step: CompactString,
+}
+
 /// What happened to a request so far; logged when it ends, also when the caller leaves.
 #[derive(Debug)]
 pub struct Course {
     call: Call,
     counters: Arc<Counters>,
-    trail: CompactString,
+    trail: Vec<Step>,
     outcome: Option<Outcome>,
     first: Option<Duration>,
 }
@@ -139,7 +170,7 @@
         Course {
             call,
             counters,
-            trail: CompactString::default(),
+            trail: Vec::new(),
             outcome: None,
             first: None,
         }
@@ -147,8 +178,10 @@
 
     /// Adds a step, such as an upstream and what it answered.
     pub fn step(&mut self, text: std::fmt::Arguments<'_>) {
-        let gap = if self.trail.is_empty() { "" } else { " " };
-        let _infallible = write!(self.trail, "{gap}{text}");
+        self.trail.push(Step {
+            ms: self.call.arrived.elapsed().as_millis() as u64,
+            step: compact_str::format_compact!("{text}"),
+        });
     }
 
     /// Notes that the first event or the whole answer is there.
@@ -171,24 +204,34 @@
     fn drop(&mut self) {
         let outcome = self.outcome.unwrap_or(Outcome::Left);
         let call = &self.call;
-        let total = Instant::now().saturating_duration_since(call.arrived);
+        let now = Instant::now();
+        let total = now.saturating_duration_since(call.arrived);
         self.counters
             .add(&compact_str::format_compact!("requests_{}", outcome.name()));
         self.counters.observe(&call.route.name, "total", total);
         if let Some(first) = self.first {
             self.counters.observe(&call.route.name, "first", first);
         }
+        if outcome == Outcome::Delivered {
+            match self.counters.judge_line(now) {
+                Verdict::LeaveOut => return,
+                Verdict::Keep(0) => (),
+                Verdict::Keep(left_out) => {
+                    info!(left_out = left_out; "lines of delivered requests left out");
+                }
+            }
+        }
         info!(
-            "request={} route={} config={} service={} outcome={} first_ms={} total_ms={} left_ms={} trail={:?}",
-            call.ask.id,
-            call.route.name,
-            call.version,
-            call.service,
-            outcome.name(),
-            self.first.map_or(-1, |first| first.as_millis() as i64),
-            total.as_millis(),
-            call.left(Instant::now()).as_millis(),
-            self.trail
+            request:% = call.ask.id,
+            route:% = call.route.name,
+            config = call.version,
+            service:% = call.service,
+            outcome:% = outcome.name(),
+            first_ms = self.first.map_or(-1, |first| first.as_millis() as i64),
+            total_ms = total.as_millis() as u64,
+            left_ms = call.left(now).as_millis() as u64,
+            trail:serde = self.trail;
+            "request ended"
         );
     }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -39,7 +39,8 @@
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
     let Some(catalog) = gateway.catalog() else {
-        info!("outcome=refused reason=no-config");
+        let id = ingress::id(&head.headers);
+        info!(request = id, outcome = "refused", reason = "no-config"; "request refused");
         gateway.counters.add("requests_refused");
         return reply::refuse("not run: this host has no configuration yet", RETRY_START);
     };
@@ -47,9 +48,12 @@
         Ok(call) => run(&gateway, call).await,
         Err((status, text)) => {
             info!(
-                "outcome=rejected status={} config={} reason={text:?}",
-                status.as_u16(),
-                catalog.version()
+                request = ingress::id(&head.headers),
+                outcome = "rejected",
+                status = status.as_u16(),
+                config = catalog.version(),
+                reason:% = text;
+                "request rejected"
             );
             gateway.counters.add("requests_rejected");
             reply::own(status, &text)
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -114,6 +114,6 @@
     authority.note_append(now);
     match core.platform.append(authority.replica().stream(), &data) {
         Ok(offset) => authority.note_offset(offset),
-        Err(cause) => warn!("lease not written: {cause}"),
+        Err(cause) => warn!(cause:% = cause; "lease not written"),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod duty;
 pub mod experiment;
+pub mod explain;
 pub mod fleet;
 pub mod fold;
 pub mod follow;
--- a/src/listen/mod.rs
+++ b/src/listen/mod.rs
@@ -164,7 +164,7 @@
         });
         match opened {
             Ok(server) => return Some(server),
-            Err(cause) => warn!("listener fails: {cause}"),
+            Err(cause) => warn!(cause:% = cause; "listener fails"),
         }
         std::thread::sleep(REOPEN_PAUSE);
     }
@@ -176,7 +176,7 @@
 where
     F: Fn(Request) + Send + Sync + 'static,
 {
-    warn!("accepting again after: {cause}");
+    warn!(cause:% = cause; "accepting again after");
     std::thread::sleep(REOPEN_PAUSE);
     if let Ok(clone) = listener.try_clone() {
         start(clone, Arc::clone(door));
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -1,144 +1,61 @@
-//! Log lines on standard output that never hold up the thread that writes them.
+//! Log lines on standard output, one JSON object each.
 //!
-//! Lines go through a bounded ring to a thread of their own. When the ring is full a line is
-//! dropped and counted; the count is logged as soon as there is room again.
+//! A line goes through a bounded ring to a thread of its own, so that no caller waits for the
+//! output. When the ring is full a line is dropped and counted; the count is logged as soon as
+//! there is room again. `sample` bounds the lines of requests that went well.
+
+pub mod line;
+pub mod ring;
+pub mod sample;
 
 use std::io;
-use std::io::Write;
-use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
-use std::thread;
-use std::time::Duration;
+use std::time::SystemTime;
 
 use anyhow::Result;
-use crossbeam::channel;
-use crossbeam::channel::Receiver;
-use crossbeam::channel::Sender;
+use compact_str::CompactString;
 use flexi_logger::DeferredNow;
 use flexi_logger::Logger;
 use flexi_logger::LoggerHandle;
 use flexi_logger::writers::LogWriter;
 use log::Record;
 
+use self::ring::Ring;
+
 /// Lines that wait to be written; about a second of the busiest host's.
 const RING_LINES: usize = 2048;
-/// Longest wait for the ring to empty when the process ends.
-const FLUSH_TIME: Duration = Duration::from_millis(300);
 
-enum Message {
-    Line(Vec<u8>),
-    Flush(Sender<()>),
+/// Formats records as lines of one host and hands them to a ring.
+struct Output {
+    host: CompactString,
+    ring: Ring,
 }
 
-/// The writing end of the ring.
-pub struct Ring {
-    sender: Sender<Message>,
-    dropped: Arc<AtomicU64>,
-}
-
-impl Ring {
-    /// Starts the thread that writes lines to `out`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the thread cannot be started.
-    pub fn start<W>(out: W, lines: usize) -> io::Result<Self>
-    where
-        W: Write + Send + 'static,
-    {
-        let (sender, receiver) = channel::bounded(lines);
-        let dropped = Arc::new(AtomicU64::new(0));
-        let counted = Arc::clone(&dropped);
-        thread::Builder::new()
-            .name("log".into())
-            .spawn(move || write_lines(out, &receiver, &counted))?;
-        Ok(Ring { sender, dropped })
-    }
-
-    /// Hands a line over, or drops and counts it if the ring is full.
-    pub fn push(&self, line: Vec<u8>) {
-        if self.sender.try_send(Message::Line(line)).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-
-    /// Waits a short while until all lines so far are written.
-    pub fn flush(&self) {
-        let (done, is_done) = channel::bounded(1);
-        if self
-            .sender
-            .send_timeout(Message::Flush(done), FLUSH_TIME)
-            .is_ok()
-        {
-            // Without an answer in time the lines are lost; there is nowhere left to say so.
-            let _answer = is_done.recv_timeout(FLUSH_TIME);
-        }
-    }
-}
-
-fn write_lines<W>(mut out: W, receiver: &Receiver<Message>, dropped: &AtomicU64)
-where
-    W: Write,
-{
-    for message in receiver {
-        // A standard output that is gone cannot be logged; the lines are lost with it.
-        let _written = match message {
-            Message::Line(line) => {
-                out.write_all(&line)
-                    .and_then(|()| match dropped.swap(0, Ordering::Relaxed) {
-                        0 => Ok(()),
-                        count => writeln!(out, "level=WARN part=logging dropped_lines={count}"),
-                    })
-            }
-            Message::Flush(done) => {
-                let flushed = out.flush();
-                let _answered = done.send(());
-                flushed
-            }
-        };
-    }
-}
-
-impl LogWriter for Ring {
+impl LogWriter for Output {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
-        let mut line = Vec::with_capacity(256);
-        format(&mut line, now, record)?;
+        let time = humantime::format_rfc3339_micros(SystemTime::from(*now.now()));
+        let mut line = line::encode(&time, &self.host, record)?;
         line.push(b'\n');
-        self.push(line);
+        self.ring.push(line);
         Ok(())
     }
 
     fn flush(&self) -> io::Result<()> {
-        Ring::flush(self);
+        self.ring.flush();
         Ok(())
     }
 }
 
-/// Starts logging through a ring to standard output.
+/// Starts logging through a ring to standard output; every line names `host`.
 ///
 /// # Errors
 ///
 /// Fails if `filter` cannot be read or the thread cannot be started.
-pub fn start(filter: &str) -> Result<LoggerHandle> {
-    let ring = Ring::start(io::stdout(), RING_LINES)?;
+pub fn start(filter: &str, host: &str) -> Result<LoggerHandle> {
+    let output = Output {
+        host: host.into(),
+        ring: Ring::start(io::stdout(), RING_LINES)?,
+    };
     Ok(Logger::try_with_str(filter)?
-        .log_to_writer(Box::new(ring))
+        .log_to_writer(Box::new(output))
         .start()?)
 }
-
-/// Writes a record as one line of `key=value` pairs.
-///
-/// # Errors
-///
-/// Fails if `out` does.
-pub fn format(out: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
-    let time = now.now().to_rfc3339();
-    let part = record.target().trim_start_matches("pistachiohall::");
-    write!(
-        out,
-        "time={time} level={} part={part} {}",
-        record.level(),
-        record.args()
-    )
-}
--- a/src/once/claim.rs
+++ b/src/once/claim.rs
@@ -188,7 +188,7 @@
         match log.append(self.replica.stream(), &data) {
             Ok(_) | Err(AppendError::Unknown(_)) => {}
             Err(AppendError::Refused(cause)) => {
-                warn!("stream={} append refused: {cause}", self.replica.stream());
+                warn!(stream:% = self.replica.stream(), cause:% = cause; "append refused");
                 for one in &group {
                     let _ = one.refused.send(());
                 }
--- a/src/order/officer.rs
+++ b/src/order/officer.rs
@@ -113,7 +113,7 @@
             .append(core.authority.replica().stream(), &data)
         {
             Ok(_) => self.released = true,
-            Err(cause) => warn!("release not written: {cause}"),
+            Err(cause) => warn!(cause:% = cause; "release not written"),
         }
     }
 
@@ -159,7 +159,7 @@
             }
             Step::Fence => course.fenced = give(core, &upstream, None, None),
             Step::Close(close) => {
-                info!("upstream={name} intent={} closed={close:?}", open.intent);
+                info!(upstream:% = name, intent:% = open.intent, closed:? = close; "order closed");
                 append(core, |lease| closed(lease, open.intent, close));
             }
         }
@@ -195,8 +195,11 @@
     };
     let taken = super::send(upstream.address, &order);
     info!(
-        "upstream={} token={token} intent={intent:?} taken={taken}",
-        upstream.id
+        upstream:% = upstream.id,
+        token = token,
+        intent:? = intent,
+        taken = taken;
+        "order given"
     );
     taken
 }
@@ -216,7 +219,7 @@
         .platform
         .append(core.authority.replica().stream(), &data)
     {
-        warn!("record not written: {cause}");
+        warn!(cause:% = cause; "record not written");
     }
 }
 
--- a/src/order/planner.rs
+++ b/src/order/planner.rs
@@ -192,8 +192,10 @@
         }
         for name in choose(&change, engines) {
             info!(
-                "upstream={name} role={:?} reason={:?}",
-                change.role, change.reason
+                upstream:% = name,
+                role:? = change.role,
+                reason:? = change.reason;
+                "role change planned"
             );
             officer::append(core, |token| Record::Intent {
                 lease: token,
@@ -213,7 +215,7 @@
         let holder = core.incarnation;
         let data = serde_json::to_value(Record::Released { holder }).expect("a record is JSON");
         if let Err(cause) = core.platform.append(self.turn.replica().stream(), &data) {
-            warn!("turn not given up: {cause}");
+            warn!(cause:% = cause; "turn not given up");
         }
         let _ = self.turn.replica().poll(&core.platform, Duration::ZERO);
     }
--- a/src/pipeline/account.rs
+++ b/src/pipeline/account.rs
@@ -99,14 +99,15 @@
         .with_tag("class", &call.class.name)
         .try_send();
     info!(
-        "request={} caller={} service={} class={} upstream={} tokens={} first_ms={} total_ms={} outcome={word}",
-        call.request,
-        call.account.name,
-        call.service.name,
-        call.class.name,
-        course.tried.last().map_or("-", |name| name.as_str()),
-        course.tokens,
-        first.map_or(0, |period| period.as_millis()),
-        total.as_millis(),
+        request:% = call.request,
+        caller:% = call.account.name,
+        service:% = call.service.name,
+        class:% = call.class.name,
+        upstream:% = course.tried.last().map_or("-", |name| name.as_str()),
+        tokens = course.tokens,
+        first_ms = first.map_or(-1, |period| period.as_millis() as i64),
+        total_ms = total.as_millis() as u64,
+        outcome = word;
+        "request ended"
     );
 }
--- a/src/pipeline/mod.rs
+++ b/src/pipeline/mod.rs
@@ -52,9 +52,10 @@
         Ok(call) => run(core, request, call),
         Err(problem) => {
             log::info!(
-                "outcome=not-run status={} title={:?}",
-                problem.status,
-                problem.title
+                outcome = "not-run",
+                status = problem.status,
+                title:% = problem.title;
+                "request refused"
             );
             write(core, request, uuid::Uuid::now_v7(), &problem.into());
         }
@@ -204,7 +205,7 @@
 {
     let mut out = request.into_writer();
     if let Err(cause) = deliver::whole(&mut out, id, reply, core.is_leaving()) {
-        log::debug!("request={id} caller gone: {cause}");
+        log::debug!(request:% = id, cause:% = cause; "caller gone");
     }
 }
 
--- a/src/platform/egress.rs
+++ b/src/platform/egress.rs
@@ -50,7 +50,7 @@
         Ok(value) => {
             fields.insert(name, value);
         }
-        Err(cause) => log::error!("header `{name}` was left out of a request: {cause}"),
+        Err(cause) => log::error!(header:% = name, cause:% = cause; "header left out of a request"),
     };
     set(header::EXPECT_UPSTREAM, send.upstream);
     set(header::DEADLINE, &send.left.as_millis().to_string());
@@ -153,7 +153,9 @@
         Ok(value) => {
             fields.insert(header::EXPECT_UPSTREAM, value);
         }
-        Err(cause) => log::error!("upstream={upstream} name does not fit a header: {cause}"),
+        Err(cause) => {
+            log::error!(upstream:% = upstream, cause:% = cause; "name does not fit a header")
+        }
     }
     fields
 }
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -82,6 +82,20 @@
     })
 }
 
+/// Returns the identifier of a request that may be malformed, for its log line.
+///
+/// ```
+/// use pistachiohall::platform::ingress;
+/// assert_eq!(ingress::id(&http::HeaderMap::new()), "");
+/// ```
+pub fn id(headers: &HeaderMap) -> &str {
+    headers
+        .get(header::REQUEST_ID)
+        .and_then(|value| value.to_str().ok())
+        .filter(|id| id.len() <= MOST_ID_BYTES)
+        .unwrap_or_default()
+}
+
 /// Returns the fields that are passed on: not those of one connection, nor the system's own.
 fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let named_by_connection: Vec<String> = headers
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -278,7 +278,7 @@
     let key = match std::str::from_utf8(key) {
         Ok(key) => CompactString::from(key),
         Err(cause) => {
-            log::warn!("dropped a record of the store: its key is not UTF-8: {cause}");
+            log::warn!(cause:% = cause; "dropped a record of the store: its key is not UTF-8");
             return None;
         }
     };
--- a/src/reassign/duty.rs
+++ b/src/reassign/duty.rs
@@ -189,9 +189,10 @@
             Ok(report) => report,
             Err(cause) => {
                 warn!(
-                    "upstream={} report=none cause={:?}",
-                    row.id,
-                    cause.to_string()
+                    upstream:% = row.id,
+                    report = "none",
+                    cause:% = cause;
+                    "engine report not read"
                 );
                 return;
             }
@@ -206,12 +207,22 @@
             }
         };
         info!(
-            "upstream={} role={:?} was={:?} report={report:?} lease={} outcome={outcome:?}",
-            row.id, change.role, row.role, held.fence
+            upstream:% = row.id,
+            role:? = change.role,
+            was:? = row.role,
+            report:? = report,
+            lease = held.fence,
+            outcome:? = outcome;
+            "role ordered"
         );
         match outcome {
             Outcome::Refused(STATUS_FENCED) => {
-                warn!("upstream={} lease={} outcome=fenced", row.id, held.fence);
+                warn!(
+                    upstream:% = row.id,
+                    lease = held.fence,
+                    outcome = "fenced";
+                    "order refused: lease is not the newest"
+                );
                 self.term.drop_lease();
             }
             Outcome::Needless | Outcome::Refused(_) | Outcome::Taken | Outcome::Unknown => {
@@ -261,11 +272,7 @@
         Ok(status) => Outcome::Refused(status),
         Err(cause) if crate::upstream::is_before_first_byte(&cause) => Outcome::NotSent,
         Err(cause) => {
-            warn!(
-                "upstream={} order=unanswered cause={:?}",
-                row.id,
-                cause.to_string()
-            );
+            warn!(upstream:% = row.id, order = "unanswered", cause:% = cause; "order not answered");
             Outcome::Unknown
         }
     }
--- a/src/reassign/term.rs
+++ b/src/reassign/term.rs
@@ -88,9 +88,10 @@
         self.held = None;
         if let Err(error) = self.look(now, store) {
             warn!(
-                "dependency=store topic={} cause={:?}",
-                store::LEASE_TOPIC,
-                error.to_string()
+                dependency = "store",
+                topic:% = store::LEASE_TOPIC,
+                cause:% = error;
+                "lease not read"
             );
             return None;
         }
@@ -109,16 +110,21 @@
         match store.put_at(store::LEASE_TOPIC, pair, at) {
             Ok(fence) => {
                 let until = now + self.lease.mul_f64(USABLE_SHARE);
-                info!("lease={fence} holder={} outcome=taken", self.host);
+                info!(lease = fence, holder:% = self.host, outcome = "taken"; "lease taken");
                 self.held = Some(Held { fence, until });
             }
-            Err(ConditionError::Moved(end)) => info!("lease=none end={end} outcome=lost-race"),
+            Err(ConditionError::Moved(end)) => info!(
+                lease = "none",
+                end = end,
+                outcome = "lost-race";
+                "lease lost to another host"
+            ),
             Err(ConditionError::Append(AppendError::Refused(cause))) => {
-                info!("lease=none outcome=refused cause={cause:?}");
+                info!(lease = "none", outcome = "refused", cause:% = cause; "lease refused");
             }
             // If the record is there, the next look finds it as this host's own.
             Err(ConditionError::Append(AppendError::Unknown(cause))) => {
-                info!("lease=none outcome=unknown cause={cause:?}");
+                info!(lease = "none", outcome = "unknown", cause:% = cause; "lease unknown");
             }
         }
         self.seen = None;
@@ -145,8 +151,10 @@
             Ok(record) => Some(record),
             Err(cause) => {
                 warn!(
-                    "lease=unreadable outcome=ignored cause={:?}",
-                    cause.to_string()
+                    lease = "unreadable",
+                    outcome = "ignored",
+                    cause:% = cause;
+                    "lease unreadable"
                 );
                 None
             }
--- a/src/replay/mod.rs
+++ b/src/replay/mod.rs
@@ -152,7 +152,7 @@
                 }
                 Err(cause) => {
                     if !failing {
-                        warn!("stream={} read failed: {cause}", self.stream);
+                        warn!(stream:% = self.stream, cause:% = cause; "read failed");
                     }
                     failing = true;
                     clock.sleep(RETRY_PAUSE);
--- a/src/replay/reader.rs
+++ b/src/replay/reader.rs
@@ -94,7 +94,7 @@
         let record: S::Record = match serde_json::from_value(entry.data.clone()) {
             Ok(record) => record,
             Err(cause) => {
-                error!("offset={} is no record: {cause}", entry.offset);
+                error!(offset = entry.offset, cause:% = cause; "record unreadable");
                 return;
             }
         };
--- a/src/serve/duties.rs
+++ b/src/serve/duties.rs
@@ -90,7 +90,7 @@
 {
     match core.platform.hosts() {
         Ok(hosts) => core.take_hosts(hosts),
-        Err(cause) => warn!("list not read: {cause}"),
+        Err(cause) => warn!(cause:% = cause; "list not read"),
     }
 }
 
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -70,8 +70,11 @@
         let operator = operator::start(&core)?;
         let listening = serve_callers(&core, listener)?;
         info!(
-            "host={} domain={} incarnation={} listen={address} peers={} started",
-            core.settings.name, core.settings.domain, core.incarnation, core.settings.peer_listen
+            domain:% = core.settings.domain,
+            incarnation:% = core.incarnation,
+            listen:% = address,
+            peers:% = core.settings.peer_listen;
+            "started"
         );
         Ok(Process {
             core,
@@ -103,7 +106,7 @@
     pub fn shut_down(self) -> bool {
         let core = &self.core;
         let clock = &core.clock;
-        info!("host={} leaving", core.settings.name);
+        info!("leaving");
         core.leaving.store(true, Ordering::SeqCst);
         clock.sleep(core.settings.balancer_lag);
         let give_up = clock.now() + core.settings.shutdown_limit;
@@ -112,7 +115,7 @@
         let finished = finish(core, give_up);
         hand_over(core);
         core.stop.ask();
-        info!("host={} left finished={finished}", core.settings.name);
+        info!(finished = finished; "left");
         finished
     }
 
@@ -197,7 +200,7 @@
             continue;
         }
         let taken = peers.hand_over(member.peer, core.incarnation, &core.issuer.secret(), &calls);
-        info!("host={name} calls={} handed_over={taken}", calls.len());
+        info!(peer:% = name, calls = calls.len(), taken = taken; "answers handed over");
         if taken && !is_near {
             told_domains.push(member.domain);
         }
--- a/src/snapshot/mod.rs
+++ b/src/snapshot/mod.rs
@@ -87,10 +87,12 @@
     watch.watched = true;
     match log.append(replica.stream(), &record(as_of, &state)) {
         Ok(offset) => info!(
-            "stream={} snapshot as_of={as_of} offset={offset}",
-            replica.stream()
+            stream:% = replica.stream(),
+            as_of = as_of,
+            offset = offset;
+            "snapshot written"
         ),
-        Err(cause) => warn!("stream={} snapshot not written: {cause}", replica.stream()),
+        Err(cause) => warn!(stream:% = replica.stream(), cause:% = cause; "snapshot not written"),
     }
 }
 
--- a/tests/decisions/logging.rs
+++ b/tests/decisions/logging.rs
@@ -6,7 +6,7 @@
 use std::sync::Condvar;
 use std::sync::Mutex;
 
-use pistachiohall::logging::Ring;
+use pistachiohall::logging::ring::Ring;
 
 /// A standard output that takes nothing until it is opened.
 #[derive(Clone, Default)]
@@ -69,8 +69,11 @@
     assert!((10..=11).contains(&kept), "{text}");
     let told: usize = text
         .lines()
-        .filter_map(|line| line.split("dropped_lines=").nth(1))
-        .map(|count| count.parse::<usize>().unwrap())
+        .filter(|line| line.contains("dropped_lines"))
+        .map(|line| {
+            let line: serde_json::Value = serde_json::from_str(line).unwrap();
+            line["dropped_lines"].as_u64().unwrap() as usize
+        })
         .sum();
     let last = usize::from(!text.contains("last"));
     assert_eq!(kept + told, 100 + last, "{text}");
--- a/tests/gateway/belief.rs
+++ b/tests/gateway/belief.rs
@@ -50,10 +50,10 @@
 fn never_goes_back_to_an_older_configuration() {
     let site = Site::desks(&["c1"]);
     site.store.put_config(&without_route(9, "/read/"));
-    site.gateway.wait_line(&["config=9 ", "outcome=in-force"]);
+    site.gateway.wait_line(&["config=9", "outcome=in-force"]);
     site.store.put_config(&fleet::config(5));
     site.gateway
-        .wait_line(&["config=5 ", "outcome=ignored-older"]);
+        .wait_line(&["config=5", "outcome=ignored-older"]);
     assert_eq!(site.gateway.call("GET", "/read/a", "r", &[]).status, 404);
 }
 
@@ -82,7 +82,7 @@
     site.gateway
         .wait_line(&["dependency=store", "outcome=back"]);
     site.store.put_config(&without_route(9, "/read/"));
-    site.gateway.wait_line(&["config=9 ", "outcome=in-force"]);
+    site.gateway.wait_line(&["config=9", "outcome=in-force"]);
 }
 
 #[test]
@@ -98,7 +98,7 @@
 fn gives_a_leaving_upstream_no_new_work() {
     let site = Site::desks(&["c1", "c2"]);
     site.replicas["c1"].register(&site.store, "draining");
-    site.gateway.wait_line(&["upstream=c1 ", "state=Draining"]);
+    site.gateway.wait_line(&["upstream=c1", "state=Draining"]);
     let before = site.replicas["c1"].seen().len();
     for number in 0..20 {
         let answer = site
@@ -113,7 +113,7 @@
 fn uses_no_upstream_whose_entry_was_removed() {
     let site = Site::desks(&["c1", "c2"]);
     site.store.remove("keyed.servers", "c1");
-    site.gateway.wait_line(&["upstream=c1 ", "outcome=removed"]);
+    site.gateway.wait_line(&["upstream=c1", "outcome=removed"]);
     for number in 0..10 {
         assert_eq!(
             site.gateway
@@ -144,7 +144,7 @@
         site.store
             .put("keyed.servers", id, entry.to_string().as_bytes());
         site.gateway
-            .wait_line(&[&format!("upstream=\"{id}\""), "outcome=ignored"]);
+            .wait_line(&[&format!("upstream={id}"), "outcome=ignored"]);
     }
     for number in 0..6 {
         assert_eq!(
@@ -180,24 +180,24 @@
 fn learns_from_peers_while_the_store_is_away() {
     let site = Site::desks(&["c1"]);
     let mut second = Gateway::start("h2", site.store.address(), NO_ORDERS);
-    second.wait_line(&["peers=1 "]);
-    site.gateway.wait_line(&["peers=1 "]);
+    second.wait_line(&["peers=1"]);
+    site.gateway.wait_line(&["peers=1"]);
     site.store.set_trouble(Trouble::Down);
     second.restart();
     second.wait_ready();
-    second.wait_line(&["config=3 ", "source=peer", "outcome=in-force"]);
+    second.wait_line(&["config=3", "source=peer", "outcome=in-force"]);
     assert_eq!(second.call("GET", "/read/a", "r1", &[]).status, 200);
     site.store.set_trouble(Trouble::None);
     second.wait_line(&["dependency=store", "outcome=back"]);
     site.store.put_config(&without_route(9, "/read/"));
-    second.wait_line(&["config=9 ", "source=store", "outcome=in-force"]);
+    second.wait_line(&["config=9", "source=store", "outcome=in-force"]);
 }
 
 #[test]
 fn finds_peers_through_the_store() {
     let site = Site::desks(&["c1"]);
     let second = Gateway::start("h2", site.store.address(), NO_ORDERS);
-    second.wait_line(&["peers=1 "]);
-    site.gateway.wait_line(&["peers=1 "]);
+    second.wait_line(&["peers=1"]);
+    site.gateway.wait_line(&["peers=1"]);
     assert_eq!(site.store.keys("keyed.hosts"), ["h1", "h2"]);
 }
--- /dev/null
+++ b/tests/gateway/explain.rs
@@ -0,0 +1,117 @@
+//! The walks of docs/OPERATIONS.md from a request's identifier to its cause.
+
+use std::io::Write;
+use std::process::Command;
+use std::process::Stdio;
+
+use pistachiohall::platform::store;
+use pistachiohall::standin::fleet::replica::Manner;
+
+use super::site::Gateway;
+use super::site::NO_ORDERS;
+use super::site::Site;
+
+const PAGE: &str = include_str!("../../docs/OPERATIONS.md");
+
+/// Runs the page's command on the logs of `hosts`; returns its exit code and what it prints.
+fn explain(id: &str, hosts: &[&Gateway]) -> (Option<i32>, String) {
+    assert!(PAGE.contains("pistachiohall explain ID LOGS"));
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pistachiohall"))
+        .args(["explain", id])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut input = child.stdin.take().unwrap();
+    for host in hosts {
+        input.write_all(host.log().as_bytes()).unwrap();
+    }
+    drop(input);
+    let output = child.wait_with_output().unwrap();
+    (
+        output.status.code(),
+        String::from_utf8(output.stdout).unwrap(),
+    )
+}
+
+/// Checks that an account and the page both say `text`.
+fn told(account: &str, text: &str) {
+    assert!(account.contains(text), "{text:?} is not in:\n{account}");
+    assert!(PAGE.contains(text), "{text:?} is not in the page");
+}
+
+#[test]
+fn walk_of_a_request_refused_under_load() {
+    let site = Site::desks(&["c1", "c2"]);
+    for replica in site.replicas.values() {
+        replica.set_manner(Manner::Shed);
+    }
+    assert_eq!(site.gateway.call("POST", "/act/a", "r1", &[]).status, 503);
+    site.gateway.wait_line(&["request=r1", "outcome=refused"]);
+    let (code, account) = explain("r1", &[&site.gateway]);
+    assert_eq!(code, Some(0));
+    let cause = "cause: not run: 2 upstreams were asked, none took it";
+    assert!(account.contains(cause), "{account}");
+    assert!(PAGE.replace('\n', " ").contains(cause));
+    told(&account, "=NotRun(503)");
+    assert!(account.contains("of configuration 3"), "{account}");
+    assert!(account.contains("configuration in force (config=3"));
+    assert!(account.contains("upstream added"), "{account}");
+    assert!(account.contains("upstream=c2"), "{account}");
+}
+
+#[test]
+fn walk_of_a_request_that_an_upstream_broke() {
+    let site = Site::desks(&["c1"]);
+    let other = Gateway::start("h2", site.store.address(), NO_ORDERS);
+    other.wait_line(&["upstream=c1", "outcome=added"]);
+    site.replicas["c1"].set_manner(Manner::Reset);
+    assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 502);
+    site.gateway.wait_line(&["request=r1", "outcome=failed"]);
+    site.store.remove(store::UPSTREAM_TOPIC, "c1");
+    other.wait_line(&["upstream=c1", "outcome=removed"]);
+    site.gateway.wait_line(&["upstream=c1", "outcome=removed"]);
+    let (code, account) = explain("r1", &[&other, &site.gateway]);
+    assert_eq!(code, Some(0));
+    told(&account, "cause: may have run: no whole answer came");
+    told(&account, "=Broken(");
+    assert!(account.contains("request r1 on h1: failed"), "{account}");
+    told(&account, "logged of these upstreams around then:");
+    assert!(account.contains("ms on h2: upstream removed"), "{account}");
+    assert!(account.contains("ms on h1: upstream removed"), "{account}");
+}
+
+#[test]
+fn walk_of_a_one_time_call_of_unknown_outcome() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_manner(Manner::Hang);
+    let patience = [("pistachiohall-deadline-ms", "300")];
+    let answer = site.gateway.call("POST", "/act/a", "r1", &patience);
+    assert_eq!(answer.status, 502);
+    site.gateway.wait_line(&["request=r1", "outcome=failed"]);
+    let (code, account) = explain("r1", &[&site.gateway]);
+    assert_eq!(code, Some(0));
+    told(&account, "cause: may have run: no whole answer came");
+    told(&account, "=Silent");
+    assert!(account.contains(", 0 ms left"), "{account}");
+    assert_eq!(site.runs(), 1);
+}
+
+#[test]
+fn a_request_without_a_line_is_told_as_such() {
+    let site = Site::desks(&["c1"]);
+    let (code, account) = explain("r9", &[&site.gateway]);
+    assert_eq!(code, Some(1));
+    assert!(account.contains("request r9: no line in"), "{account}");
+}
+
+#[test]
+fn a_malformed_request_is_explained_by_its_identifier() {
+    let site = Site::desks(&["c1"]);
+    let answer = site.gateway.call("GET", "/nowhere", "r1", &[]);
+    assert_eq!(answer.status, 404);
+    site.gateway.wait_line(&["request=r1", "outcome=rejected"]);
+    let (_, account) = explain("r1", &[&site.gateway]);
+    let cause = "cause: malformed or without a route: no route for host";
+    assert!(account.contains(cause), "{account}");
+}
--- a/tests/gateway/lifecycle.rs
+++ b/tests/gateway/lifecycle.rs
@@ -79,13 +79,13 @@
     site.replicas["c1"].set_manner(Manner::Shed);
     assert_eq!(site.gateway.call("POST", "/act/a", "r2", &[]).status, 503);
     site.gateway.wait_line(&[
-        "request=r1 ",
-        "config=3 ",
+        "request=r1",
+        "config=3",
         "outcome=delivered",
-        "trail=\"c1=200\"",
+        r#","step":"c1=200"}]"#,
     ]);
     site.gateway
-        .wait_line(&["request=r2 ", "outcome=refused", "c1=NotRun(503)"]);
+        .wait_line(&["request=r2", "outcome=refused", "c1=NotRun(503)"]);
     let metrics = site.gateway.metrics();
     assert!(
         metrics.contains("pistachiohall_requests_delivered_total 1\n"),
@@ -115,6 +115,6 @@
     assert_eq!(site.gateway.wait(), None);
     site.gateway = super::site::Gateway::start("h1", site.store.address(), NO_ORDERS);
     site.gateway.wait_ready();
-    site.gateway.wait_line(&["upstream=c1 ", "outcome=added"]);
+    site.gateway.wait_line(&["upstream=c1", "outcome=added"]);
     assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 200);
 }
--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -197,7 +197,7 @@
         site.replicas["c1"].seen()[0].left_after.is_some()
     });
     assert!(left_at.elapsed() < Duration::from_millis(500));
-    site.gateway.wait_line(&["request=r1 ", "outcome=left"]);
+    site.gateway.wait_line(&["request=r1", "outcome=left"]);
 }
 
 /// A second answer comes when the next request is there: it is nobody's answer, and the request
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -20,6 +20,7 @@
 use pistachiohall::standin::fleet::client::Client;
 use pistachiohall::standin::fleet::replica::Replica;
 use pistachiohall::standin::fleet::store::Store;
+use serde_json::Value;
 
 /// Longest wait for something that must come about, far above what it takes on a busy machine.
 pub const LONG: Duration = Duration::from_secs(30);
@@ -46,6 +47,23 @@
     lines: Arc<Mutex<Vec<String>>>,
 }
 
+/// Returns whether a log line has a field; see `Gateway::line`.
+fn has(line: &str, field: &str) -> bool {
+    let Ok(Value::Object(fields)) = serde_json::from_str(line) else {
+        return false;
+    };
+    let text = |value: &Value| match value {
+        Value::String(text) => text.clone(),
+        value => value.to_string(),
+    };
+    let is_field = field.split_once('=').is_some_and(|(name, wanted)| {
+        fields
+            .get(name)
+            .is_some_and(|value| wanted.is_empty() || text(value) == wanted)
+    });
+    is_field || fields.values().any(|value| text(value).contains(field))
+}
+
 impl Gateway {
     /// Starts a gateway; `more` is added to its settings.
     pub fn start(name: &str, store: SocketAddr, more: &str) -> Self {
@@ -72,20 +90,27 @@
         });
         wait_for("start", || self.line(&["outcome=started"]).is_some());
         let started = self.line(&["outcome=started"]).unwrap();
-        self.addresses = started
-            .split(' ')
-            .filter_map(|pair| pair.split_once('='))
-            .filter_map(|(name, value)| Some((name.to_owned(), value.parse().ok()?)))
+        let fields: serde_json::Map<String, Value> = serde_json::from_str(&started).unwrap();
+        self.addresses = fields
+            .into_iter()
+            .filter_map(|(name, value)| Some((name, value.as_str()?.parse().ok()?)))
             .collect();
     }
 
-    /// Returns the first log line that contains all `words`.
-    pub fn line(&self, words: &[&str]) -> Option<String> {
+    /// Returns the first log line that has all `fields`: `name=value` asks for a field of just
+    /// this value, `name=` for any, another text for a line that contains it.
+    pub fn line(&self, fields: &[&str]) -> Option<String> {
         let lines = self.lines.lock().unwrap();
-        let holds = |line: &&String| words.iter().all(|word| line.contains(word));
+        let holds = |line: &&String| fields.iter().all(|field| has(line, field));
         lines.iter().find(holds).cloned()
     }
 
+    /// Returns all log lines.
+    pub fn log(&self) -> String {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().map(|line| format!("{line}\n")).collect()
+    }
+
     /// Returns where callers are served.
     pub fn callers(&self) -> SocketAddr {
         self.addresses["callers"]
@@ -100,10 +125,8 @@
     /// Returns the metrics.
     pub fn metrics(&self) -> String {
         let line = self.line(&["metrics=", "outcome=served"]).unwrap();
-        let pair = line
-            .split(' ')
-            .find_map(|pair| pair.strip_prefix("metrics="));
-        let address = pair.unwrap().parse().unwrap();
+        let line: Value = serde_json::from_str(&line).unwrap();
+        let address = line["metrics"].as_str().unwrap().parse().unwrap();
         client::call(address, "GET", "/metrics", "m", &[])
             .unwrap()
             .body
@@ -218,7 +241,7 @@
         let gateway = Gateway::start("h1", store.address(), more);
         gateway.wait_ready();
         for id in replicas.keys() {
-            gateway.wait_line(&[&format!("upstream={id} "), "outcome=added"]);
+            gateway.wait_line(&[&format!("upstream={id}"), "outcome=added"]);
         }
         Site {
             store,
