Let hosts of a failure domain take turns at the store

Cause: every host long-polled the configuration and read the registry by itself, 2.8 calls a second each.

Change: a host that has read a topic tells the others of its domain the records and offsets in a datagram. A gap in what was told is read from the store. Follow is split into config, registry, reader, share and view.

--- a/src/follow/hosts.rs
+++ b/src/follow/hosts.rs
@@ -11,8 +11,8 @@
 use serde::Serialize;
 use tokio::sync::watch;
 
-use super::Reader;
-use super::Reading;
+use super::reader::Reader;
+use super::reader::Reading;
 use crate::clock::Clock;
 use crate::id::HostId;
 use crate::log::keyed::Keyed;
@@ -21,7 +21,7 @@
 
 /// Pause between two readings. Peers that start later send datagrams first, so that this only
 /// matters for hosts that no datagram reaches.
-const PAUSE: Duration = Duration::from_secs(10);
+const PAUSE: Duration = Duration::from_secs(30);
 /// Pause after a failure.
 const FAILURE_PAUSE: Duration = Duration::from_millis(700);
 /// Pause before the first reading, in which hosts that start together write their entries.
--- /dev/null
+++ b/src/follow/registry.rs
@@ -0,0 +1,140 @@
+//! Follows the entries that upstreams write of themselves.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use log::info;
+use log::warn;
+
+use super::reader::Reader;
+use super::reader::Reading;
+use super::reader::Told;
+use super::share::Port;
+use super::share::Turn;
+use super::view::Views;
+use crate::clock::Clock;
+use crate::fleet::Change;
+use crate::fleet::Fleet;
+use crate::log::keyed::Keyed;
+use crate::log::keyed::Record;
+use crate::platform::registry;
+use crate::platform::store;
+
+/// Pause between two readings; a leaving upstream gets no new work after two seconds, and one lost
+/// answer must fit in.
+const PAUSE: Duration = Duration::from_millis(600);
+/// Pause after a failed reading.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Reads the registry for ever, in turns with peers.
+pub fn follow<C, K>(board: &Views, clock: &C, store: &K, port: &Port)
+where
+    C: Clock,
+    K: Keyed,
+{
+    let mut reader = Reader::new(store::UPSTREAM_TOPIC);
+    let mut fleet = Fleet::default();
+    let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, clock.now());
+    loop {
+        let reading = match port.wait(turn.due()) {
+            Some(segment) => match reader.take(segment) {
+                Told::Next(records) => {
+                    turn.note_told(clock.now(), port.rank());
+                    Some(Reading::Changes(records))
+                }
+                Told::Missing => {
+                    turn.set_due(clock.now());
+                    None
+                }
+                Told::Behind => None,
+            },
+            None => read(&mut reader, &mut turn, clock, store, port),
+        };
+        let now = clock.now();
+        let is_read = reading.is_some();
+        if let Some(reading) = reading {
+            if reader.note_success() {
+                fleet.note_return(now);
+            }
+            take_in(&mut fleet, reading, now);
+        }
+        for id in fleet.sweep(now) {
+            info!(upstream:% = id, outcome = "gone", reason = "lapsed"; "upstream gone");
+        }
+        if is_read {
+            board.set_rows(fleet.rows());
+        }
+    }
+}
+
+/// Reads the store and tells peers; returns nothing if that fails.
+fn read<C, K>(
+    reader: &mut Reader,
+    turn: &mut Turn,
+    clock: &C,
+    store: &K,
+    port: &Port,
+) -> Option<Reading>
+where
+    C: Clock,
+    K: Keyed,
+{
+    let from = reader.next();
+    let reading = reader.read(store, Duration::ZERO);
+    let now = clock.now();
+    match reading {
+        Ok(reading) => {
+            turn.note_read(now);
+            if let (Some(from), Reading::Changes(records), Some(next)) =
+                (from, &reading, reader.next())
+            {
+                port.tell(from, next, records.clone());
+            }
+            Some(reading)
+        }
+        Err(error) => {
+            reader.note_failure(&error);
+            turn.note_failure(now, port.rank());
+            None
+        }
+    }
+}
+
+fn take_in(fleet: &mut Fleet, reading: Reading, now: Instant) {
+    match reading {
+        Reading::Full(records) => {
+            let rows = records
+                .into_iter()
+                .filter_map(change)
+                .filter_map(|change| match change {
+                    Change::Written(row, beat) => Some((row, beat)),
+                    Change::Removed(_) => None,
+                });
+            let rows = rows.collect();
+            fleet.replace(rows, now);
+        }
+        Reading::Changes(records) => {
+            let changes = records.into_iter().filter_map(change).collect();
+            fleet.apply(changes, now);
+        }
+    }
+}
+
+fn change(record: Record) -> Option<Change> {
+    let Some(value) = record.value else {
+        return Some(Change::Removed(record.key));
+    };
+    match registry::decode(record.key.clone(), &value) {
+        Ok((row, beat)) => Some(Change::Written(row, beat)),
+        Err(cause) => {
+            warn!(
+                upstream:% = record.key,
+                entry = "unreadable",
+                outcome = "ignored",
+                cause:% = cause;
+                "upstream entry unreadable"
+            );
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/follow/view.rs
@@ -0,0 +1,164 @@
+//! What a host believes, and how each change of it is logged.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use log::info;
+use log::warn;
+use tokio::sync::watch;
+
+use crate::catalog::Catalog;
+use crate::fleet::Row;
+use crate::platform::config;
+
+/// What a host believes, at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Configuration in force; none before the first one was read.
+    pub catalog: Option<Arc<Catalog>>,
+    /// The same as the operator wrote it, for peers that start without the store.
+    pub config: Arc<Vec<u8>>,
+    /// Upstreams.
+    pub rows: Arc<Vec<Row>>,
+    /// Whether the registry was read at least once.
+    pub has_registry: bool,
+}
+
+/// Publishes views.
+#[derive(Debug)]
+pub struct Views {
+    view: Mutex<View>,
+    sender: watch::Sender<Arc<View>>,
+}
+
+impl Views {
+    /// Returns a board with an empty view, and a receiver of its views.
+    pub fn new() -> (Arc<Self>, watch::Receiver<Arc<View>>) {
+        let (sender, receiver) = watch::channel(Arc::default());
+        let board = Views {
+            view: Mutex::default(),
+            sender,
+        };
+        (Arc::new(board), receiver)
+    }
+
+    fn publish<F>(&self, change: F)
+    where
+        F: FnOnce(&mut View),
+    {
+        let mut view = self.view.lock().expect("view lock");
+        change(&mut view);
+        self.sender.send_replace(Arc::new(view.clone()));
+    }
+
+    /// Puts a configuration into force unless it is unreadable or older than the one in force.
+    pub fn adopt(&self, config: Vec<u8>, source: &str) {
+        let catalog = match config::decode(&config) {
+            Ok(catalog) => catalog,
+            Err(cause) => {
+                let cause = cause.to_string();
+                warn!(
+                    config = "unreadable",
+                    source:% = source,
+                    outcome = "ignored",
+                    cause:% = cause;
+                    "configuration unreadable"
+                );
+                return;
+            }
+        };
+        self.publish(|view| {
+            let held = view.catalog.as_ref().map(|held| held.version());
+            let version = catalog.version();
+            if held.is_some_and(|held| held >= version) {
+                if held != Some(version) {
+                    warn!(
+                        config = version,
+                        source:% = source,
+                        held:? = held,
+                        outcome = "ignored-older";
+                        "older configuration ignored"
+                    );
+                }
+                return;
+            }
+            info!(
+                config = version,
+                source:% = source,
+                replaced:? = held,
+                outcome = "in-force";
+                "configuration in force"
+            );
+            view.catalog = Some(Arc::new(catalog));
+            view.config = Arc::new(config);
+        });
+    }
+
+    /// Returns whether a configuration is in force.
+    pub fn has_catalog(&self) -> bool {
+        self.view.lock().expect("view lock").catalog.is_some()
+    }
+
+    /// Takes over a peer's upstreams unless the registry was read.
+    pub fn adopt_rows(&self, rows: Vec<Row>) {
+        if !self.view.lock().expect("view lock").has_registry {
+            info!(
+                upstreams = rows.len(),
+                source = "peer",
+                outcome = "taken-over";
+                "upstreams taken over from a peer"
+            );
+            self.set_rows(rows);
+        }
+    }
+
+    /// Publishes the upstreams if they changed, and logs how.
+    pub fn set_rows(&self, rows: Vec<Row>) {
+        let (before, has_registry) = {
+            let view = self.view.lock().expect("view lock");
+            (Arc::clone(&view.rows), view.has_registry)
+        };
+        if has_registry && *before == rows {
+            return;
+        }
+        log_difference(&before, &rows);
+        self.publish(|view| {
+            view.rows = Arc::new(rows);
+            view.has_registry = true;
+        });
+    }
+}
+
+fn log_difference(before: &[Row], after: &[Row]) {
+    for row in after {
+        match before.iter().find(|held| held.id == row.id) {
+            Some(held) if held == row => (),
+            Some(held) => info!(
+                upstream:% = row.id,
+                born = row.born,
+                state:? = row.state,
+                was:? = held.state,
+                role:? = row.role,
+                was_role:? = held.role,
+                outcome = "changed";
+                "upstream changed"
+            ),
+            None => info!(
+                upstream:% = row.id,
+                born = row.born,
+                service:% = row.service,
+                address:% = row.address,
+                domain:% = row.domain,
+                state:? = row.state,
+                role:? = row.role,
+                outcome = "added";
+                "upstream added"
+            ),
+        }
+    }
+    for held in before {
+        if !after.iter().any(|row| row.id == held.id) {
+            info!(upstream:% = held.id, born = held.born, outcome = "removed"; "upstream removed");
+        }
+    }
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,10 +17,13 @@
 use super::Gateway;
 use super::call::Part;
 use crate::follow::hosts::Hosts;
+use crate::follow::share;
+use crate::follow::share::Exchange;
 use crate::gossip;
 use crate::gossip::Beat;
 use crate::gossip::Peers;
 use crate::id::HostId;
+use crate::log::keyed::Record;
 use crate::placement::board::Load;
 use crate::quarantine::Suspect;
 use crate::reassign::Standing;
@@ -30,6 +33,8 @@
 const BEAT_PAUSE: Duration = Duration::from_millis(20);
 /// Longest pause while nothing changes.
 const QUIET_PAUSE: Duration = Duration::from_millis(400);
+/// Records that are told with a segment, in bytes; hosts read larger ones by themselves.
+const SEGMENT_BYTES: usize = 32_000;
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 60_000;
 
@@ -51,6 +56,8 @@
     pub away: watch::Receiver<Away>,
     /// What this host's orders depend on.
     pub standing: watch::Sender<Standing>,
+    /// What this host and its peers read from the store.
+    pub exchange: Exchange,
 }
 
 /// Opens the socket that peers send to, and a listener at the same address for their questions.
@@ -76,6 +83,7 @@
         mut hosts,
         mut away,
         standing,
+        mut exchange,
     } = sources;
     let mut peers = Peers::default();
     let mut buffer = vec![0; DATAGRAM_BYTES];
@@ -87,6 +95,8 @@
             _ = tick.tick() => {
                 told.tell(&gateway, &socket, &mut peers).await;
                 let now = Instant::now();
+                let (own, domain) = (&gateway.settings.name, &gateway.settings.domain);
+                exchange.set_rank(peers.rank_near(own, domain, now));
                 let newest = Standing {
                     rank: peers.rank(&gateway.settings.name, now),
                     is_idle: gateway.is_idle(now),
@@ -99,9 +109,14 @@
                 });
             }
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => take_in(&gateway, &mut peers, &buffer[..length], from),
+                Ok((length, from)) => {
+                    take_in(&gateway, &mut peers, &exchange, &buffer[..length], from);
+                }
                 Err(cause) => log::debug!(cause:% = cause; "a datagram was lost"),
             },
+            Some(segment) = exchange.outbox.recv() => {
+                told.tell_segment(&gateway, &socket, &peers, segment);
+            }
             Ok(()) = away.changed() => {
                 let ordered: Vec<u32> = away.borrow_and_update().keys().map(|id| gossip::digest(id)).collect();
                 gateway.note_away(&ordered, Instant::now());
@@ -143,6 +158,39 @@
         }
     }
 
+    /// Returns a datagram of this host's state.
+    fn beat(&self, gateway: &Gateway) -> Beat {
+        Beat {
+            host: gateway.settings.name.to_string(),
+            domain: gateway.settings.domain.to_string(),
+            born: self.born,
+            sequence: self.sequence,
+            loads: self.loads.clone(),
+            away: self.away.clone(),
+            ..Beat::default()
+        }
+    }
+
+    /// Tells the hosts of the same failure domain what this one has read.
+    fn tell_segment(
+        &mut self,
+        gateway: &Gateway,
+        socket: &UdpSocket,
+        peers: &Peers,
+        segment: share::Segment,
+    ) {
+        let near = peers.addresses_near(&gateway.settings.domain, Instant::now());
+        if near.is_empty() {
+            return;
+        }
+        self.sequence += 1;
+        let beat = Beat {
+            segments: vec![encode(segment)],
+            ..self.beat(gateway)
+        };
+        send(socket, &beat.encode_to_vec(), &near);
+    }
+
     async fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket, peers: &mut Peers) {
         let now = Instant::now();
         let loads = loads(gateway);
@@ -154,22 +202,13 @@
         }
         self.sequence += 1;
         self.at = now;
-        self.loads = loads.clone();
+        self.loads = loads;
         let beat = Beat {
-            host: gateway.settings.name.to_string(),
-            born: self.born,
-            sequence: self.sequence,
-            loads,
             readings: news.readings,
             suspects: news.suspects,
-            away: self.away.clone(),
+            ..self.beat(gateway)
         };
-        let datagram = beat.encode_to_vec();
-        for address in peers.due(now) {
-            if let Err(cause) = socket.try_send_to(&datagram, address) {
-                log::debug!(peer:% = address, cause:% = cause; "datagram not sent");
-            }
-        }
+        send(socket, &beat.encode_to_vec(), &peers.due(now));
         let heard = peers.heard(now);
         if heard != self.heard {
             info!(
@@ -201,7 +240,58 @@
     loads
 }
 
-fn take_in(gateway: &Gateway, peers: &mut Peers, datagram: &[u8], from: SocketAddr) {
+fn send(socket: &UdpSocket, datagram: &[u8], addresses: &[SocketAddr]) {
+    for address in addresses {
+        if let Err(cause) = socket.try_send_to(datagram, *address) {
+            log::debug!(peer:% = address, cause:% = cause; "datagram not sent");
+        }
+    }
+}
+
+/// Encodes a segment, without its records if they are large.
+fn encode(segment: share::Segment) -> gossip::Segment {
+    let records = segment.records.unwrap_or_default();
+    let bytes: usize = records
+        .iter()
+        .map(|record| record.key.len() + record.value.as_ref().map_or(0, Vec::len))
+        .sum();
+    let is_left_out = bytes > SEGMENT_BYTES;
+    let entries = records.into_iter().map(|record| gossip::Entry {
+        key: record.key.into(),
+        value: record.value,
+    });
+    gossip::Segment {
+        topic: segment.topic.into(),
+        from: segment.from,
+        next: segment.next,
+        records: match is_left_out {
+            true => Vec::new(),
+            false => entries.collect(),
+        },
+        is_left_out,
+    }
+}
+
+fn decode(topic: &'static str, segment: gossip::Segment) -> share::Segment {
+    let records = segment.records.into_iter().map(|entry| Record {
+        key: entry.key.into(),
+        value: entry.value,
+    });
+    share::Segment {
+        topic,
+        from: segment.from,
+        next: segment.next,
+        records: (!segment.is_left_out).then(|| records.collect()),
+    }
+}
+
+fn take_in(
+    gateway: &Gateway,
+    peers: &mut Peers,
+    exchange: &Exchange,
+    datagram: &[u8],
+    from: SocketAddr,
+) {
     let beat = match Beat::decode(datagram) {
         Ok(beat) => beat,
         Err(cause) => {
@@ -217,6 +307,11 @@
         gateway.note_hosts(peers.known() + 1);
     }
     gateway.note_away(&beat.away, now);
+    for segment in &beat.segments {
+        if let Some(topic) = exchange.topic(&segment.topic) {
+            exchange.deliver(decode(topic, segment.clone()));
+        }
+    }
     let mut board = gateway.board.borrow_mut();
     for reading in &beat.readings {
         let parts = reading.parts.iter().zip(&reading.tokens);
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -85,7 +85,7 @@
         domain: settings.domain.clone(),
         peer: socket.local_addr()?,
     };
-    let hosts = follow::start(&views, own, clock, &store)?;
+    let (hosts, exchange) = follow::start(&views, own, clock, &store)?;
     let (standing, known) = watch::channel(Standing::default());
     let (away, ordered) = watch::channel(Away::default());
     let officer = Officer {
@@ -106,6 +106,7 @@
         hosts,
         away: ordered,
         standing,
+        exchange,
     };
     let sources = Sources {
         views,
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::id::DomainId;
 use crate::id::Fingerprint;
 use crate::id::HostId;
 
@@ -56,6 +57,37 @@
     pub crashes: u32,
 }
 
+/// A record of the store.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Entry {
+    /// Key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Content; none if the key was removed.
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub value: Option<Vec<u8>>,
+}
+
+/// Records that the sender read from the store.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Segment {
+    /// Topic.
+    #[prost(string, tag = "1")]
+    pub topic: String,
+    /// Offset of the first record.
+    #[prost(fixed64, tag = "2")]
+    pub from: u64,
+    /// Offset after the last record.
+    #[prost(fixed64, tag = "3")]
+    pub next: u64,
+    /// The records.
+    #[prost(message, repeated, tag = "4")]
+    pub records: Vec<Entry>,
+    /// Whether the records are left out because they are large.
+    #[prost(bool, tag = "5")]
+    pub is_left_out: bool,
+}
+
 /// One datagram.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Beat {
@@ -77,6 +109,12 @@
     /// Engines that the sender has ordered to change their role, by the digests of their names.
     #[prost(fixed32, repeated, tag = "7")]
     pub away: Vec<u32>,
+    /// Sender's failure domain.
+    #[prost(string, tag = "8")]
+    pub domain: String,
+    /// What the sender has just read from the store; told within its failure domain.
+    #[prost(message, repeated, tag = "9")]
+    pub segments: Vec<Segment>,
     /// Suspects found since the last datagram.
     #[prost(message, repeated, tag = "6")]
     pub suspects: Vec<Suspect>,
@@ -95,6 +133,7 @@
 #[derive(Debug, Clone)]
 struct Peer {
     address: SocketAddr,
+    domain: DomainId,
     born: u64,
     sequence: u64,
     heard: Option<Instant>,
@@ -112,6 +151,7 @@
     pub fn add(&mut self, host: &HostId, address: SocketAddr) {
         let peer = self.peers.entry(host.clone()).or_insert(Peer {
             address,
+            domain: DomainId::default(),
             born: 0,
             sequence: 0,
             heard: None,
@@ -143,6 +183,7 @@
         }
         self.add(&host, from);
         if let Some(peer) = self.peers.get_mut(&host) {
+            peer.domain = DomainId::from(beat.domain.as_str());
             peer.born = beat.born;
             peer.sequence = beat.sequence;
             peer.heard = Some(now);
@@ -173,6 +214,37 @@
         heard.filter(|(host, _)| *host < own).count()
     }
 
+    /// Returns the place of `own` among the hosts of `domain` that were heard of late.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::gossip::{Beat, Peers};
+    /// let now = Instant::now();
+    /// let mut peers = Peers::default();
+    /// for (host, domain) in [("h1", "derby"), ("h2", "leicester"), ("h4", "derby")] {
+    ///     let beat = Beat { host: host.into(), domain: domain.into(), ..Beat::default() };
+    ///     peers.note(&beat, "127.0.0.1:9".parse().unwrap(), now);
+    /// }
+    /// assert_eq!(peers.rank_near(&"h3".into(), &"derby".into(), now), 1);
+    /// ```
+    pub fn rank_near(&self, own: &HostId, domain: &DomainId, now: Instant) -> usize {
+        let near = self.near(domain, now);
+        near.filter(|(host, _)| *host < own).count()
+    }
+
+    /// Returns where the hosts of `domain` are that were heard of late.
+    pub fn addresses_near(&self, domain: &DomainId, now: Instant) -> Vec<SocketAddr> {
+        self.near(domain, now)
+            .map(|(_, peer)| peer.address)
+            .collect()
+    }
+
+    fn near(&self, domain: &DomainId, now: Instant) -> impl Iterator<Item = (&HostId, &Peer)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.domain == *domain && is_recent(peer.heard, now))
+    }
+
     /// Returns how many peers are known, heard or not.
     pub fn known(&self) -> usize {
         self.peers.len()
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -8,4 +8,5 @@
 mod logging;
 mod placement;
 mod reassign;
+mod share;
 mod term;
--- a/tests/gateway/belief.rs
+++ b/tests/gateway/belief.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
 
+use pistachiohall::platform::store;
 use pistachiohall::standin::fleet;
 use pistachiohall::standin::fleet::replica::Replica;
 use pistachiohall::standin::fleet::store::Store;
@@ -201,3 +203,44 @@
     site.gateway.wait_line(&["peers=1"]);
     assert_eq!(site.store.keys("keyed.hosts"), ["h1", "h2"]);
 }
+
+/// Publishes configurations until the second host is told of one by the first.
+fn settle_turns(site: &Site, second: &Gateway) {
+    let is_told = (9..100).any(|version| {
+        site.store.put_config(&fleet::config(version));
+        let config = format!("config={version}");
+        second.wait_line(&[&config, "outcome=in-force"]);
+        second.line(&[&config, "source=peer-reading"]).is_some()
+    });
+    assert!(is_told, "the second host reads by itself");
+}
+
+#[test]
+fn hosts_of_a_domain_take_turns_at_the_store() {
+    let site = Site::desks(&["c1"]);
+    let second = Gateway::start("h2", site.store.address(), NO_ORDERS);
+    second.wait_line(&["peers=1"]);
+    site.gateway.wait_line(&["peers=1"]);
+    settle_turns(&site, &second);
+    // Each host by itself reads 2.8 times a second.
+    let begun = Instant::now();
+    let calls = site.store.calls();
+    wait_for("readings", || site.store.calls() >= calls + 12);
+    let alone = Duration::from_millis(4200);
+    assert!(begun.elapsed() > alone * 3 / 4, "{:?}", begun.elapsed());
+}
+
+#[rstest]
+#[case::killed("-KILL")]
+#[case::frozen("-STOP")]
+fn a_host_reads_by_itself_when_the_first_one_falls_silent(#[case] signal: &str) {
+    let site = Site::desks(&["c1"]);
+    let second = Gateway::start("h2", site.store.address(), NO_ORDERS);
+    second.wait_line(&["peers=1"]);
+    settle_turns(&site, &second);
+    site.gateway.signal(signal);
+    site.store.put_config(&fleet::config(100));
+    site.store.remove(store::UPSTREAM_TOPIC, "c1");
+    second.wait_line(&["config=100", "source=store"]);
+    second.wait_line(&["upstream=c1", "outcome=removed"]);
+}
