--- a/src/follow/hosts.rs
+++ b/src/follow/hosts.rs
@@ -96,7 +96,6 @@
     };
     while let Err(error) = store.put(store::HOST_TOPIC, pair) {
         warn!(
-            host:% = own.name,
             outcome = "entry-not-written",
             cause:% = error;
             "host entry not written"
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -29,14 +29,13 @@
 use crate::catalog::Kind;
 use crate::gossip;
 use crate::id::UpstreamId;
+use crate::placement;
 use crate::placement::Plan;
 use crate::placement::cost;
 use crate::platform::egress;
 
 /// Urgency of a request that names none, the last of the scale.
 const LEAST_URGENT: u8 = 9;
-/// Share of the time left that one try of an idempotent request may take without a first event.
-const PATIENCE_SHARE: f64 = 0.4;
 
 /// A stream whose first events are there.
 #[derive(Debug)]
@@ -207,7 +206,7 @@
 fn terms<'a>(call: &Call, work: Work<'a>, urgency: u8, after_event: Option<u64>) -> Terms<'a> {
     let now = Instant::now();
     let until = match call.route.is_idempotent() || matches!(work, Work::Read) {
-        true => now + call.left(now).mul_f64(PATIENCE_SHARE),
+        true => now + placement::patience(urgency, call.left(now)),
         false => call.deadline,
     };
     Terms {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -27,6 +27,12 @@
 const TARGET_SHARE: f64 = 0.75;
 /// Share of the time left until which late answers are still accepted into the queue.
 const LATE_SHARE: f64 = 0.35;
+/// Share of the time left for which one try without a first event is waited for; the rest is for
+/// another try.
+const PATIENCE_SHARE: f64 = 0.4;
+/// The same for a reading behind those that are on time: it ends when a peak does, and another
+/// engine would have it wait as long.
+const LATE_PATIENCE_SHARE: f64 = 0.75;
 /// Time that moving a prompt's memory to another engine takes, for the estimate.
 const MOVE_TIME: Duration = Duration::from_millis(4);
 /// Prompt tokens up to which a prompt is read where its tokens are generated.
@@ -179,6 +185,22 @@
     }
 }
 
+/// Returns how long one try is waited for that starts with `left` of the caller's time.
+///
+/// ```
+/// use std::time::Duration;
+/// use pistachiohall::placement;
+/// let left = Duration::from_secs(2);
+/// let on_time = placement::patience(3, left);
+/// assert!(on_time < placement::patience(placement::URGENCY_LATE, left));
+/// ```
+pub fn patience(urgency: u8, left: Duration) -> Duration {
+    left.mul_f64(match urgency >= URGENCY_LATE {
+        true => LATE_PATIENCE_SHARE,
+        false => PATIENCE_SHARE,
+    })
+}
+
 fn is_light(prompt: &Prompt) -> bool {
     prompt.tokens <= SHORT_PROMPT
 }
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -267,3 +267,21 @@
     assert!((10.0..12.5).contains(&alone), "{alone}");
     assert!((20.0..23.0).contains(&mixed), "{mixed}");
 }
+
+/// Pattern: a peak of long prompts of a few hundred milliseconds, with callers that wait two
+/// seconds. A reading that starts late has to outwait the peak.
+#[test]
+fn late_readings_outwait_a_peak() {
+    let left = Duration::from_secs(2);
+    let late = placement::patience(placement::URGENCY_LATE, left);
+    assert!(late >= Duration::from_millis(1400), "{late:?}");
+    assert!(
+        late <= Duration::from_millis(1600),
+        "an answer has to follow"
+    );
+    let on_time = placement::patience(3, left);
+    assert!(
+        on_time * 2 <= left,
+        "a second try has to fit in: {on_time:?}"
+    );
+}
