Spare a domain the upstreams that its hosts cannot reach

Cause: a reading ahead that found no connection was counted as a repeat, so that requests ended with no-budget after an engine crashed or a domain was cut, though nothing had reached an upstream. Each of 74 hosts found out by itself about each crashed engine.

Change: a failed connection is an outcome of its own (Unreachable) and costs neither a repeat nor a reading, six times at most. Hosts tell which upstreams they cannot reach; two hosts of a domain that agree have the others avoid it.

The new gateway test answers 503 with the commit before.

--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -7,12 +7,17 @@
 /// Times that a prompt may be read ahead for one request.
 const MOST_READS: u32 = 2;
 
+/// Upstreams that could not be reached after which a request is given up; each costs no upstream
+/// anything, but up to 300 ms of the caller's time.
+const MOST_UNREACHED: u32 = 6;
+
 /// Sends that a request has had, and whether it may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Allowance {
     attempts: u32,
     sends: u32,
     reads: u32,
+    unreached: u32,
     may_have_run: bool,
 }
 
@@ -23,6 +28,7 @@
             attempts,
             sends: 0,
             reads: 0,
+            unreached: 0,
             may_have_run: false,
         }
     }
@@ -39,12 +45,30 @@
 
     /// Notes why a send failed; one that left no byte does not count.
     pub fn note_failure(&mut self, failure: &Failure) {
-        if matches!(failure, Failure::NotSent(_)) {
+        if matches!(failure, Failure::NotSent(_) | Failure::Unreachable(_)) {
             self.sends = self.sends.saturating_sub(1);
         }
+        self.unreached += u32::from(matches!(failure, Failure::Unreachable(_)));
         self.may_have_run |= !failure.is_not_run();
     }
 
+    /// Notes why a reading failed; one that left no byte does not count.
+    ///
+    /// ```
+    /// use pistachiohall::gateway::allowance::Allowance;
+    /// use pistachiohall::gateway::exchange::Failure;
+    /// let mut allowance = Allowance::new(2);
+    /// allowance.note_read();
+    /// allowance.note_read_failure(&Failure::Unreachable("refused".into()));
+    /// assert_eq!(allowance.repeats(true), 0);
+    /// ```
+    pub fn note_read_failure(&mut self, failure: &Failure) {
+        if matches!(failure, Failure::Unreachable(_)) {
+            self.reads = self.reads.saturating_sub(1);
+            self.unreached += 1;
+        }
+    }
+
     /// Returns whether the request may have run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
@@ -67,6 +91,9 @@
     /// assert!(!allowance.allows_more(false));
     /// ```
     pub fn allows_more(&self, is_idempotent: bool) -> bool {
+        if self.unreached > MOST_UNREACHED {
+            return false;
+        }
         match self.may_have_run {
             true => is_idempotent && self.sends < self.attempts,
             false => self.sends < self.attempts + SPARE_SENDS && self.reads < MOST_READS,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -68,6 +68,9 @@
     /// No byte of the request left this host.
     #[error("not sent: {0}")]
     NotSent(CompactString),
+    /// There was no connection to send it on.
+    #[error("unreachable: {0}")]
+    Unreachable(CompactString),
     /// The upstream says that it has not run the request.
     #[error("not run: {0}")]
     NotRun(StatusCode),
@@ -82,7 +85,10 @@
 impl Failure {
     /// Returns whether the request has not run and will not.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Failure::NotSent(_) | Failure::NotRun(_))
+        matches!(
+            self,
+            Failure::NotSent(_) | Failure::Unreachable(_) | Failure::NotRun(_)
+        )
     }
 
     fn broken<E>(cause: E) -> Self
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -105,7 +105,7 @@
                 id: id.clone(),
                 role: target.row.role,
                 domain: target.row.domain.clone(),
-                is_trusted: target.health().is_trusted(now),
+                is_trusted: target.health().is_trusted(now) && !gateway.is_doubted(id, now),
                 slots: target.row.slots,
                 running,
                 backlog,
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -25,6 +25,7 @@
     streak: u32,
     refusals: u32,
     avoid_until: Option<Instant>,
+    unreachable_until: Option<Instant>,
 }
 
 impl Health {
@@ -34,6 +35,7 @@
         self.streak = 0;
         self.refusals = 0;
         self.avoid_until = None;
+        self.unreachable_until = None;
     }
 
     /// Notes that a request broke or was not answered.
@@ -55,6 +57,28 @@
         self.avoid_until = Some(now + pause.min(MOST_PAUSE));
     }
 
+    /// Notes that no connection to the upstream came about.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::gateway::health::Health;
+    /// let mut health = Health::default();
+    /// let now = Instant::now();
+    /// health.note_failure(now);
+    /// assert!(!health.is_unreachable(now));
+    /// health.note_unreachable(now);
+    /// assert!(health.is_unreachable(now));
+    /// ```
+    pub fn note_unreachable(&mut self, now: Instant) {
+        self.note_failure(now);
+        self.unreachable_until = self.avoid_until;
+    }
+
+    /// Returns whether no connection came about of late.
+    pub fn is_unreachable(&self, now: Instant) -> bool {
+        self.unreachable_until.is_some_and(|until| now < until)
+    }
+
     /// Notes that the upstream refused a request that it has not run.
     pub fn note_refusal(&mut self, now: Instant) {
         self.refusals = (self.refusals + 1).min(8);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 pub mod allowance;
 pub mod bootstrap;
 pub mod call;
+pub mod doubt;
 pub mod events;
 pub mod exchange;
 pub mod generate;
@@ -38,6 +39,7 @@
 use crate::catalog::Catalog;
 use crate::follow::View;
 use crate::gossip;
+use crate::id::HostId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::placement;
@@ -45,6 +47,7 @@
 use crate::retry::window;
 use crate::settings::gateway::Settings;
 
+use self::doubt::Doubts;
 use self::record::Counters;
 use self::target::Target;
 
@@ -73,6 +76,7 @@
     pub news: RefCell<peers::News>,
     hosts: Cell<usize>,
     away: RefCell<HashMap<u32, Instant>>,
+    doubts: RefCell<Doubts>,
     repeats: Cell<window::Bounds>,
     is_leaving: Cell<bool>,
     last_request: Cell<Option<Instant>>,
@@ -94,6 +98,7 @@
             board: RefCell::default(),
             news: RefCell::default(),
             away: RefCell::default(),
+            doubts: RefCell::default(),
             is_leaving: Cell::default(),
             last_request: Cell::default(),
             last_heard: Cell::default(),
@@ -255,6 +260,25 @@
             .is_some_and(|until| now < *until)
     }
 
+    /// Notes all upstreams that a peer of the same failure domain cannot reach.
+    pub fn note_doubts(&self, peer: &HostId, upstreams: Vec<u32>, now: Instant) {
+        self.doubts.borrow_mut().note(peer, upstreams, now);
+    }
+
+    /// Returns whether peers of the same failure domain cannot reach an upstream.
+    pub fn is_doubted(&self, id: &UpstreamId, now: Instant) -> bool {
+        self.doubts.borrow().holds(gossip::digest(id), now)
+    }
+
+    /// Returns the digests of the upstreams that this host cannot reach.
+    pub fn unreachable(&self, now: Instant) -> Vec<u32> {
+        let targets = self.targets.borrow();
+        let unreachable = targets
+            .iter()
+            .filter(|(_, target)| target.health().is_unreachable(now));
+        unreachable.map(|(id, _)| gossip::digest(id)).collect()
+    }
+
     /// Returns an upstream by name.
     pub fn target(&self, id: &UpstreamId) -> Option<Rc<Target>> {
         self.targets.borrow().get(id).cloned()
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -122,7 +122,8 @@
             let work = Work::Generate(&handle);
             let terms = terms(&progress.call, work, *urgency, after_event);
             let mut started = start_at(gateway, progress, generator, &terms).await;
-            if let (Err(Failure::NotRun(_) | Failure::NotSent(_)), Some(spare)) = (&started, spare)
+            if let (Err(failure), Some(spare)) = (&started, spare)
+                && failure.is_not_run()
                 && progress.allowance.allows_more(false)
                 && gateway.may_repeat(&progress.call.service, 1, Instant::now())
             {
@@ -185,6 +186,7 @@
         .course
         .step(format_args!("{engine}/{urgency}=read:{step:?}"));
     if let Err(failure) = &held {
+        progress.allowance.note_read_failure(failure);
         if is_first && matches!(failure, Failure::NotRun(_)) {
             gateway.note_repeat(&progress.call.service, Instant::now());
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -143,6 +143,7 @@
     loads: Vec<gossip::Load>,
     heard: usize,
     away: Vec<u32>,
+    unreachable: Vec<u32>,
 }
 
 impl Told {
@@ -155,6 +156,7 @@
             loads: Vec::new(),
             heard: 0,
             away: Vec::new(),
+            unreachable: Vec::new(),
         }
     }
 
@@ -167,6 +169,7 @@
             sequence: self.sequence,
             loads: self.loads.clone(),
             away: self.away.clone(),
+            unreachable: self.unreachable.clone(),
             ..Beat::default()
         }
     }
@@ -196,13 +199,16 @@
         let loads = loads(gateway);
         let news = gateway.news.take();
         gateway.note_away(&self.away, now);
-        let is_quiet = loads == self.loads && news.readings.is_empty() && news.suspects.is_empty();
+        let unreachable = gateway.unreachable(now);
+        let is_same = loads == self.loads && unreachable == self.unreachable;
+        let is_quiet = is_same && news.readings.is_empty() && news.suspects.is_empty();
         if is_quiet && now.duration_since(self.at) < QUIET_PAUSE {
             return;
         }
         self.sequence += 1;
         self.at = now;
         self.loads = loads;
+        self.unreachable = unreachable;
         let beat = Beat {
             readings: news.readings,
             suspects: news.suspects,
@@ -333,6 +339,9 @@
     }
     if is_newest {
         let host = HostId::from(beat.host);
+        if beat.domain == gateway.settings.domain {
+            gateway.note_doubts(&host, beat.unreachable, now);
+        }
         let loads = beat.loads.iter().map(|load| {
             let own = Load {
                 running: load.running as usize,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -104,7 +104,9 @@
     now: Instant,
 ) -> Option<Rc<Target>> {
     match last {
-        Some(Failure::Broken(_) | Failure::NotSent(_)) => pick(gateway, call, &[], now),
+        Some(Failure::Broken(_) | Failure::NotSent(_) | Failure::Unreachable(_)) => {
+            pick(gateway, call, &[], now)
+        }
         _ => None,
     }
 }
@@ -145,6 +147,7 @@
     let mut health = target.health();
     match ended {
         Ok(_) => health.note_success(),
+        Err(Failure::Unreachable(_)) => health.note_unreachable(Instant::now()),
         Err(Failure::NotRun(StatusCode::MISDIRECTED_REQUEST) | Failure::NotSent(_)) => {
             health.note_failure(Instant::now());
         }
@@ -190,7 +193,7 @@
     let weighed = untried.map(|target| {
         let health = *target.health();
         let mut cost = target.in_flight() as f64 + FAILURE_COST * health.failed_share();
-        if !health.is_trusted(now) {
+        if !health.is_trusted(now) || gateway.is_doubted(&target.row.id, now) {
             cost += DISTRUST_COST;
         }
         if target.row.domain != gateway.settings.domain {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -102,7 +102,8 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Failure::NotSent`] if there is none in time.
+    /// Fails with [`Failure::Unreachable`] if no connection comes about in time, and with
+    /// [`Failure::NotSent`] if all are in use.
     pub async fn get(
         &self,
         may_reuse: bool,
@@ -123,8 +124,8 @@
         let guard = Opening(Some(Rc::clone(&self.open)));
         let until = until.min(now + CONNECT_TIMEOUT);
         match time::timeout_at(until.into(), open(self.address)).await {
-            Err(_) => Err(Failure::NotSent("connect timed out".into())),
-            Ok(Err(cause)) => Err(Failure::NotSent(compact_str::format_compact!(
+            Err(_) => Err(Failure::Unreachable("connect timed out".into())),
+            Ok(Err(cause)) => Err(Failure::Unreachable(compact_str::format_compact!(
                 "connect: {cause}"
             ))),
             Ok(Ok((sender, driver))) => Ok(Connection {
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -79,7 +79,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`Failure::NotSent`] if there is none in time or the upstream leaves.
+    /// Fails as [`Pool::get`] does, or with [`Failure::NotSent`] if the upstream leaves.
     pub async fn connect(&self, may_reuse: bool, until: Instant) -> Result<Connection, Failure> {
         let connection = self
             .shared
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -115,6 +115,9 @@
     /// What the sender has just read from the store; told within its failure domain.
     #[prost(message, repeated, tag = "9")]
     pub segments: Vec<Segment>,
+    /// Upstreams that the sender cannot reach, by the digests of their names.
+    #[prost(fixed32, repeated, tag = "10")]
+    pub unreachable: Vec<u32>,
     /// Suspects found since the last datagram.
     #[prost(message, repeated, tag = "6")]
     pub suspects: Vec<Suspect>,
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod catalog;
+mod doubt;
 mod events;
 mod fleet;
 mod gossip;
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -175,3 +175,20 @@
     assert_eq!(orders, 2);
     assert!(site.store.newest("keyed.lease", "orders").is_some());
 }
+
+#[test]
+fn a_reader_that_cannot_be_reached_costs_no_repeat() {
+    let engines = [("p1", "prefill"), ("p2", "prefill"), ("d1", "decode")];
+    let no_repeats = "[orders]\nread_share = 0\n[repeats]\nratio = 0\nslack = 0\n";
+    let mut site = Site::start(&[], &engines, no_repeats);
+    assert_whole(&site.gateway.call("POST", "/ask/a", "r0", &LONG_PROMPT));
+    // The reader that this subject prefers is gone, while its entry stands.
+    let preferred = ["p1", "p2"]
+        .into_iter()
+        .find(|id| !site.replicas[*id].seen().is_empty())
+        .unwrap();
+    site.replicas.remove(preferred);
+    assert_whole(&site.gateway.call("POST", "/ask/a", "r1", &LONG_PROMPT));
+    site.gateway
+        .wait_line(&["request=r1", "outcome=delivered", "=read:Err(Unreachable("]);
+}
