Show beliefs with their age and decisions by reason in the metrics

Cause: metrics had outcomes and latencies only; neither what a host believed and since when, nor why a request was not sent on, nor how often the store was called.

Change: gauges for the configuration's version, the age of configuration and upstreams, store calls and repeats left; a counter of decisions by reason, which stand in the trail as `refuse=`. The pool's count of opening connections no longer falls back to a default.

--- a/src/explain/account.rs
+++ b/src/explain/account.rs
@@ -204,7 +204,9 @@
             continue;
         };
         let name = name.split('/').next().unwrap_or(name);
-        if !["refuse", "resume"].contains(&name) && !names.iter().any(|known| known == name) {
+        if !["refuse", "resume", "no-resume"].contains(&name)
+            && !names.iter().any(|known| known == name)
+        {
             names.push(name.to_owned());
         }
     }
--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -34,6 +34,7 @@
             match reader.take(segment) {
                 Told::Next(records) => {
                     reader.note_success();
+                    board.note_config(now);
                     adopt_newest(board, records, "peer-reading");
                     turn.note_told(now, port.rank());
                 }
@@ -46,6 +47,7 @@
         match reader.read(store, WAIT) {
             Ok(Reading::Full(records) | Reading::Changes(records)) => {
                 reader.note_success();
+                board.note_config(clock.now());
                 tell(port, from, &reader, &records);
                 adopt_newest(board, records, "store");
                 // A reading waits by itself; the next one may follow at once.
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -56,6 +56,7 @@
             if reader.note_success() {
                 fleet.note_return(now);
             }
+            board.note_upstreams(now);
             take_in(&mut fleet, reading, now);
         }
         for id in fleet.sweep(now) {
--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Instant;
 
 use log::info;
 use log::warn;
@@ -24,10 +25,20 @@
     pub has_registry: bool,
 }
 
+/// When each part of the view was last read from the store, by this host or a peer.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Read {
+    /// Configuration.
+    pub config: Option<Instant>,
+    /// Upstreams.
+    pub upstreams: Option<Instant>,
+}
+
 /// Publishes views.
 #[derive(Debug)]
 pub struct Views {
     view: Mutex<View>,
+    read: Mutex<Read>,
     sender: watch::Sender<Arc<View>>,
 }
 
@@ -37,11 +48,27 @@
         let (sender, receiver) = watch::channel(Arc::default());
         let board = Views {
             view: Mutex::default(),
+            read: Mutex::default(),
             sender,
         };
         (Arc::new(board), receiver)
     }
 
+    /// Returns when each part was last read.
+    pub fn read(&self) -> Read {
+        *self.read.lock().expect("read lock")
+    }
+
+    /// Notes that the configuration was read.
+    pub fn note_config(&self, now: Instant) {
+        self.read.lock().expect("read lock").config = Some(now);
+    }
+
+    /// Notes that the upstreams were read.
+    pub fn note_upstreams(&self, now: Instant) {
+        self.read.lock().expect("read lock").upstreams = Some(now);
+    }
+
     fn publish<F>(&self, change: F)
     where
         F: FnOnce(&mut View),
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -53,12 +53,12 @@
             reason,
         } = plan
         {
-            progress.course.step(format_args!("refuse={reason:?}"));
+            progress.course.decide(reason);
             let most = progress.call.left(now).mul_f64(RETRY_SHARE);
             return fail(progress, retry_after.min(most));
         }
         if !progress.may_start(gateway, &plan) {
-            progress.course.step(format_args!("no-budget"));
+            progress.course.decide("no-budget");
             return fail(progress, RETRY_AFTER);
         }
         let after_event = progress.call.ask.after_event;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -319,6 +319,15 @@
         is_allowed
     }
 
+    /// Returns the repeats that are left to this host for the service that has the fewest.
+    pub fn repeats_left(&self, now: Instant) -> Option<f64> {
+        let mut budgets = self.budgets.borrow_mut();
+        let left = budgets
+            .values_mut()
+            .map(|budget| budget.left(self.hosts.get(), now));
+        left.min_by(f64::total_cmp)
+    }
+
     fn with_budget<F, T>(&self, service: &ServiceId, act: F) -> T
     where
         F: FnOnce(&mut window::Window) -> T,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -53,11 +53,11 @@
         let is_second = tried.len() == 1;
         let same = || again(gateway, call, &last, now).filter(|_| is_second);
         let Some(target) = other.or_else(same) else {
-            course.step(format_args!("no-upstream"));
+            course.decide("no-upstream");
             return give_up(&allowance, held, course);
         };
         if allowance.repeats(false) > 0 && !gateway.may_repeat(&call.service, 1, now) {
-            course.step(format_args!("no-budget"));
+            course.decide("no-budget");
             return give_up(&allowance, held, course);
         }
         allowance.note_send();
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -121,7 +121,10 @@
             return Err(Failure::NotSent("all connections are in use".into()));
         }
         self.open.set(self.open.get() + 1);
-        let guard = Opening(Some(Rc::clone(&self.open)));
+        let guard = Opening {
+            open: Rc::clone(&self.open),
+            is_kept: false,
+        };
         let until = until.min(now + CONNECT_TIMEOUT);
         match time::timeout_at(until.into(), open(self.address)).await {
             Err(_) => Err(Failure::Unreachable("connect timed out".into())),
@@ -184,18 +187,22 @@
 }
 
 /// Counts a connection as open until it is handed on or given up.
-struct Opening(Option<Rc<Cell<usize>>>);
+struct Opening {
+    open: Rc<Cell<usize>>,
+    is_kept: bool,
+}
 
 impl Opening {
     fn keep(mut self) -> Rc<Cell<usize>> {
-        self.0.take().unwrap_or_default()
+        self.is_kept = true;
+        Rc::clone(&self.open)
     }
 }
 
 impl Drop for Opening {
     fn drop(&mut self) {
-        if let Some(open) = &self.0 {
-            open.set(open.get().saturating_sub(1));
+        if !self.is_kept {
+            self.open.set(self.open.get().saturating_sub(1));
         }
     }
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -116,6 +116,7 @@
         questions,
         notices,
         file,
+        store,
     };
     runtime.block_on(LocalSet::new().run_until(serve_until_asked(gateway, sources)))
 }
@@ -155,6 +156,7 @@
     questions: std::net::TcpListener,
     notices: mpsc::Receiver<Notice>,
     file: PathBuf,
+    store: Store,
 }
 
 async fn serve_until_asked(gateway: Rc<Gateway>, sources: Sources) -> Result<bool> {
@@ -166,6 +168,7 @@
         questions,
         mut notices,
         file,
+        store,
     } = sources;
     let callers = listen::open(gateway.settings.listen)?;
     let balancer = listen::open(gateway.settings.ready_listen)?;
@@ -182,7 +185,7 @@
     task::spawn_local(follow_views(Rc::clone(&gateway), view));
     let socket = UdpSocket::from_std(socket)?;
     task::spawn_local(peers::run(Rc::clone(&gateway), socket, peer_sources));
-    task::spawn_local(sweep(Rc::clone(&gateway)));
+    task::spawn_local(sweep(Rc::clone(&gateway), Arc::clone(&views), store));
     task::spawn_local(bootstrap::ask_peers(Rc::clone(&gateway), views));
     let (phase, connections) = start_listening(&gateway, callers, balancer);
     answer_peers(&gateway, TcpListener::from_std(questions)?);
@@ -255,13 +258,35 @@
     }
 }
 
-async fn sweep(gateway: Rc<Gateway>) {
+async fn sweep(gateway: Rc<Gateway>, views: Arc<Views>, store: Store) {
     loop {
+        let now = Instant::now();
+        gateway.sweep(now);
+        set_gauges(&gateway, &views, &store, now);
         time::sleep(SWEEP_PAUSE).await;
-        gateway.sweep(Instant::now());
     }
 }
 
+/// Shows what the host believes and how old that is; a gauge without a value is not shown.
+fn set_gauges(gateway: &Gateway, views: &Views, store: &Store, now: Instant) {
+    let counters = &gateway.counters;
+    let age = |at: Instant| now.saturating_duration_since(at).as_millis() as i64;
+    let read = views.read();
+    if let Some(at) = read.config {
+        counters.set("config_age_ms", age(at));
+    }
+    if let Some(at) = read.upstreams {
+        counters.set("upstreams_age_ms", age(at));
+    }
+    if let Some(catalog) = gateway.catalog() {
+        counters.set("config_version", catalog.version() as i64);
+    }
+    if let Some(left) = gateway.repeats_left(now) {
+        counters.set("repeats_left", left as i64);
+    }
+    counters.set("store_calls", store.calls() as i64);
+}
+
 /// Reads the settings again; what can change while requests run is taken over.
 fn reload(gateway: &Gateway, file: &PathBuf) {
     let name = file.display().to_string();
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -34,6 +34,7 @@
 pub struct Counters {
     sampler: Mutex<Sampler>,
     counts: Mutex<BTreeMap<CompactString, u64>>,
+    decisions: Mutex<BTreeMap<&'static str, u64>>,
     gauges: Mutex<BTreeMap<&'static str, i64>>,
     latencies: Mutex<BTreeMap<(RouteId, &'static str), Histogram<u32>>>,
 }
@@ -43,6 +44,7 @@
         Counters {
             sampler: Mutex::new(Sampler::new(DELIVERED_LINES)),
             counts: Mutex::default(),
+            decisions: Mutex::default(),
             gauges: Mutex::default(),
             latencies: Mutex::default(),
         }
@@ -61,6 +63,12 @@
         *counts.entry(name.into()).or_default() += 1;
     }
 
+    /// Counts a decision not to send a request on, by its reason.
+    pub fn add_decision(&self, reason: &'static str) {
+        let mut decisions = self.decisions.lock().expect("decision lock");
+        *decisions.entry(reason).or_default() += 1;
+    }
+
     /// Sets a gauge.
     pub fn set(&self, name: &'static str, value: i64) {
         self.gauges.lock().expect("gauge lock").insert(name, value);
@@ -93,6 +101,12 @@
         for (name, count) in self.counts.lock().expect("counter lock").iter() {
             let _infallible = writeln!(text, "pistachiohall_{name}_total {count}");
         }
+        for (reason, count) in self.decisions.lock().expect("decision lock").iter() {
+            let _infallible = writeln!(
+                text,
+                "pistachiohall_decisions_total{{reason={reason:?}}} {count}"
+            );
+        }
         for (name, value) in self.gauges.lock().expect("gauge lock").iter() {
             let _infallible = writeln!(text, "pistachiohall_{name} {value}");
         }
@@ -184,6 +198,12 @@
         });
     }
 
+    /// Adds a decision not to send the request on, and counts its reason.
+    pub fn decide(&mut self, reason: &'static str) {
+        self.counters.add_decision(reason);
+        self.step(format_args!("refuse={reason:?}"));
+    }
+
     /// Notes that the first event or the whole answer is there.
     pub fn note_first(&mut self) {
         self.first.get_or_insert(self.call.arrived.elapsed());
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -123,7 +123,7 @@
     let mut course = Course::new(&call, &gateway.counters);
     gateway.note_request(&call.service, call.arrived);
     if gateway.quarantine.verdict(call.fingerprint()) == Verdict::Refused {
-        course.step(format_args!("quarantined"));
+        course.decide("quarantined");
         course.end(Outcome::Refused);
         return reply::refuse(
             "not run: the request crashed upstreams before",
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -72,7 +72,7 @@
                 }
                 End::Left => return self.progress.course.end(Outcome::Left),
                 End::Late => {
-                    self.progress.course.step(format_args!("late"));
+                    self.progress.course.decide("late");
                     return self.progress.course.end(Outcome::Cut);
                 }
                 End::Broken(cause) => {
@@ -143,7 +143,7 @@
             let now = Instant::now();
             let plan = generate::plan(&gateway, &self.progress.call, &self.progress.tried, now);
             if now >= self.progress.call.deadline || !self.progress.may_start(&gateway, &plan) {
-                self.progress.course.step(format_args!("no-resume"));
+                self.progress.course.decide("no-resume");
                 return None;
             }
             let opening = open::open(&gateway, &mut self.progress, &plan, last_id);
@@ -169,6 +169,7 @@
                     self.progress
                         .course
                         .step(format_args!("no-resume={failure:?}"));
+                    self.progress.course.decide("no-resume");
                     return None;
                 }
                 Err(_) => (),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,9 @@
 //! The platform's store: calls of its log and the framing of its records.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use attohttpc::Method;
@@ -56,6 +59,7 @@
 #[derive(Debug, Clone)]
 pub struct Store {
     address: SocketAddr,
+    calls: Arc<AtomicU64>,
 }
 
 #[derive(Deserialize)]
@@ -95,10 +99,19 @@
     /// let store = pistachiohall::platform::store::Store::new("127.0.0.1:9".parse().unwrap());
     /// ```
     pub fn new(address: SocketAddr) -> Self {
-        Store { address }
+        Store {
+            address,
+            calls: Arc::default(),
+        }
+    }
+
+    /// Returns how many calls this client and its clones have made.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
     }
 
     fn request(&self, method: Method, call: &str, wait: Duration) -> RequestBuilder {
+        self.calls.fetch_add(1, Ordering::Relaxed);
         RequestBuilder::new(method, format!("http://{}/v1/{call}", self.address))
             .connect_timeout(CONNECT_TIMEOUT)
             .timeout(ANSWER_TIMEOUT + wait)
--- a/tests/gateway/lifecycle.rs
+++ b/tests/gateway/lifecycle.rs
@@ -118,3 +118,34 @@
     site.gateway.wait_line(&["upstream=c1", "outcome=added"]);
     assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 200);
 }
+
+#[test]
+fn shows_beliefs_with_their_age_and_decisions_by_reason() {
+    let site = Site::start(
+        &["c1"],
+        &[],
+        "[orders]\nread_share = 0\n[repeats]\nslack = 50\n",
+    );
+    assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 200);
+    let refused = site.gateway.call("POST", "/ask/a", "r2", &[]);
+    assert_eq!(refused.status, 503);
+    let gauge = |name: &str| -> Option<i64> {
+        let metrics = site.gateway.metrics();
+        let prefix = format!("pistachiohall_{name} ");
+        let line = metrics.lines().find_map(|line| line.strip_prefix(&prefix));
+        line.map(|value| value.parse().unwrap())
+    };
+    wait_for("gauges", || gauge("repeats_left").is_some());
+    assert_eq!(gauge("config_version"), Some(3));
+    assert!(gauge("store_calls").unwrap() >= 3);
+    // Both are read every second at the least.
+    wait_for("a configuration just read", || {
+        gauge("config_age_ms").unwrap() < 1500
+    });
+    wait_for("upstreams just read", || {
+        gauge("upstreams_age_ms").unwrap() < 1500
+    });
+    let metrics = site.gateway.metrics();
+    let reason = "pistachiohall_decisions_total{reason=\"no upstream takes work\"} 1";
+    assert!(metrics.contains(reason), "{metrics}");
+}
