Tell that records are left out whenever a segment has none

Cause: a segment without records would have been told as an empty one, and its receiver would have moved on without them. No caller makes one yet.

Change: one condition decides both what is told and the mark.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -256,13 +256,12 @@
 
 /// Encodes a segment, without its records if they are large.
 fn encode(segment: share::Segment) -> gossip::Segment {
-    let records = segment.records.unwrap_or_default();
-    let bytes: usize = records
-        .iter()
-        .map(|record| record.key.len() + record.value.as_ref().map_or(0, Vec::len))
-        .sum();
-    let is_left_out = bytes > SEGMENT_BYTES;
-    let entries = records.into_iter().map(|record| gossip::Entry {
+    let size = |record: &Record| record.key.len() + record.value.as_ref().map_or(0, Vec::len);
+    let told = segment
+        .records
+        .filter(|records| records.iter().map(size).sum::<usize>() <= SEGMENT_BYTES);
+    let is_left_out = told.is_none();
+    let entries = told.into_iter().flatten().map(|record| gossip::Entry {
         key: record.key.into(),
         value: record.value,
     });
@@ -270,10 +269,7 @@
         topic: segment.topic.into(),
         from: segment.from,
         next: segment.next,
-        records: match is_left_out {
-            true => Vec::new(),
-            false => entries.collect(),
-        },
+        records: entries.collect(),
         is_left_out,
     }
 }
