--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -148,11 +148,13 @@
         if has_registry && *before == rows {
             return;
         }
-        log_difference(&before, &rows);
+        let rows = Arc::new(rows);
         self.publish(|view| {
-            view.rows = Arc::new(rows);
+            view.rows = Arc::clone(&rows);
             view.has_registry = true;
         });
+        // A line tells of a belief that is in force.
+        log_difference(&before, &rows);
     }
 }
 
