Log and measure how old the upstreams are that requests are sent on

Change: source and age with each change of an upstream; lines for removed entries that stay in use, late readings, late views, a late loop and sends on old readings; histograms of the same.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -90,8 +90,9 @@
         self.renewal_until = Some(now + RETURN_TIME);
     }
 
-    /// Takes in the changes of one reading, in order; returns whether the belief changed.
-    pub fn apply(&mut self, changes: Vec<Change>, now: Instant) -> bool {
+    /// Takes in the changes of one reading, in order; returns the upstreams that stay in use for a
+    /// while although their entries were removed.
+    pub fn apply(&mut self, changes: Vec<Change>, now: Instant) -> Vec<UpstreamId> {
         let removed = changes
             .iter()
             .filter(|change| matches!(change, Change::Removed(_)))
@@ -99,18 +100,22 @@
         let after_return = self.renewal_until.filter(|until| now < *until);
         let after_lapse = (removed >= MASS_LAPSE).then_some(now + LAPSE_TIME);
         let use_until = after_return.max(after_lapse);
-        let mut is_changed = false;
+        let mut kept = Vec::new();
         for change in changes {
-            is_changed |= match change {
+            match change {
                 Change::Written(row, beat) => self.write(row, beat),
-                Change::Removed(id) => self.remove(&id, use_until),
-            };
+                Change::Removed(id) => {
+                    if self.remove(&id, use_until) {
+                        kept.push(id);
+                    }
+                }
+            }
         }
-        is_changed
+        kept
     }
 
-    /// Takes in a full list: what is not in it was removed.
-    pub fn replace(&mut self, rows: Vec<(Row, Beat)>, now: Instant) -> bool {
+    /// Takes in a full list: what is not in it was removed. Returns the same as [`Fleet::apply`].
+    pub fn replace(&mut self, rows: Vec<(Row, Beat)>, now: Instant) -> Vec<UpstreamId> {
         let gone: Vec<UpstreamId> = self
             .held
             .keys()
@@ -125,7 +130,7 @@
         self.apply(changes, now)
     }
 
-    fn write(&mut self, row: Row, beat: Beat) -> bool {
+    fn write(&mut self, row: Row, beat: Beat) {
         let Some(held) = self.held.get_mut(&row.id) else {
             let id = row.id.clone();
             let held = Held {
@@ -134,33 +139,34 @@
                 use_until: None,
             };
             self.held.insert(id, held);
-            return true;
+            return;
         };
         let is_stale = row.born < held.row.born || (row.born == held.row.born && beat < held.beat);
         if is_stale {
-            return false;
+            return;
         }
         let mut row = row;
         if row.born == held.row.born && held.row.state == State::Draining {
             row.state = State::Draining;
         }
-        let is_changed = held.row != row || held.use_until.is_some();
         *held = Held {
             row,
             beat,
             use_until: None,
         };
-        is_changed
     }
 
+    /// Removes an entry; returns whether the upstream stays in use for a while.
     fn remove(&mut self, id: &UpstreamId, use_until: Option<Instant>) -> bool {
         match (self.held.get_mut(id), use_until) {
             (Some(held), Some(until)) if held.row.state == State::Ready => {
                 held.use_until.get_or_insert(until);
+                true
+            }
+            _ => {
+                self.held.remove(id);
                 false
             }
-            (Some(_), _) => self.held.remove(id).is_some(),
-            (None, _) => false,
         }
     }
 
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -10,6 +10,7 @@
 pub mod share;
 mod view;
 
+pub use self::view::Origin;
 pub use self::view::View;
 pub use self::view::Views;
 
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -11,10 +11,12 @@
 use super::reader::Told;
 use super::share::Port;
 use super::share::Turn;
+use super::view::Origin;
 use super::view::Views;
 use crate::clock::Clock;
 use crate::fleet::Change;
 use crate::fleet::Fleet;
+use crate::id::UpstreamId;
 use crate::log::keyed::Keyed;
 use crate::log::keyed::Record;
 use crate::platform::registry;
@@ -25,6 +27,8 @@
 const PAUSE: Duration = Duration::from_millis(300);
 /// Pause after a failed reading.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+/// Lateness of this thread from which it is logged; a host without spare processor time.
+const LATE: Duration = Duration::from_millis(250);
 
 /// Reads the registry for ever, in turns with peers.
 pub fn follow<C, K>(board: &Views, clock: &C, store: &K, port: &Port)
@@ -36,10 +40,21 @@
     let mut fleet = Fleet::default();
     let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, clock.now());
     loop {
-        let reading = match port.wait(turn.due()) {
+        let told = port.wait(turn.due());
+        let begun = clock.now();
+        log_lateness(begun.saturating_duration_since(turn.due()));
+        let mut origin = Origin {
+            source: "store",
+            asked: Some(begun),
+        };
+        let reading = match told {
             Some(segment) => match reader.take(segment) {
                 Told::Next(records) => {
                     turn.note_told(clock.now(), port.rank());
+                    origin = Origin {
+                        source: "peer-reading",
+                        asked: None,
+                    };
                     Some(Reading::Changes(records))
                 }
                 Told::Missing => {
@@ -57,13 +72,21 @@
                 fleet.note_return(now);
             }
             board.note_upstreams(now);
-            take_in(&mut fleet, reading, now);
+            for id in take_in(&mut fleet, reading, now) {
+                info!(
+                    upstream:% = id,
+                    source = origin.source,
+                    outcome = "still-used",
+                    reason = "may-be-renewed";
+                    "upstream entry removed"
+                );
+            }
         }
         for id in fleet.sweep(now) {
             info!(upstream:% = id, outcome = "gone", reason = "lapsed"; "upstream gone");
         }
         if is_read {
-            board.set_rows(fleet.rows());
+            board.set_rows(fleet.rows(), origin);
         }
     }
 }
@@ -101,7 +124,20 @@
     }
 }
 
-fn take_in(fleet: &mut Fleet, reading: Reading, now: Instant) {
+/// Logs that the thread got its turn of the processor late.
+fn log_lateness(late: Duration) {
+    if late >= LATE {
+        info!(
+            topic = store::UPSTREAM_TOPIC,
+            late_ms = late.as_millis() as u64,
+            outcome = "late";
+            "reading begun late"
+        );
+    }
+}
+
+/// Takes in a reading; returns the upstreams that stay in use although their entries were removed.
+fn take_in(fleet: &mut Fleet, reading: Reading, now: Instant) -> Vec<UpstreamId> {
     match reading {
         Reading::Full(records) => {
             let rows = records
@@ -111,12 +147,11 @@
                     Change::Written(row, beat) => Some((row, beat)),
                     Change::Removed(_) => None,
                 });
-            let rows = rows.collect();
-            fleet.replace(rows, now);
+            fleet.replace(rows.collect(), now)
         }
         Reading::Changes(records) => {
             let changes = records.into_iter().filter_map(change).collect();
-            fleet.apply(changes, now);
+            fleet.apply(changes, now)
         }
     }
 }
--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -23,9 +23,28 @@
     pub rows: Arc<Vec<Row>>,
     /// Whether the registry was read at least once.
     pub has_registry: bool,
+    /// When this view was published.
+    pub published: Option<Instant>,
 }
 
-/// When each part of the view was last read from the store, by this host or a peer.
+/// Where a belief comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// `store`, `peer-reading` for what a peer read, or `peer` for what it believes.
+    pub source: &'static str,
+    /// When the store was asked, if that is known.
+    pub asked: Option<Instant>,
+}
+
+impl Origin {
+    /// Returns the age of the belief in milliseconds; -1 if it is not known.
+    fn age_ms(&self) -> i64 {
+        self.asked
+            .map_or(-1, |asked| asked.elapsed().as_millis() as i64)
+    }
+}
+
+/// When the store was last asked for each part of the view, by this host or a peer.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Read {
     /// Configuration.
@@ -75,6 +94,7 @@
     {
         let mut view = self.view.lock().expect("view lock");
         change(&mut view);
+        view.published = Some(Instant::now());
         self.sender.send_replace(Arc::new(view.clone()));
     }
 
@@ -135,12 +155,16 @@
                 outcome = "taken-over";
                 "upstreams taken over from a peer"
             );
-            self.set_rows(rows);
+            let origin = Origin {
+                source: "peer",
+                asked: None,
+            };
+            self.set_rows(rows, origin);
         }
     }
 
     /// Publishes the upstreams if they changed, and logs how.
-    pub fn set_rows(&self, rows: Vec<Row>) {
+    pub fn set_rows(&self, rows: Vec<Row>, origin: Origin) {
         let (before, has_registry) = {
             let view = self.view.lock().expect("view lock");
             (Arc::clone(&view.rows), view.has_registry)
@@ -154,11 +178,12 @@
             view.has_registry = true;
         });
         // A line tells of a belief that is in force.
-        log_difference(&before, &rows);
+        log_difference(&before, &rows, origin);
     }
 }
 
-fn log_difference(before: &[Row], after: &[Row]) {
+fn log_difference(before: &[Row], after: &[Row], origin: Origin) {
+    let age_ms = origin.age_ms();
     for row in after {
         match before.iter().find(|held| held.id == row.id) {
             Some(held) if held == row => (),
@@ -169,6 +194,8 @@
                 was:? = held.state,
                 role:? = row.role,
                 was_role:? = held.role,
+                source = origin.source,
+                age_ms = age_ms,
                 outcome = "changed";
                 "upstream changed"
             ),
@@ -180,6 +207,8 @@
                 domain:% = row.domain,
                 state:? = row.state,
                 role:? = row.role,
+                source = origin.source,
+                age_ms = age_ms,
                 outcome = "added";
                 "upstream added"
             ),
@@ -187,7 +216,14 @@
     }
     for held in before {
         if !after.iter().any(|row| row.id == held.id) {
-            info!(upstream:% = held.id, born = held.born, outcome = "removed"; "upstream removed");
+            info!(
+                upstream:% = held.id,
+                born = held.born,
+                source = origin.source,
+                age_ms = age_ms,
+                outcome = "removed";
+                "upstream removed"
+            );
         }
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
 use thiserror::Error;
 use tokio::time;
 
+use super::Gateway;
 use super::call::Call;
 use super::pool::Connection;
 use super::target::Target;
@@ -145,9 +146,16 @@
 /// # Errors
 ///
 /// Fails as [`Failure`] says; an answer that says that the request has not run is one.
-pub async fn send(target: &Rc<Target>, call: &Call, terms: &Terms<'_>) -> Result<Answer, Failure> {
+pub async fn send(
+    gateway: &Gateway,
+    target: &Rc<Target>,
+    call: &Call,
+    terms: &Terms<'_>,
+) -> Result<Answer, Failure> {
     let mut connection = target.connect(terms.may_reuse, terms.until).await?;
-    let left = terms.deadline.saturating_duration_since(Instant::now());
+    let now = Instant::now();
+    gateway.observer.note_send(call, target, now);
+    let left = terms.deadline.saturating_duration_since(now);
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.ask.method.clone();
     *request.uri_mut() = origin_form(&call.ask.uri);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! `health`.
 
 pub mod allowance;
+pub mod belief;
 pub mod bootstrap;
 pub mod call;
 pub mod doubt;
@@ -47,6 +48,7 @@
 use crate::retry::window;
 use crate::settings::gateway::Settings;
 
+use self::belief::Observer;
 use self::doubt::Doubts;
 use self::record::Counters;
 use self::target::Target;
@@ -68,6 +70,8 @@
     pub settings: Settings,
     /// Answers by outcome.
     pub counters: Arc<Counters>,
+    /// Age of the beliefs that requests are served on.
+    pub observer: Observer,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
     /// Loads and caches of engines.
@@ -93,6 +97,7 @@
             hosts: Cell::new(settings.hosts_expected),
             repeats: Cell::new(settings.repeats),
             settings,
+            observer: Observer::new(Arc::clone(&counters)),
             counters,
             quarantine: Quarantine::default(),
             board: RefCell::default(),
@@ -159,6 +164,7 @@
 
     /// Takes over a new view.
     pub fn adopt(&self, view: Arc<View>) {
+        self.observer.note_adopted(&view, Instant::now());
         self.update_targets(&view);
         self.update_board(&view);
         *self.view.borrow_mut() = view;
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -155,7 +155,7 @@
             if matches!(terms.work, Work::Whole) {
                 note_reading(gateway, &progress.call, engine);
             }
-            start(target, &progress.call, terms, place).await
+            start(gateway, target, &progress.call, terms, place).await
         }
     };
     let outcome = summary(&started);
@@ -258,7 +258,7 @@
     let terms = terms(call, Work::Read, urgency, None);
     let begun = Instant::now();
     let exchange = async {
-        let answer = exchange::send(&target, call, &terms).await?;
+        let answer = exchange::send(gateway, &target, call, &terms).await?;
         let status = answer.head.status;
         let answer = exchange::finish(&target, answer).await?;
         if !status.is_success() {
@@ -294,13 +294,14 @@
 
 /// Sends a request and waits for the first events of its answer.
 async fn start(
+    gateway: &Gateway,
     target: Rc<Target>,
     call: &Call,
     terms: &Terms<'_>,
     mut place: Place,
 ) -> Result<Started, Failure> {
     let exchange = async {
-        let answer = exchange::send(&target, call, terms).await?;
+        let answer = exchange::send(gateway, &target, call, terms).await?;
         if answer.mark == Mark::Unsigned {
             return Err(Failure::Broken("the answer is not signed".into()));
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -92,7 +92,9 @@
     let mut told = Told::new();
     loop {
         tokio::select! {
-            _ = tick.tick() => {
+            due = tick.tick() => {
+                let late = Instant::now().saturating_duration_since(due.into_std());
+                gateway.observer.note_turn(late);
                 told.tell(&gateway, &socket, &mut peers).await;
                 let now = Instant::now();
                 let (own, domain) = (&gateway.settings.name, &gateway.settings.domain);
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -65,7 +65,7 @@
         let has_other = pick(gateway, call, &tried, now).is_some();
         let until = patience(call, &allowance, has_other, now);
         let may_reuse = call.route.is_idempotent() && tried.len() == 1;
-        match attempt(&target, call, may_reuse, until).await {
+        match attempt(gateway, &target, call, may_reuse, until).await {
             Ok(answer) => {
                 course.step(format_args!(
                     "{}={}",
@@ -112,6 +112,7 @@
 }
 
 async fn attempt(
+    gateway: &Gateway,
     target: &Rc<Target>,
     call: &Call,
     may_reuse: bool,
@@ -127,7 +128,7 @@
         deadline: call.deadline,
     };
     let exchange = async {
-        let answer = exchange::send(target, call, &terms).await?;
+        let answer = exchange::send(gateway, target, call, &terms).await?;
         let answer = exchange::finish(target, answer).await?;
         match answer.mark {
             Mark::Signed => Ok(answer),
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -182,6 +182,7 @@
         outcome = "started";
         "started"
     );
+    gateway.observer.follow(Arc::clone(&views));
     task::spawn_local(follow_views(Rc::clone(&gateway), view));
     let socket = UdpSocket::from_std(socket)?;
     task::spawn_local(peers::run(Rc::clone(&gateway), socket, peer_sources));
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -37,6 +37,7 @@
     decisions: Mutex<BTreeMap<&'static str, u64>>,
     gauges: Mutex<BTreeMap<&'static str, i64>>,
     latencies: Mutex<BTreeMap<(RouteId, &'static str), Histogram<u32>>>,
+    spans: Mutex<BTreeMap<&'static str, Histogram<u32>>>,
 }
 
 impl Default for Counters {
@@ -47,6 +48,7 @@
             decisions: Mutex::default(),
             gauges: Mutex::default(),
             latencies: Mutex::default(),
+            spans: Mutex::default(),
         }
     }
 }
@@ -82,12 +84,25 @@
             true => route.clone(),
             false => OTHER_ROUTES.into(),
         };
-        let row = rows.entry((name, kind)).or_insert_with(|| {
-            Histogram::new_with_bounds(1, MOST_MS, 2).expect("bounds are valid")
-        });
+        let row = rows.entry((name, kind)).or_insert_with(histogram);
         row.saturating_record(latency.as_millis() as u64);
     }
 
+    /// Adds a span of the host itself, such as the age of a belief, to the histogram of its name.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use pistachiohall::gateway::record::Counters;
+    /// let counters = Counters::default();
+    /// counters.observe_span("loop_gap", Duration::from_millis(40));
+    /// assert!(counters.text().contains("pistachiohall_loop_gap_ms_max 40\n"));
+    /// ```
+    pub fn observe_span(&self, name: &'static str, span: Duration) {
+        let mut rows = self.spans.lock().expect("span lock");
+        let row = rows.entry(name).or_insert_with(histogram);
+        row.saturating_record(span.as_millis() as u64);
+    }
+
     /// Returns everything as text that scrapers read.
     ///
     /// ```
@@ -124,10 +139,25 @@
                 row.len()
             );
         }
+        for (name, row) in self.spans.lock().expect("span lock").iter() {
+            for quantile in QUANTILES {
+                let value = row.value_at_quantile(quantile);
+                let _infallible = writeln!(
+                    text,
+                    "pistachiohall_{name}_ms{{quantile=\"{quantile}\"}} {value}"
+                );
+            }
+            let _infallible = writeln!(text, "pistachiohall_{name}_ms_max {}", row.max());
+            let _infallible = writeln!(text, "pistachiohall_{name}_ms_count {}", row.len());
+        }
         text
     }
 }
 
+fn histogram() -> Histogram<u32> {
+    Histogram::new_with_bounds(1, MOST_MS, 2).expect("bounds are valid")
+}
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
