--- a/src/standin/fleet/store.rs
+++ b/src/standin/fleet/store.rs
@@ -145,6 +145,12 @@
         self.shared.changed.notify_all();
     }
 
+    /// Returns the offset after a topic's last record.
+    pub fn end(&self, topic: &str) -> u64 {
+        let state = self.shared.state.lock().expect("store lock");
+        state.topics.get(topic).map_or(0, Topic::end)
+    }
+
     /// Returns the newest value of a key.
     pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
         let state = self.shared.state.lock().expect("store lock");
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -50,6 +50,17 @@
     assert_eq!(ids(&fleet), ["b"]);
 }
 
+/// Guards against new work at upstreams whose removals came in one reading: how many records a host
+/// reads at once says nothing of why they were written.
+#[test]
+fn departures_that_are_read_together_end_use_at_once() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b", "c"], now);
+    let gone = ["a", "b"].map(|id| Change::Removed(id.into()));
+    fleet.apply(gone.to_vec(), now);
+    assert_eq!(ids(&fleet), ["c"]);
+}
+
 /// Entries taken away together are a lapse; live upstreams write theirs again within a second.
 #[test]
 fn a_mass_lapse_is_borne_for_a_while() {
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -10,4 +10,5 @@
 mod placement;
 mod reassign;
 mod share;
+mod target;
 mod term;
--- /dev/null
+++ b/tests/decisions/target.rs
@@ -0,0 +1,55 @@
+//! Upstreams as requests hold them while they change.
+
+use std::time::Duration;
+
+use pistachiohall::fleet::Row;
+use pistachiohall::fleet::State;
+use pistachiohall::gateway::target::Target;
+use pistachiohall::upstream::Role;
+use rstest::rstest;
+
+fn row(born: u64, state: State) -> Row {
+    Row {
+        id: "c1".into(),
+        born,
+        service: "desk".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "derby".into(),
+        role: Role::Mixed,
+        state,
+        slots: 6,
+    }
+}
+
+/// Guards against new work at a draining upstream by a request that chose it just before and still
+/// waits for a connection.
+#[test]
+fn a_request_that_holds_an_upstream_sees_that_it_drains() {
+    let chosen = Target::new(row(1, State::Ready), 8, None);
+    assert!(chosen.takes_work());
+    let changed = Target::new(row(1, State::Draining), 8, Some(&chosen));
+    assert!(!changed.takes_work());
+    assert!(!chosen.takes_work());
+}
+
+/// A new life under the same name takes work, whatever became of the one before.
+#[rstest]
+#[case::drained(State::Draining)]
+#[case::ready(State::Ready)]
+fn a_new_life_takes_work(#[case] before: State) {
+    let before = Target::new(row(1, before), 8, None);
+    before.leave();
+    let after = Target::new(row(2, State::Ready), 8, Some(&before));
+    assert!(after.takes_work());
+    assert!(!before.takes_work());
+}
+
+/// The number of connections changes with the hosts that are heard; an upstream that left stays so.
+#[test]
+fn an_upstream_that_left_stays_so_under_another_bound_on_connections() {
+    let held = Target::new(row(1, State::Ready), 8, None);
+    held.leave();
+    let resized = Target::new(row(1, State::Ready), 16, Some(&held));
+    assert!(!resized.takes_work());
+    resized.sweep(std::time::Instant::now() + Duration::from_secs(9));
+}
--- a/tests/gateway/belief.rs
+++ b/tests/gateway/belief.rs
@@ -1,12 +1,16 @@
 //! Configuration and upstreams, as the store tells them, and while it does not.
 
+use std::net::UdpSocket;
 use std::time::Duration;
 use std::time::Instant;
 
+use prost::Message;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
 
+use pistachiohall::gossip;
+use pistachiohall::gossip::Beat;
 use pistachiohall::platform::store;
 use pistachiohall::standin::fleet;
 use pistachiohall::standin::fleet::replica::Replica;
@@ -127,6 +131,20 @@
     assert!(site.replicas["c1"].seen().is_empty());
 }
 
+/// After a request at an upstream that had left, the log tells who read of its leaving, and when.
+#[test]
+fn tells_who_read_of_a_removal_and_how_old_the_reading_was() {
+    let site = Site::desks(&["c1", "c2"]);
+    site.store.remove(store::UPSTREAM_TOPIC, "c1");
+    site.gateway
+        .wait_line(&["upstream=c1", "outcome=removed", "source=store", "age_ms="]);
+    assert_eq!(site.gateway.call("GET", "/read/a", "r1", &[]).status, 200);
+    let metrics = site.gateway.metrics();
+    for span in ["upstreams_age_at_send", "view_lag", "loop_late"] {
+        assert!(metrics.contains(&format!("pistachiohall_{span}_ms_max ")));
+    }
+}
+
 #[test]
 fn ignores_entries_that_name_no_upstream() {
     let site = Site::desks(&["c1"]);
@@ -258,3 +276,66 @@
     second.wait_line(&["config=100", "source=store"]);
     second.wait_line(&["upstream=c1", "outcome=removed"]);
 }
+
+/// Guards against new work at an upstream that is gone, for as long as the store is away: its entry
+/// had lapsed, was still used for a while after the outage, and the next outage began meanwhile.
+#[test]
+fn a_lapsed_upstream_is_given_up_during_the_next_outage() {
+    let site = Site::desks(&["c1", "c2"]);
+    site.store.set_trouble(Trouble::Down);
+    site.gateway
+        .wait_line(&["topic=keyed.servers", "outcome=lost"]);
+    site.store.remove(store::UPSTREAM_TOPIC, "c1");
+    site.store.set_trouble(Trouble::None);
+    site.gateway
+        .wait_line(&["topic=keyed.servers", "outcome=back"]);
+    site.store.set_trouble(Trouble::Down);
+    site.gateway
+        .wait_line(&["upstream=c1", "outcome=gone", "reason=lapsed"]);
+    site.gateway.wait_line(&["upstream=c1", "outcome=removed"]);
+    for number in 0..10 {
+        let answer = site
+            .gateway
+            .call("GET", "/read/a", &format!("r{number}"), &[]);
+        assert_eq!(answer.status, 200);
+    }
+    assert!(site.replicas["c1"].seen().is_empty());
+}
+
+/// Guards against new work at a leaving upstream by a host whose peer tells what it read long ago:
+/// datagrams that wait on a busy host or a full link put its own readings off for as long as they
+/// keep coming.
+#[test]
+fn a_host_reads_by_itself_while_a_peer_tells_old_readings() {
+    let site = Site::desks(&["c1", "c2"]);
+    let end = site.store.end(store::UPSTREAM_TOPIC);
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let old = |sequence| Beat {
+        host: "h0".into(),
+        domain: "derby".into(),
+        born: 1,
+        sequence,
+        segments: vec![gossip::Segment {
+            topic: store::UPSTREAM_TOPIC.into(),
+            from: end,
+            next: end,
+            ..gossip::Segment::default()
+        }],
+        ..Beat::default()
+    };
+    let mut sequence = 0;
+    let mut tell = || {
+        sequence += 1;
+        let datagram = old(sequence).encode_to_vec();
+        socket.send_to(&datagram, site.gateway.peers()).unwrap();
+        sequence
+    };
+    wait_for("a host that takes turns with this peer", || tell() > 100);
+    site.store.remove(store::UPSTREAM_TOPIC, "c1");
+    wait_for("the removal", || {
+        tell();
+        site.gateway
+            .line(&["upstream=c1", "outcome=removed"])
+            .is_some()
+    });
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -116,6 +116,11 @@
         self.addresses["callers"]
     }
 
+    /// Returns where peers send their datagrams.
+    pub fn peers(&self) -> SocketAddr {
+        self.addresses["peers"]
+    }
+
     /// Returns the status of the readiness question.
     pub fn readiness(&self) -> u16 {
         client::call(self.addresses["balancer"], "GET", "/v1/readyz", "r", &[])
