Publish the end of a lapsed upstream's use without another reading

Callers saw: requests at an upstream that is gone, for as long as the store is away. Cause: an entry that lapsed in one outage and was not renewed was dropped from the belief at the end of its time, but the view was published with the next reading only, which a second outage puts off without a bound. The end was also noticed at the next reading at the earliest. Change: the reading thread wakes at that end and publishes it. Test: a_lapsed_upstream_is_given_up_during_the_next_outage failed before (the upstream stayed in use for the 30 s that the test waits).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -178,6 +178,11 @@
         gone
     }
 
+    /// Returns when the use of an upstream ends next whose entry was removed.
+    pub fn next_end(&self) -> Option<Instant> {
+        self.held.values().filter_map(|held| held.use_until).min()
+    }
+
     /// Returns all upstreams, those that drain included.
     pub fn rows(&self) -> Vec<Row> {
         self.held.values().map(|held| held.row.clone()).collect()
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -40,14 +40,17 @@
     let mut fleet = Fleet::default();
     let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, clock.now());
     let mut last_read = clock.now();
+    let mut origin = Origin {
+        source: "store",
+        asked: None,
+    };
     loop {
-        let told = port.wait(turn.due());
+        let wake = fleet
+            .next_end()
+            .map_or(turn.due(), |end| end.min(turn.due()));
+        let told = port.wait(wake);
         let begun = clock.now();
         log_lateness(begun.saturating_duration_since(turn.due()));
-        let mut origin = Origin {
-            source: "store",
-            asked: Some(begun),
-        };
         let reading = match told {
             Some(segment) => match reader.take(segment) {
                 Told::Next(records) => {
@@ -64,10 +67,20 @@
                 }
                 Told::Behind => None,
             },
-            None => read(&mut reader, &mut turn, clock, store, port),
+            None if begun < turn.due() => None,
+            None => {
+                let read = read(&mut reader, &mut turn, clock, store, port);
+                if read.is_some() {
+                    origin = Origin {
+                        source: "store",
+                        asked: Some(begun),
+                    };
+                }
+                read
+            }
         };
         let now = clock.now();
-        let is_read = reading.is_some();
+        let mut is_changed = reading.is_some();
         if let Some(reading) = reading {
             if reader.note_success() {
                 fleet.note_return(now.saturating_duration_since(last_read), now);
@@ -85,9 +98,10 @@
             }
         }
         for id in fleet.sweep(now) {
+            is_changed = true;
             info!(upstream:% = id, outcome = "gone", reason = "lapsed"; "upstream gone");
         }
-        if is_read {
+        if is_changed {
             board.set_rows(fleet.rows(), origin);
         }
     }
