Let requests see that the upstream they have chosen leaves

Callers saw: a request sent to an upstream that had begun to drain. Cause: a decision on a copy of a belief that has since changed. An entry that changes makes a new target; a request that had chosen the old one and waited for a connection checked its own copy of the state, which stayed ready. Change: whether an upstream leaves lies in what all targets of one life share. Test: a_request_that_holds_an_upstream_sees_that_it_drains failed before.

--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -32,7 +32,8 @@
     pool: Pool,
     health: RefCell<Health>,
     in_flight: Cell<usize>,
-    is_gone: Cell<bool>,
+    /// Requests that chose the upstream before it left still hold its earlier entry.
+    is_leaving: Cell<bool>,
 }
 
 impl Target {
@@ -46,17 +47,18 @@
                 pool: Pool::new(row.address),
                 health: RefCell::default(),
                 in_flight: Cell::default(),
-                is_gone: Cell::default(),
+                is_leaving: Cell::default(),
             }),
         };
-        if row.state == State::Draining {
-            shared.pool.close_idle();
-        }
-        Target {
+        let target = Target {
             row,
             most_connections,
             shared,
+        };
+        if target.row.state == State::Draining {
+            target.leave();
         }
+        target
     }
 
     /// Returns whether both are the same life of the same upstream.
@@ -66,12 +68,12 @@
 
     /// Returns whether new work may be sent.
     pub fn takes_work(&self) -> bool {
-        self.row.state == State::Ready && !self.shared.is_gone.get()
+        !self.shared.is_leaving.get()
     }
 
-    /// Notes that the upstream left: what is open goes on, nothing new is sent.
+    /// Notes that the upstream leaves: what is open goes on, nothing new is sent.
     pub fn leave(&self) {
-        self.shared.is_gone.set(true);
+        self.shared.is_leaving.set(true);
         self.shared.pool.close_idle();
     }
 
