Bound what a host hears of its peers to a tenth of the slowest link

Callers saw: requests at engines 3 to 5 s after the store had acknowledged that they leave, and in bursts many refusals and time-outs. Cause: each host told each other one up to 50 times a second of loads that grow with the load, so that what a host hears grows with the number of hosts and fills a link of 10 Mbit/s in a burst. Datagrams are dropped, readings of peers among them, connections to the store time out, and hosts believe for seconds what was true before. A cost that grows with the square of the hosts. Change: the pause after a datagram grows with its size and the number of peers, so that all of them take 125 KB/s of a host's link, between 20 and 400 ms. Test: what_a_host_hears_of_its_peers_fits_its_link guards the pause.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -29,10 +29,6 @@
 use crate::reassign::Standing;
 use crate::reassign::duty::Away;
 
-/// Pause between two datagrams while loads change; a few arrivals at the whole site.
-const BEAT_PAUSE: Duration = Duration::from_millis(20);
-/// Longest pause while nothing changes.
-const QUIET_PAUSE: Duration = Duration::from_millis(400);
 /// Records that are told with a segment, in bytes; hosts read larger ones by themselves.
 const SEGMENT_BYTES: usize = 32_000;
 /// Largest datagram, in bytes.
@@ -87,7 +83,7 @@
     } = sources;
     let mut peers = Peers::default();
     let mut buffer = vec![0; DATAGRAM_BYTES];
-    let mut tick = time::interval(BEAT_PAUSE);
+    let mut tick = time::interval(gossip::SHORTEST_PAUSE);
     tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut told = Told::new();
     loop {
@@ -142,6 +138,7 @@
     born: u64,
     sequence: u64,
     at: Instant,
+    pause: Duration,
     loads: Vec<gossip::Load>,
     heard: usize,
     away: Vec<u32>,
@@ -155,6 +152,7 @@
             born,
             sequence: 0,
             at: Instant::now(),
+            pause: gossip::SHORTEST_PAUSE,
             loads: Vec::new(),
             heard: 0,
             away: Vec::new(),
@@ -198,13 +196,17 @@
 
     async fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket, peers: &mut Peers) {
         let now = Instant::now();
+        let since = now.saturating_duration_since(self.at);
+        if since < self.pause {
+            return;
+        }
         let loads = loads(gateway);
         let news = gateway.news.take();
         gateway.note_away(&self.away, now);
         let unreachable = gateway.unreachable(now);
         let is_same = loads == self.loads && unreachable == self.unreachable;
         let is_quiet = is_same && news.readings.is_empty() && news.suspects.is_empty();
-        if is_quiet && now.duration_since(self.at) < QUIET_PAUSE {
+        if is_quiet && since < gossip::LONGEST_PAUSE {
             return;
         }
         self.sequence += 1;
@@ -216,7 +218,10 @@
             suspects: news.suspects,
             ..self.beat(gateway)
         };
-        send(socket, &beat.encode_to_vec(), &peers.due(now));
+        let datagram = beat.encode_to_vec();
+        let due = peers.due(now);
+        self.pause = gossip::pause(datagram.len(), due.len());
+        send(socket, &datagram, &due);
         let heard = peers.heard(now);
         if heard != self.heard {
             info!(
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -14,6 +14,15 @@
 
 /// Silence after which a peer's loads no longer count and it is only told of this host at times.
 pub const SILENCE: Duration = Duration::from_secs(2);
+/// Pause between two datagrams while loads change; a few arrivals at the whole site.
+pub const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause, also while nothing changes; several fit into [`SILENCE`].
+pub const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// Bytes that a host hears from all peers together in a second: a tenth of a link of 10 Mbit/s, the
+/// slowest that hosts have.
+const HEARD_BYTES: f64 = 125_000.0;
+/// Bytes of the headers of IP and UDP.
+const HEADER_BYTES: usize = 28;
 
 /// Load of one engine that comes from the sender.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -123,6 +132,22 @@
     pub suspects: Vec<Suspect>,
 }
 
+/// Returns the pause after a datagram of `bytes` to each of `peers`.
+///
+/// All hosts tell all others, so that what each hears grows with their number unless each tells
+/// more rarely.
+///
+/// ```
+/// use pistachiohall::gossip;
+/// assert_eq!(gossip::pause(200, 7), gossip::SHORTEST_PAUSE);
+/// assert!(gossip::pause(200, 73) > gossip::SHORTEST_PAUSE);
+/// assert_eq!(gossip::pause(200, 1000), gossip::LONGEST_PAUSE);
+/// ```
+pub fn pause(bytes: usize, peers: usize) -> Duration {
+    let heard = ((bytes + HEADER_BYTES) * peers) as f64;
+    Duration::from_secs_f64(heard / HEARD_BYTES).clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
+}
+
 /// Returns the digest by which datagrams name an engine.
 pub fn digest(engine: &str) -> u32 {
     use std::hash::Hash;
--- a/tests/decisions/gossip.rs
+++ b/tests/decisions/gossip.rs
@@ -3,9 +3,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use pistachiohall::gossip;
 use pistachiohall::gossip::Beat;
 use pistachiohall::gossip::Peers;
 use pistachiohall::gossip::SILENCE;
+use rstest::rstest;
+
+/// Bytes a second that a host's share of datagrams may take of the slowest link: a tenth of 10 Mbit/s.
+const LINK_SHARE: f64 = 125_000.0;
+/// Bytes of the headers of IP and UDP.
+const HEADERS: usize = 28;
 
 fn beat(born: u64, sequence: u64) -> Beat {
     Beat {
@@ -28,6 +35,18 @@
     assert!(!peers.note(&beat(5, 9), from, now));
 }
 
+/// Guards against hosts that fill each other's links: connections to the store time out and what
+/// peers have read is lost, so that a host learns late that an upstream leaves.
+#[rstest]
+fn what_a_host_hears_of_its_peers_fits_its_link(
+    #[values(7, 67, 73)] peers: usize,
+    #[values(100, 250, 600)] bytes: usize,
+) {
+    let pause = gossip::pause(bytes, peers);
+    let heard = ((bytes + HEADERS) * peers) as f64 / pause.as_secs_f64();
+    assert!(heard <= LINK_SHARE * 1.001, "{heard} bytes a second");
+}
+
 /// The clock of a host was set back before it started again.
 #[test]
 fn a_new_life_with_an_earlier_start_is_heard_after_a_silence() {
