Bound the age of what peers tell by what they prove

Callers saw: the risk of requests at an upstream that has left, for as long as a peer's readings come late. Cause: a reading that a peer told counted as new when it arrived. It put the host's own reading off, however long it had waited on either host or on a full link, and nothing bounded the age of what a host believed. The class is freshness judged at the receipt, not at the source. Change: with each reading a host names the newest datagram that it had heard of each host of its domain before it asked the store; the receiver knows when it sent that one, so that the reading is no older. A host reads by itself when what it knows is 1 s old (configuration: 1.6 s), and what cannot prove its age puts nothing off, nor shows that the store is back.

--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -9,7 +9,6 @@
 use super::share::Turn;
 use super::view::Views;
 use crate::clock::Clock;
-use crate::id::Offset;
 use crate::log::keyed::Keyed;
 use crate::log::keyed::Record;
 use crate::platform::store;
@@ -19,6 +18,9 @@
 const WAIT: Duration = Duration::from_millis(900);
 /// Pause after a failed reading, or one that found no configuration at all.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+/// Age of what peers tell at which this host reads by itself; leaves time for that reading within the
+/// two seconds in which changes have to be in force.
+const MOST_AGE: Duration = Duration::from_millis(1600);
 
 /// Reads the configuration for ever, in turns with peers.
 pub fn follow<C, K>(board: &Views, clock: &C, store: &K, port: &Port)
@@ -27,16 +29,19 @@
     K: Keyed,
 {
     let mut reader = Reader::new(store::CONFIG_TOPIC);
-    let mut turn = Turn::new(WAIT, FAILURE_PAUSE, clock.now());
+    let mut turn = Turn::new(WAIT, FAILURE_PAUSE, MOST_AGE, clock.now());
     loop {
-        if let Some(segment) = port.wait(turn.due()) {
+        if let Some(news) = port.wait(turn.due()) {
             let now = clock.now();
-            match reader.take(segment) {
+            match reader.take(news.segment) {
                 Told::Next(records) => {
-                    reader.note_success();
-                    board.note_config(now);
+                    // What a peer cannot prove to be new does not show that the store is back.
+                    if let Some(asked) = news.asked {
+                        reader.note_success();
+                        board.note_config(asked);
+                    }
                     adopt_newest(board, records, "peer-reading");
-                    turn.note_told(now, port.rank());
+                    turn.note_told(news.asked, now, port.rank());
                 }
                 Told::Missing => turn.set_due(now),
                 Told::Behind => (),
@@ -44,11 +49,20 @@
             continue;
         }
         let from = reader.next();
+        let (heard, asked) = (port.heard(), clock.now());
         match reader.read(store, WAIT) {
             Ok(Reading::Full(records) | Reading::Changes(records)) => {
                 reader.note_success();
-                board.note_config(clock.now());
-                tell(port, from, &reader, &records);
+                // Without a change the store answers at the end of the wait.
+                let waited = if records.is_empty() {
+                    WAIT
+                } else {
+                    Duration::ZERO
+                };
+                board.note_config(asked + waited);
+                if let (Some(from), Some(next)) = (from, reader.next()) {
+                    port.tell((from, next), records.clone(), heard, waited);
+                }
                 adopt_newest(board, records, "store");
                 // A reading waits by itself; the next one may follow at once.
                 match board.has_catalog() {
@@ -64,12 +78,6 @@
     }
 }
 
-fn tell(port: &Port, from: Option<Offset>, reader: &Reader, records: &[Record]) {
-    if let (Some(from), Some(next)) = (from, reader.next()) {
-        port.tell(from, next, records.to_vec());
-    }
-}
-
 fn adopt_newest(board: &Views, records: Vec<Record>, source: &str) {
     let contents = records
         .into_iter()
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -9,6 +9,7 @@
 use super::reader::Reader;
 use super::reader::Reading;
 use super::reader::Told;
+use super::share::News;
 use super::share::Port;
 use super::share::Turn;
 use super::view::Origin;
@@ -27,6 +28,9 @@
 const PAUSE: Duration = Duration::from_millis(300);
 /// Pause after a failed reading.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+/// Age of what peers tell at which this host reads by itself; leaves time for a reading that fails
+/// and another one within the two seconds in which new work at a leaving upstream has to end.
+const MOST_AGE: Duration = Duration::from_secs(1);
 /// Lateness of this thread from which it is logged; a host without spare processor time.
 const LATE: Duration = Duration::from_millis(250);
 
@@ -36,106 +40,132 @@
     C: Clock,
     K: Keyed,
 {
-    let mut reader = Reader::new(store::UPSTREAM_TOPIC);
-    let mut fleet = Fleet::default();
-    let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, clock.now());
-    let mut last_read = clock.now();
-    let mut origin = Origin {
-        source: "store",
-        asked: None,
-    };
+    let mut follower = Follower::new(board, clock.now());
     loop {
-        let wake = fleet
-            .next_end()
-            .map_or(turn.due(), |end| end.min(turn.due()));
-        let told = port.wait(wake);
-        let begun = clock.now();
-        log_lateness(begun.saturating_duration_since(turn.due()));
-        let reading = match told {
-            Some(segment) => match reader.take(segment) {
-                Told::Next(records) => {
-                    turn.note_told(clock.now(), port.rank());
-                    origin = Origin {
-                        source: "peer-reading",
-                        asked: None,
-                    };
-                    Some(Reading::Changes(records))
-                }
-                Told::Missing => {
-                    turn.set_due(clock.now());
-                    None
-                }
-                Told::Behind => None,
+        let told = port.wait(follower.wake());
+        let now = clock.now();
+        log_lateness(now.saturating_duration_since(follower.turn.due()));
+        match told {
+            Some(news) => follower.take(news, port.rank(), now),
+            None if follower.turn.due() <= now => follower.read(clock, store, port),
+            None => (),
+        }
+        follower.sweep(clock.now());
+    }
+}
+
+/// The registry as this host believes it, and when it is read next.
+#[derive(Debug)]
+struct Follower<'a> {
+    board: &'a Views,
+    reader: Reader,
+    fleet: Fleet,
+    turn: Turn,
+    /// Where the newest reading came from.
+    origin: Origin,
+    /// When the store last surely answered this host or a peer.
+    alive: Instant,
+}
+
+impl<'a> Follower<'a> {
+    fn new(board: &'a Views, now: Instant) -> Self {
+        Follower {
+            board,
+            reader: Reader::new(store::UPSTREAM_TOPIC),
+            fleet: Fleet::default(),
+            turn: Turn::new(PAUSE, FAILURE_PAUSE, MOST_AGE, now),
+            origin: Origin {
+                source: "store",
+                asked: None,
             },
-            None if begun < turn.due() => None,
-            None => {
-                let read = read(&mut reader, &mut turn, clock, store, port);
-                if read.is_some() {
-                    origin = Origin {
-                        source: "store",
-                        asked: Some(begun),
-                    };
-                }
-                read
+            alive: now,
+        }
+    }
+
+    /// Returns when there is something to do without news.
+    fn wake(&self) -> Instant {
+        let due = self.turn.due();
+        self.fleet.next_end().map_or(due, |end| end.min(due))
+    }
+
+    /// Takes in what a peer tells.
+    fn take(&mut self, news: News, rank: usize, now: Instant) {
+        match self.reader.take(news.segment) {
+            Told::Next(records) => {
+                self.turn.note_told(news.asked, now, rank);
+                self.origin = Origin {
+                    source: "peer-reading",
+                    asked: news.asked,
+                };
+                self.take_in(Reading::Changes(records), now);
             }
-        };
+            Told::Missing => self.turn.set_due(now),
+            Told::Behind => (),
+        }
+    }
+
+    /// Reads the store and tells peers.
+    fn read<C, K>(&mut self, clock: &C, store: &K, port: &Port)
+    where
+        C: Clock,
+        K: Keyed,
+    {
+        let from = self.reader.next();
+        let (heard, asked) = (port.heard(), clock.now());
+        let reading = self.reader.read(store, Duration::ZERO);
         let now = clock.now();
-        let mut is_changed = reading.is_some();
-        if let Some(reading) = reading {
-            if reader.note_success() {
-                fleet.note_return(now.saturating_duration_since(last_read), now);
+        match reading {
+            Ok(reading) => {
+                self.turn.note_read(now);
+                if let (Some(from), Reading::Changes(records), Some(next)) =
+                    (from, &reading, self.reader.next())
+                {
+                    port.tell((from, next), records.clone(), heard, Duration::ZERO);
+                }
+                self.origin = Origin {
+                    source: "store",
+                    asked: Some(asked),
+                };
+                self.take_in(reading, now);
             }
-            last_read = now;
-            board.note_upstreams(now);
-            for id in take_in(&mut fleet, reading, now) {
-                info!(
-                    upstream:% = id,
-                    source = origin.source,
-                    outcome = "still-used",
-                    reason = "may-be-renewed";
-                    "upstream entry removed"
-                );
+            Err(error) => {
+                self.reader.note_failure(&error);
+                let failures = self.reader.failures();
+                self.turn.note_failure(now, port.rank(), failures);
             }
         }
-        for id in fleet.sweep(now) {
-            is_changed = true;
-            info!(upstream:% = id, outcome = "gone", reason = "lapsed"; "upstream gone");
+    }
+
+    fn take_in(&mut self, reading: Reading, now: Instant) {
+        // What a peer cannot prove to be new does not show that the store is back.
+        if let Some(asked) = self.origin.asked {
+            if self.reader.note_success() {
+                let away = asked.saturating_duration_since(self.alive);
+                self.fleet.note_return(away, now);
+            }
+            self.alive = self.alive.max(asked);
+            self.board.note_upstreams(asked);
         }
-        if is_changed {
-            board.set_rows(fleet.rows(), origin);
+        for id in apply(&mut self.fleet, reading, now) {
+            info!(
+                upstream:% = id,
+                source = self.origin.source,
+                outcome = "still-used",
+                reason = "may-be-renewed";
+                "upstream entry removed"
+            );
         }
+        self.board.set_rows(self.fleet.rows(), self.origin);
     }
-}
 
-/// Reads the store and tells peers; returns nothing if that fails.
-fn read<C, K>(
-    reader: &mut Reader,
-    turn: &mut Turn,
-    clock: &C,
-    store: &K,
-    port: &Port,
-) -> Option<Reading>
-where
-    C: Clock,
-    K: Keyed,
-{
-    let from = reader.next();
-    let reading = reader.read(store, Duration::ZERO);
-    let now = clock.now();
-    match reading {
-        Ok(reading) => {
-            turn.note_read(now);
-            if let (Some(from), Reading::Changes(records), Some(next)) =
-                (from, &reading, reader.next())
-            {
-                port.tell(from, next, records.clone());
-            }
-            Some(reading)
+    /// Ends the use of upstreams whose entries were removed and not renewed in time.
+    fn sweep(&mut self, now: Instant) {
+        let gone = self.fleet.sweep(now);
+        for id in &gone {
+            info!(upstream:% = id, outcome = "gone", reason = "lapsed"; "upstream gone");
         }
-        Err(error) => {
-            reader.note_failure(&error);
-            turn.note_failure(now, port.rank(), reader.failures());
-            None
+        if !gone.is_empty() {
+            self.board.set_rows(self.fleet.rows(), self.origin);
         }
     }
 }
@@ -153,7 +183,7 @@
 }
 
 /// Takes in a reading; returns the upstreams that stay in use although their entries were removed.
-fn take_in(fleet: &mut Fleet, reading: Reading, now: Instant) -> Vec<UpstreamId> {
+fn apply(fleet: &mut Fleet, reading: Reading, now: Instant) -> Vec<UpstreamId> {
     match reading {
         Reading::Full(records) => {
             let rows = records
--- a/src/follow/share.rs
+++ b/src/follow/share.rs
@@ -5,6 +5,7 @@
 //! dies, is cut off or hangs, the next one's wait ends a little later.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use log::debug;
 use tokio::sync::mpsc;
 
+use crate::gossip::Mark;
 use crate::id::Offset;
 use crate::log::keyed::Record;
 
@@ -48,33 +50,56 @@
     pub records: Option<Vec<Record>>,
 }
 
+/// A segment to be told, and what proves to each peer how old it is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reading {
+    /// What was read.
+    pub segment: Segment,
+    /// The peers' newest datagrams that were heard when the store was asked.
+    pub heard: Arc<Vec<Mark>>,
+    /// Time from the question for which the answer says that nothing came.
+    pub waited: Duration,
+}
+
+/// A peer's segment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct News {
+    /// What the peer read.
+    pub segment: Segment,
+    /// Time up to which it surely holds all records, if the peer could prove one.
+    pub asked: Option<Instant>,
+}
+
 /// When a host reads a topic next.
 #[derive(Debug)]
 pub struct Turn {
     pause: Duration,
     failure_pause: Duration,
+    most_age: Duration,
     due: Instant,
 }
 
 impl Turn {
     /// Returns a turn that is due at once; `pause` lies between two readings of one host and
-    /// `failure_pause` after the first failed one.
+    /// `failure_pause` after the first failed one. What peers tell puts a reading off until what
+    /// this host knows is `most_age` old.
     ///
     /// ```
     /// use std::time::{Duration, Instant};
     /// use pistachiohall::follow::share::Turn;
     /// let now = Instant::now();
     /// let second = Duration::from_secs(1);
-    /// let mut turn = Turn::new(second, second / 4, now);
-    /// turn.note_told(now, 1);
+    /// let mut turn = Turn::new(second, second / 4, 2 * second, now);
+    /// turn.note_told(Some(now), now, 1);
     /// assert!(turn.due() > now + second);
     /// turn.note_read(now);
     /// assert_eq!(turn.due(), now + second);
     /// ```
-    pub fn new(pause: Duration, failure_pause: Duration, now: Instant) -> Self {
+    pub fn new(pause: Duration, failure_pause: Duration, most_age: Duration, now: Instant) -> Self {
         Turn {
             pause,
             failure_pause,
+            most_age,
             due: now,
         }
     }
@@ -84,13 +109,17 @@
         self.due = now + self.pause;
     }
 
-    /// Notes that a peer has read and told of it; `rank` counts the hosts before this one. The
-    /// first host keeps its own pace, so that somebody reads however the others stand.
-    pub fn note_told(&mut self, now: Instant, rank: usize) {
-        let Some(steps) = rank.checked_sub(1) else {
+    /// Notes that a peer told what the store held at `asked`; `rank` counts the hosts before this
+    /// one. The first host keeps its own pace, so that somebody reads however the others stand.
+    ///
+    /// What may be of any age puts nothing off: datagrams that wait on a busy host or a full link
+    /// would keep this host from reading for as long as they come.
+    pub fn note_told(&mut self, asked: Option<Instant>, now: Instant, rank: usize) {
+        let (Some(asked), Some(steps)) = (asked, rank.checked_sub(1)) else {
             return;
         };
-        self.due = now + self.pause + STEP_FIRST + STEP * steps.min(MOST_STEPS) as u32;
+        let in_turn = now + self.pause + STEP_FIRST + STEP * steps.min(MOST_STEPS) as u32;
+        self.due = self.due.max(in_turn.min(asked + self.most_age));
     }
 
     /// Notes the `failures`th failure in a row. After the first ones, which may be this host's own,
@@ -118,16 +147,17 @@
 #[derive(Debug)]
 pub struct Port {
     topic: &'static str,
-    inbox: Receiver<Segment>,
-    outbox: mpsc::Sender<Segment>,
+    inbox: Receiver<News>,
+    outbox: mpsc::Sender<Reading>,
     rank: Arc<AtomicUsize>,
+    heard: Arc<Mutex<Arc<Vec<Mark>>>>,
 }
 
 impl Port {
     /// Waits until `due` for what a peer tells; returns nothing if it tells nothing.
-    pub fn wait(&self, due: Instant) -> Option<Segment> {
+    pub fn wait(&self, due: Instant) -> Option<News> {
         match self.inbox.recv_deadline(due) {
-            Ok(segment) => Some(segment),
+            Ok(news) => Some(news),
             Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => {
                 // The loop that serves requests has ended, and the process with it.
@@ -137,15 +167,31 @@
         }
     }
 
-    /// Tells peers of records that were read.
-    pub fn tell(&self, from: Offset, next: Offset, records: Vec<Record>) {
-        let segment = Segment {
-            topic: self.topic,
-            from,
-            next,
-            records: Some(records),
+    /// Returns the peers' newest datagrams that were heard so far; to be asked for before the store.
+    pub fn heard(&self) -> Arc<Vec<Mark>> {
+        Arc::clone(&self.heard.lock().expect("heard lock"))
+    }
+
+    /// Tells peers of records that were read after `heard`; `waited` is the time from the question
+    /// for which the answer says that nothing came.
+    pub fn tell(
+        &self,
+        (from, next): (Offset, Offset),
+        records: Vec<Record>,
+        heard: Arc<Vec<Mark>>,
+        waited: Duration,
+    ) {
+        let reading = Reading {
+            segment: Segment {
+                topic: self.topic,
+                from,
+                next,
+                records: Some(records),
+            },
+            heard,
+            waited,
         };
-        if let Err(cause) = self.outbox.try_send(segment) {
+        if let Err(cause) = self.outbox.try_send(reading) {
             debug!(topic = self.topic, cause:% = cause; "peers not told of a reading");
         }
     }
@@ -159,11 +205,12 @@
 /// The end of the exchange that sends and receives datagrams.
 #[derive(Debug)]
 pub struct Exchange {
-    sender: mpsc::Sender<Segment>,
-    /// Segments to be told.
-    pub outbox: mpsc::Receiver<Segment>,
-    inboxes: Vec<(&'static str, Sender<Segment>)>,
+    sender: mpsc::Sender<Reading>,
+    /// Readings to be told.
+    pub outbox: mpsc::Receiver<Reading>,
+    inboxes: Vec<(&'static str, Sender<News>)>,
     rank: Arc<AtomicUsize>,
+    heard: Arc<Mutex<Arc<Vec<Mark>>>>,
 }
 
 impl Exchange {
@@ -175,6 +222,7 @@
             outbox,
             inboxes: Vec::new(),
             rank: Arc::default(),
+            heard: Arc::default(),
         }
     }
 
@@ -187,6 +235,7 @@
             inbox,
             outbox: self.sender.clone(),
             rank: Arc::clone(&self.rank),
+            heard: Arc::clone(&self.heard),
         }
     }
 
@@ -197,15 +246,20 @@
     }
 
     /// Hands a peer's segment to the thread that reads its topic.
-    pub fn deliver(&self, segment: Segment) {
+    pub fn deliver(&self, news: News) {
         for (topic, inbox) in &self.inboxes {
             // A thread that is far behind loses segments, sees the gap and reads by itself.
-            if *topic == segment.topic && inbox.try_send(segment.clone()).is_err() {
-                debug!(topic = segment.topic; "a peer's reading was dropped");
+            if *topic == news.segment.topic && inbox.try_send(news.clone()).is_err() {
+                debug!(topic = topic; "a peer's reading was dropped");
             }
         }
     }
 
+    /// Notes the peers' newest datagrams that were heard.
+    pub fn set_heard(&self, heard: Vec<Mark>) {
+        *self.heard.lock().expect("heard lock") = Arc::new(heard);
+    }
+
     /// Notes how many hosts of the failure domain come before this one.
     pub fn set_rank(&self, rank: usize) {
         self.rank.store(rank, Ordering::Relaxed);
--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -78,14 +78,16 @@
         *self.read.lock().expect("read lock")
     }
 
-    /// Notes that the configuration was read.
-    pub fn note_config(&self, now: Instant) {
-        self.read.lock().expect("read lock").config = Some(now);
+    /// Notes that the configuration is known up to `asked`.
+    pub fn note_config(&self, asked: Instant) {
+        let mut read = self.read.lock().expect("read lock");
+        read.config = read.config.max(Some(asked));
     }
 
-    /// Notes that the upstreams were read.
-    pub fn note_upstreams(&self, now: Instant) {
-        self.read.lock().expect("read lock").upstreams = Some(now);
+    /// Notes that the upstreams are known up to `asked`.
+    pub fn note_upstreams(&self, asked: Instant) {
+        let mut read = self.read.lock().expect("read lock");
+        read.upstreams = read.upstreams.max(Some(asked));
     }
 
     fn publish<F>(&self, change: F)
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -95,6 +95,7 @@
                 let now = Instant::now();
                 let (own, domain) = (&gateway.settings.name, &gateway.settings.domain);
                 exchange.set_rank(peers.rank_near(own, domain, now));
+                exchange.set_heard(peers.marks_near(domain, now));
                 let newest = Standing {
                     rank: peers.rank(&gateway.settings.name, now),
                     is_idle: gateway.is_idle(now),
@@ -108,12 +109,14 @@
             }
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
-                    take_in(&gateway, &mut peers, &exchange, &buffer[..length], from);
+                    if let Some(beat) = take_in(&gateway, &mut peers, &buffer[..length], from) {
+                        told.deliver_segments(&gateway, &exchange, beat);
+                    }
                 }
                 Err(cause) => log::debug!(cause:% = cause; "a datagram was lost"),
             },
-            Some(segment) = exchange.outbox.recv() => {
-                told.tell_segment(&gateway, &socket, &peers, segment);
+            Some(reading) = exchange.outbox.recv() => {
+                told.tell_reading(&gateway, &socket, &peers, reading);
             }
             Ok(()) = away.changed() => {
                 let ordered: Vec<u32> = away.borrow_and_update().keys().map(|id| gossip::digest(id)).collect();
@@ -137,6 +140,7 @@
 struct Told {
     born: u64,
     sequence: u64,
+    sent: gossip::Sent,
     at: Instant,
     pause: Duration,
     loads: Vec<gossip::Load>,
@@ -151,6 +155,7 @@
         Told {
             born,
             sequence: 0,
+            sent: gossip::Sent::default(),
             at: Instant::now(),
             pause: gossip::SHORTEST_PAUSE,
             loads: Vec::new(),
@@ -174,21 +179,45 @@
         }
     }
 
+    /// Counts a datagram that is sent now.
+    fn count(&mut self, now: Instant) {
+        self.sequence += 1;
+        self.sent.note(self.sequence, now);
+    }
+
+    /// Hands the segments of a peer's datagram to the threads that read their topics.
+    fn deliver_segments(&self, gateway: &Gateway, exchange: &Exchange, beat: Beat) {
+        let life = gossip::life(&gateway.settings.name, self.born);
+        for segment in beat.segments {
+            let Some(topic) = exchange.topic(&segment.topic) else {
+                continue;
+            };
+            let mark = segment.heard.iter().find(|mark| mark.life == life);
+            let waited = Duration::from_millis(u64::from(segment.waited_ms));
+            let asked = mark.and_then(|mark| self.sent.at(mark.sequence));
+            exchange.deliver(share::News {
+                asked: asked.map(|asked| asked + waited),
+                segment: decode(topic, segment),
+            });
+        }
+    }
+
     /// Tells the hosts of the same failure domain what this one has read.
-    fn tell_segment(
+    fn tell_reading(
         &mut self,
         gateway: &Gateway,
         socket: &UdpSocket,
         peers: &Peers,
-        segment: share::Segment,
+        reading: share::Reading,
     ) {
-        let near = peers.addresses_near(&gateway.settings.domain, Instant::now());
+        let now = Instant::now();
+        let near = peers.addresses_near(&gateway.settings.domain, now);
         if near.is_empty() {
             return;
         }
-        self.sequence += 1;
+        self.count(now);
         let beat = Beat {
-            segments: vec![encode(segment)],
+            segments: vec![encode(reading)],
             ..self.beat(gateway)
         };
         send(socket, &beat.encode_to_vec(), &near);
@@ -209,7 +238,7 @@
         if is_quiet && since < gossip::LONGEST_PAUSE {
             return;
         }
-        self.sequence += 1;
+        self.count(now);
         self.at = now;
         self.loads = loads;
         self.unreachable = unreachable;
@@ -261,8 +290,13 @@
     }
 }
 
-/// Encodes a segment, without its records if they are large.
-fn encode(segment: share::Segment) -> gossip::Segment {
+/// Encodes a reading, without its records if they are large.
+fn encode(reading: share::Reading) -> gossip::Segment {
+    let share::Reading {
+        segment,
+        heard,
+        waited,
+    } = reading;
     let size = |record: &Record| record.key.len() + record.value.as_ref().map_or(0, Vec::len);
     let told = segment
         .records
@@ -278,6 +312,8 @@
         next: segment.next,
         records: entries.collect(),
         is_left_out,
+        heard: heard.to_vec(),
+        waited_ms: waited.as_millis() as u32,
     }
 }
 
@@ -294,18 +330,18 @@
     }
 }
 
+/// Takes in a peer's datagram; returns it, or nothing if it cannot be read.
 fn take_in(
     gateway: &Gateway,
     peers: &mut Peers,
-    exchange: &Exchange,
     datagram: &[u8],
     from: SocketAddr,
-) {
+) -> Option<Beat> {
     let beat = match Beat::decode(datagram) {
         Ok(beat) => beat,
         Err(cause) => {
             warn!(peer:% = from, outcome = "ignored", cause:% = cause; "datagram ignored");
-            return;
+            return None;
         }
     };
     let now = Instant::now();
@@ -316,11 +352,6 @@
         gateway.note_hosts(peers.known() + 1);
     }
     gateway.note_away(&beat.away, now);
-    for segment in &beat.segments {
-        if let Some(topic) = exchange.topic(&segment.topic) {
-            exchange.deliver(decode(topic, segment.clone()));
-        }
-    }
     let mut board = gateway.board.borrow_mut();
     for reading in &beat.readings {
         let parts = reading.parts.iter().zip(&reading.tokens);
@@ -341,9 +372,9 @@
         gateway.quarantine.merge(told, now);
     }
     if is_newest {
-        let host = HostId::from(beat.host);
+        let host = HostId::from(beat.host.as_str());
         if beat.domain == gateway.settings.domain {
-            gateway.note_doubts(&host, beat.unreachable, now);
+            gateway.note_doubts(&host, beat.unreachable.clone(), now);
         }
         let loads = beat.loads.iter().map(|load| {
             let own = Load {
@@ -355,4 +386,5 @@
         });
         board.note_peer(&host, &loads.collect(), now);
     }
+    Some(beat)
 }
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -4,6 +4,7 @@
 //! Readings and suspects are events: a lost one costs precision only.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -95,6 +96,61 @@
     /// Whether the records are left out because they are large.
     #[prost(bool, tag = "5")]
     pub is_left_out: bool,
+    /// The newest datagram of each receiver that the sender had heard when it asked the store.
+    #[prost(message, repeated, tag = "6")]
+    pub heard: Vec<Mark>,
+    /// Time from the question for which the answer says that nothing came, in milliseconds.
+    #[prost(uint32, tag = "7")]
+    pub waited_ms: u32,
+}
+
+/// A datagram, named by its sender's life and its place in it.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Mark {
+    /// Digest of the sender's name and start.
+    #[prost(fixed32, tag = "1")]
+    pub life: u32,
+    /// Its count of datagrams.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+}
+
+/// When this host sent its newest datagrams.
+///
+/// A peer that names one of them has read the store after it was sent. That bounds the age of what
+/// the peer tells without clocks that agree, however long its datagram was on the way.
+#[derive(Debug, Default)]
+pub struct Sent {
+    times: VecDeque<(u64, Instant)>,
+}
+
+impl Sent {
+    /// Notes that the datagram with this count is sent now.
+    pub fn note(&mut self, sequence: u64, now: Instant) {
+        let is_old = |(_, at): &(u64, Instant)| now.saturating_duration_since(*at) >= SILENCE;
+        while self.times.front().is_some_and(is_old) {
+            self.times.pop_front();
+        }
+        self.times.push_back((sequence, now));
+    }
+
+    /// Returns when a datagram was sent, if that was of late.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::gossip::Sent;
+    /// let now = Instant::now();
+    /// let mut sent = Sent::default();
+    /// sent.note(7, now);
+    /// assert_eq!(sent.at(7), Some(now));
+    /// assert_eq!(sent.at(8), None);
+    /// ```
+    pub fn at(&self, sequence: u64) -> Option<Instant> {
+        let found = self
+            .times
+            .binary_search_by_key(&sequence, |(known, _)| *known);
+        found.ok().map(|index| self.times[index].1)
+    }
 }
 
 /// One datagram.
@@ -158,6 +214,17 @@
     hasher.finish() as u32
 }
 
+/// Returns the digest by which marks name one life of a host.
+pub fn life(host: &str, born: u64) -> u32 {
+    use std::hash::Hash;
+    use std::hash::Hasher;
+
+    let mut hasher = std::hash::DefaultHasher::new();
+    host.hash(&mut hasher);
+    born.hash(&mut hasher);
+    hasher.finish() as u32
+}
+
 #[derive(Debug, Clone)]
 struct Peer {
     address: SocketAddr,
@@ -267,6 +334,16 @@
             .collect()
     }
 
+    /// Returns the newest datagram of each host of `domain` that was heard of late.
+    pub fn marks_near(&self, domain: &DomainId, now: Instant) -> Vec<Mark> {
+        let near = self.near(domain, now);
+        near.map(|(host, peer)| Mark {
+            life: life(host, peer.born),
+            sequence: peer.sequence,
+        })
+        .collect()
+    }
+
     fn near(&self, domain: &DomainId, now: Instant) -> impl Iterator<Item = (&HostId, &Peer)> {
         self.peers
             .iter()
--- a/tests/decisions/gossip.rs
+++ b/tests/decisions/gossip.rs
@@ -5,8 +5,10 @@
 
 use pistachiohall::gossip;
 use pistachiohall::gossip::Beat;
+use pistachiohall::gossip::Mark;
 use pistachiohall::gossip::Peers;
 use pistachiohall::gossip::SILENCE;
+use pistachiohall::gossip::Sent;
 use rstest::rstest;
 
 /// Bytes a second that a host's share of datagrams may take of the slowest link: a tenth of 10 Mbit/s.
@@ -69,3 +71,43 @@
     let told = (0..200_u32).filter(|tick| !peers.due(start + step * *tick).is_empty());
     assert_eq!(told.count(), 2);
 }
+
+/// What a peer tells is no older than the datagram of this host that it had heard before it asked.
+#[test]
+fn marks_name_the_newest_datagram_heard_of_each_near_host() {
+    let mut peers = Peers::default();
+    let from = "127.0.0.1:9".parse().unwrap();
+    let now = Instant::now();
+    let near = |sequence| Beat {
+        domain: "derby".into(),
+        ..beat(5, sequence)
+    };
+    peers.note(&near(8), from, now);
+    peers.note(&near(7), from, now);
+    let far = Beat {
+        host: "h3".into(),
+        domain: "leicester".into(),
+        ..beat(5, 9)
+    };
+    peers.note(&far, from, now);
+    let marks = peers.marks_near(&"derby".into(), now);
+    let mark = Mark {
+        life: gossip::life("h2", 5),
+        sequence: 8,
+    };
+    assert_eq!(marks, [mark]);
+    assert_ne!(gossip::life("h2", 6), mark.life, "another life");
+    assert!(peers.marks_near(&"derby".into(), now + SILENCE).is_empty());
+}
+
+/// A mark of a datagram that was sent long ago proves nothing.
+#[test]
+fn times_of_old_datagrams_are_forgotten() {
+    let mut sent = Sent::default();
+    let now = Instant::now();
+    sent.note(1, now);
+    sent.note(3, now + SILENCE);
+    assert_eq!(sent.at(1), None);
+    assert_eq!(sent.at(2), None);
+    assert_eq!(sent.at(3), Some(now + SILENCE));
+}
--- a/tests/decisions/share.rs
+++ b/tests/decisions/share.rs
@@ -21,6 +21,7 @@
 
 const PAUSE: Duration = Duration::from_millis(600);
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+const MOST_AGE: Duration = Duration::from_millis(1500);
 const TOPIC: &str = "keyed.servers";
 
 /// A store whose topic ends at this offset, one record an offset.
@@ -126,7 +127,7 @@
 fn readings(hosts: usize, silent: usize) -> (usize, Duration) {
     let begin = Instant::now();
     let mut turns: Vec<Turn> = (0..hosts)
-        .map(|_| Turn::new(PAUSE, FAILURE_PAUSE, begin))
+        .map(|_| Turn::new(PAUSE, FAILURE_PAUSE, MOST_AGE, begin))
         .collect();
     let mut reads = 0;
     let mut newest = begin;
@@ -145,7 +146,7 @@
             turns[host].note_read(now);
             for (rank, turn) in turns.iter_mut().enumerate() {
                 if rank != host {
-                    turn.note_told(now, rank);
+                    turn.note_told(Some(now), now, rank);
                 }
             }
         }
@@ -176,7 +177,7 @@
 #[test]
 fn an_outage_is_asked_about_more_rarely_by_later_hosts() {
     let now = Instant::now();
-    let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, now);
+    let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, MOST_AGE, now);
     turn.note_failure(now, 0, 9);
     assert_eq!(turn.due(), now + FAILURE_PAUSE);
     turn.note_failure(now, 20, 9);
@@ -188,9 +189,64 @@
 #[test]
 fn the_first_failures_of_any_host_are_followed_up_at_once() {
     let now = Instant::now();
-    let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, now);
+    let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, MOST_AGE, now);
     turn.note_failure(now, 20, 1);
     assert_eq!(turn.due(), now + FAILURE_PAUSE);
     turn.note_failure(now, 20, 2);
     assert_eq!(turn.due(), now + FAILURE_PAUSE);
 }
+
+/// Plays a host that is told a reading each 100 ms, `late` after the store was asked for it; returns
+/// the greatest age of what it knows.
+fn oldest(late: Duration, rank: usize) -> Duration {
+    let begin = Instant::now();
+    let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, MOST_AGE, begin);
+    let mut known = begin;
+    let mut oldest = Duration::ZERO;
+    for tick in 0..6000_u32 {
+        let now = begin + Duration::from_millis(10) * tick;
+        if turn.due() <= now {
+            turn.note_read(now);
+            known = now;
+        }
+        if tick % 10 == 0 {
+            let asked = now.checked_sub(late).unwrap();
+            turn.note_told(Some(asked), now, rank);
+            known = known.max(asked);
+        }
+        oldest = oldest.max(now - known);
+    }
+    oldest
+}
+
+/// Guards against a host that does not read by itself for as long as a peer's readings come, however
+/// long they wait on either host or on a full link.
+#[rstest]
+fn what_a_host_knows_has_a_greatest_age(
+    #[values(0, 300, 900, 1400, 2500, 10_000)] late_ms: u64,
+    #[values(1, 5, 20)] rank: usize,
+) {
+    let oldest = oldest(Duration::from_millis(late_ms), rank);
+    assert!(oldest <= MOST_AGE, "{oldest:?}");
+}
+
+/// A peer that cannot prove how old its reading is puts nothing off.
+#[test]
+fn a_reading_of_unknown_age_puts_nothing_off() {
+    let now = Instant::now();
+    let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, MOST_AGE, now);
+    turn.note_read(now);
+    turn.note_told(None, now + PAUSE / 2, 1);
+    assert_eq!(turn.due(), now + PAUSE);
+}
+
+/// An old reading does not bring a turn forward either.
+#[test]
+fn an_old_reading_brings_no_turn_forward() {
+    let now = Instant::now();
+    let mut turn = Turn::new(PAUSE, FAILURE_PAUSE, MOST_AGE, now);
+    let later = now + MOST_AGE;
+    turn.note_read(later);
+    turn.note_told(Some(now), later, 1);
+    assert_eq!(turn.due(), later + PAUSE);
+}
