Tell a host that is cut off from an outage of the store

Cause: a host whose readings failed twice took the store for away and used the entries that were removed meanwhile for 2 s more, though only it was cut off. Change: entries are borne only after 2.4 s without proof that the store answers, in less than which none lapses, and not if any upstream has written its entry twice meanwhile: it does so each 1.2 s, so that the store was there. Test: a_departure_while_only_this_host_was_cut_off_ends_use_at_once; it fails without the check of what was written meanwhile.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! belief is pure: times are passed in, and nothing here reads a clock or a socket.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,9 +20,9 @@
 
 /// Time after the registry's return within which entries of live upstreams are written again.
 pub const RETURN_TIME: Duration = Duration::from_secs(2);
-/// Shortest time without a reading in which entries lapse: upstreams write theirs every 1.2 s, and
-/// the registry removes an entry after three such intervals of silence.
-pub const SHORTEST_OUTAGE: Duration = Duration::from_secs(2);
+/// Shortest outage in which entries lapse: upstreams write theirs every 1.2 s, and the registry
+/// removes an entry three such intervals after it was last written.
+pub const SHORTEST_OUTAGE: Duration = Duration::from_millis(2400);
 
 /// Whether an upstream takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -80,11 +81,12 @@
 }
 
 impl Fleet {
-    /// Notes that the registry could not be read for the time `away` and is back.
+    /// Notes that this host could not read the registry for the time `away`, and now reads `changes`.
     ///
-    /// After a time in which entries lapse, those that are missing may be renewed for a while.
-    pub fn note_return(&mut self, away: Duration, now: Instant) {
-        if away >= SHORTEST_OUTAGE {
+    /// After an outage in which entries lapse, those that are missing may be renewed for a while. If
+    /// an upstream has written its entry twice meanwhile, only this host was cut off.
+    pub fn note_return(&mut self, away: Duration, changes: &[Change], now: Instant) {
+        if away >= SHORTEST_OUTAGE && !is_any_written_twice(changes) {
             self.renewal_until = Some(now + RETURN_TIME);
         }
     }
@@ -188,3 +190,11 @@
         self.held.values().map(|held| held.row.clone()).collect()
     }
 }
+
+fn is_any_written_twice(changes: &[Change]) -> bool {
+    let mut written = BTreeSet::new();
+    changes.iter().any(|change| match change {
+        Change::Written(row, _) => !written.insert(&row.id),
+        Change::Removed(_) => false,
+    })
+}
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -137,16 +137,16 @@
     }
 
     fn take_in(&mut self, reading: Reading, now: Instant) {
+        let mut away = None;
         // What a peer cannot prove to be new does not show that the store is back.
         if let Some(asked) = self.origin.asked {
             if self.reader.note_success() {
-                let away = asked.saturating_duration_since(self.alive);
-                self.fleet.note_return(away, now);
+                away = Some(asked.saturating_duration_since(self.alive));
             }
             self.alive = self.alive.max(asked);
             self.board.note_upstreams(asked);
         }
-        for id in apply(&mut self.fleet, reading, now) {
+        for id in apply(&mut self.fleet, reading, away, now) {
             info!(
                 upstream:% = id,
                 source = self.origin.source,
@@ -182,8 +182,14 @@
     }
 }
 
-/// Takes in a reading; returns the upstreams that stay in use although their entries were removed.
-fn apply(fleet: &mut Fleet, reading: Reading, now: Instant) -> Vec<UpstreamId> {
+/// Takes in a reading, the first one after the time `away` if that is given; returns the upstreams
+/// that stay in use although their entries were removed.
+fn apply(
+    fleet: &mut Fleet,
+    reading: Reading,
+    away: Option<Duration>,
+    now: Instant,
+) -> Vec<UpstreamId> {
     match reading {
         Reading::Full(records) => {
             let rows = records
@@ -193,10 +199,16 @@
                     Change::Written(row, beat) => Some((row, beat)),
                     Change::Removed(_) => None,
                 });
+            if let Some(away) = away {
+                fleet.note_return(away, &[], now);
+            }
             fleet.replace(rows.collect(), now)
         }
         Reading::Changes(records) => {
-            let changes = records.into_iter().filter_map(change).collect();
+            let changes: Vec<Change> = records.into_iter().filter_map(change).collect();
+            if let Some(away) = away {
+                fleet.note_return(away, &changes, now);
+            }
             fleet.apply(changes, now)
         }
     }
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -69,7 +69,7 @@
 fn a_lapse_in_an_outage_is_borne_for_a_while(#[case] removed: &[&str]) {
     let now = Instant::now();
     let mut fleet = fleet(&["a", "b", "c"], now);
-    fleet.note_return(SHORTEST_OUTAGE, now);
+    fleet.note_return(SHORTEST_OUTAGE, &[], now);
     let changes = removed.iter().map(|id| Change::Removed((*id).into()));
     assert_eq!(fleet.apply(changes.collect(), now), removed);
     assert_eq!(ids(&fleet), ["a", "b", "c"]);
@@ -85,17 +85,44 @@
 fn a_departure_after_a_short_failure_ends_use_at_once() {
     let now = Instant::now();
     let mut fleet = fleet(&["a", "b"], now);
-    fleet.note_return(SHORTEST_OUTAGE - Duration::from_millis(1), now);
+    fleet.note_return(SHORTEST_OUTAGE - Duration::from_millis(1), &[], now);
     fleet.apply(vec![Change::Removed("a".into())], now);
     assert_eq!(ids(&fleet), ["b"]);
 }
 
+/// Guards against new work at an upstream that left while this host alone could not read the store,
+/// as one behind a full link: the others kept writing their entries, so there was no outage.
+#[test]
+fn a_departure_while_only_this_host_was_cut_off_ends_use_at_once() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"], now);
+    let read = vec![
+        Change::Written(row("b", 1), 6),
+        Change::Removed("a".into()),
+        Change::Written(row("b", 1), 7),
+    ];
+    fleet.note_return(2 * SHORTEST_OUTAGE, &read, now);
+    fleet.apply(read, now);
+    assert_eq!(ids(&fleet), ["b"]);
+}
+
+/// The first entries after an outage are written once each.
+#[test]
+fn entries_written_again_after_an_outage_do_not_hide_it() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"], now);
+    let read = vec![Change::Removed("a".into()), Change::Written(row("b", 1), 6)];
+    fleet.note_return(SHORTEST_OUTAGE, &read, now);
+    fleet.apply(read, now);
+    assert_eq!(ids(&fleet), ["a", "b"]);
+}
+
 /// A departure long after an outage is none of its lapses.
 #[test]
 fn a_departure_after_the_time_for_renewal_ends_use_at_once() {
     let now = Instant::now();
     let mut fleet = fleet(&["a", "b"], now);
-    fleet.note_return(SHORTEST_OUTAGE, now);
+    fleet.note_return(SHORTEST_OUTAGE, &[], now);
     fleet.apply(vec![Change::Removed("a".into())], now + RETURN_TIME);
     assert_eq!(ids(&fleet), ["b"]);
 }
@@ -105,7 +132,7 @@
 fn entries_missing_after_an_outage_have_time_to_come_back() {
     let now = Instant::now();
     let mut fleet = fleet(&["a", "b"], now);
-    fleet.note_return(SHORTEST_OUTAGE, now);
+    fleet.note_return(SHORTEST_OUTAGE, &[], now);
     fleet.replace(vec![(row("b", 1), 9)], now);
     assert_eq!(ids(&fleet), ["a", "b"]);
     assert!(
@@ -122,7 +149,7 @@
     let now = Instant::now();
     let mut fleet = fleet(&["a", "b"], now);
     fleet.apply(vec![Change::Written(draining("a", 1), 6)], now);
-    fleet.note_return(SHORTEST_OUTAGE, now);
+    fleet.note_return(SHORTEST_OUTAGE, &[], now);
     fleet.apply(
         vec![Change::Removed("a".into()), Change::Removed("b".into())],
         now,
