--- a/src/standin/fleet/replica.rs
+++ b/src/standin/fleet/replica.rs
@@ -58,8 +58,10 @@
 }
 
 /// A request that an upstream got.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Seen {
+    /// When it arrived.
+    pub at: Instant,
     /// Method.
     pub method: String,
     /// Path.
@@ -289,6 +291,7 @@
 fn note(shared: &Mutex<State>, request: &Request, ran: bool) -> usize {
     let mut state = shared.lock().expect("replica lock");
     state.seen.push(Seen {
+        at: Instant::now(),
         method: request.method.clone(),
         path: request.path.clone(),
         fields: request.fields.clone(),
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -14,6 +14,10 @@
 /// Time beyond a caller's patience in which an answer has to come on a machine that is busy with
 /// other tests; the promise is half a second.
 const ANSWER_SLACK: Duration = Duration::from_secs(3);
+/// Time after which a leaving upstream gets no new work, while nothing else is wrong.
+const LEAVE_TIME: Duration = Duration::from_secs(2);
+/// Time beyond it on a machine that is busy with other tests.
+const LEAVE_SLACK: Duration = Duration::from_secs(3);
 /// Body of a plain answer.
 const PLAIN: &str = "the whole answer";
 /// Statuses that say that a request has not run and will not.
@@ -77,6 +81,20 @@
     broken
 }
 
+/// Checks what an upstream saw that had left when all was calm at `calm`, or before; returns the
+/// promises that were broken.
+pub fn departure(name: &str, seen: &[Seen], calm: Instant) -> Vec<String> {
+    let late = seen
+        .iter()
+        .map(|seen| (seen, seen.at.saturating_duration_since(calm)))
+        .filter(|(_, after)| *after > LEAVE_TIME + LEAVE_SLACK);
+    late.map(|(seen, after)| {
+        let id = seen.field("pistachiohall-request-id");
+        format!("{id} reached {name} {after:?} after it had left")
+    })
+    .collect()
+}
+
 /// Returns what is wrong with an answer.
 fn answer(call: &Call, runs: usize, is_disturbed: bool) -> Option<String> {
     let answer = call.answer.as_ref()?;
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -14,6 +14,10 @@
 const SPAN: Duration = Duration::from_millis(2500);
 /// Longest time that a fault lasts.
 const LONGEST: Duration = Duration::from_millis(1200);
+/// Seeds from which on upstreams leave.
+const FIRST_LEAVING: u64 = 1000;
+/// Sets the draw of leaving upstreams apart from that of the other faults.
+const LEAVE_SEED: u64 = 0x1ea7e;
 /// Fewest and most faults of a run.
 const FAULTS: std::ops::Range<usize> = 5..12;
 
@@ -42,6 +46,17 @@
     Compact,
     /// An upstream's entry is removed, then written again.
     Lapse(usize),
+    /// An upstream leaves for the rest of the run.
+    Leave(usize, Departure),
+}
+
+/// How an upstream leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Departure {
+    /// Its entry says that it drains.
+    Drains,
+    /// Its entry is removed.
+    Removed,
 }
 
 /// A fault, when it begins, and when it ends.
@@ -86,10 +101,30 @@
         let until = from + LONGEST.mul_f64(random.random_range(0.1..1.0));
         entries.push(Entry { fault, from, until });
     }
+    entries.extend(leave(seed, upstreams));
     entries.sort_by_key(|entry| entry.from);
     entries
 }
 
+/// Draws the upstream that leaves in some runs; apart from the other faults, so that these stay the
+/// same for a seed.
+fn leave(seed: u64, upstreams: usize) -> Option<Entry> {
+    let mut random = StdRng::seed_from_u64(seed ^ LEAVE_SEED);
+    if seed < FIRST_LEAVING || random.random_range(0..3) > 0 {
+        return None;
+    }
+    let departure = match random.random_range(0..2) {
+        0 => Departure::Drains,
+        _ => Departure::Removed,
+    };
+    let from = SPAN.mul_f64(random.random());
+    Some(Entry {
+        fault: Fault::Leave(random.random_range(0..upstreams), departure),
+        from,
+        until: from,
+    })
+}
+
 fn link(random: &mut StdRng) -> Link {
     match random.random_range(0..5) {
         0 => Link::Slow(Duration::from_millis(random.random_range(5..120))),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -37,6 +37,8 @@
 #[case::reset_after_running(38)]
 #[case::short_and_foreign_answers(62)]
 #[case::streams_broken_off(68)]
+#[case::upstream_removed(1030)]
+#[case::upstream_drained(1045)]
 fn promises_hold_under_faults(#[case] seed: u64) {
     let report = play(seed);
     assert!(report.answers > 0, "no request was answered");
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -24,6 +24,7 @@
 use super::check;
 use super::check::Disturbance;
 use super::fault;
+use super::fault::Departure;
 use super::fault::Fault;
 use super::proxy::Link;
 use super::proxy::Proxy;
@@ -48,6 +49,8 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which callers go on after the last fault.
 const AFTERMATH: Duration = Duration::from_millis(300);
+/// The same where an upstream has left; longer than it may get new work.
+const LONG_AFTERMATH: Duration = Duration::from_secs(6);
 /// Settings; short times to leave, so that several fit into a run.
 const SETTINGS: &str = "[orders]\nread_share = 0\n[repeats]\nslack = 1000\n[shutdown]\nbalancer_lag = 100ms\nlimit = 4s\n";
 
@@ -88,8 +91,8 @@
 
 impl Upstream {
     /// Writes the entry, with the proxy's address.
-    fn register(&self, name: &str, store: &Store) {
-        let mut entry = self.replica.entry("ready");
+    fn register(&self, name: &str, condition: &str, store: &Store) {
+        let mut entry = self.replica.entry(condition);
         entry["address"] = json!(self.proxy.address().to_string());
         store.put(store::UPSTREAM_TOPIC, name, entry.to_string().as_bytes());
     }
@@ -108,6 +111,8 @@
     was_frozen: [bool; GATEWAYS],
     was_killed: [bool; GATEWAYS],
     disturbances: Vec<Disturbance>,
+    left: Option<usize>,
+    calm: Instant,
     broken: Vec<String>,
 }
 
@@ -126,7 +131,11 @@
             })
             .collect();
         world.suffer(&entries, &addresses);
-        thread::sleep(AFTERMATH);
+        world.calm = Instant::now();
+        thread::sleep(match world.left {
+            Some(_) => LONG_AFTERMATH,
+            None => AFTERMATH,
+        });
         stop.store(true, Ordering::SeqCst);
         let calls = callers.into_iter();
         calls.flat_map(|caller| caller.join().unwrap()).collect()
@@ -146,7 +155,7 @@
                 replica.set_pause(EVENT_PAUSE);
                 let proxy = Proxy::start(replica.address()).unwrap();
                 let upstream = Upstream { replica, proxy };
-                upstream.register(name, &store);
+                upstream.register(name, "ready", &store);
                 upstream
             })
             .collect();
@@ -184,6 +193,8 @@
             was_frozen: [false; GATEWAYS],
             was_killed: [false; GATEWAYS],
             disturbances: Vec::new(),
+            left: None,
+            calm: Instant::now(),
             broken: Vec::new(),
         }
     }
@@ -251,6 +262,16 @@
                 let (name, ..) = UPSTREAMS[index];
                 self.store.remove(store::UPSTREAM_TOPIC, name);
             }
+            Fault::Leave(index, departure) => {
+                let (name, ..) = UPSTREAMS[index];
+                self.left = Some(index);
+                match departure {
+                    Departure::Drains => {
+                        self.upstreams[index].register(name, "draining", &self.store)
+                    }
+                    Departure::Removed => self.store.remove(store::UPSTREAM_TOPIC, name),
+                }
+            }
         }
     }
 
@@ -271,14 +292,15 @@
                     self.restart(index, addresses);
                 }
             }
-            Fault::Reload(_) | Fault::Configure | Fault::Compact => (),
+            Fault::Reload(_) | Fault::Configure | Fault::Compact | Fault::Leave(..) => (),
             Fault::Store(_) => self.store.set_trouble(Trouble::None),
             Fault::StoreLink(index, _) => self.store_links[index].set(Link::Sound),
             Fault::Upstream(index, _) => self.upstreams[index].proxy.set(Link::Sound),
             Fault::Manner(index, _) => self.upstreams[index].replica.set_manner(Manner::Sound),
+            Fault::Lapse(index) if self.left == Some(index) => (),
             Fault::Lapse(index) => {
                 let (name, ..) = UPSTREAMS[index];
-                self.upstreams[index].register(name, &self.store);
+                self.upstreams[index].register(name, "ready", &self.store);
             }
         }
     }
@@ -365,6 +387,11 @@
             .collect();
         self.broken
             .extend(check::calls(calls, &seen, &self.disturbances));
+        if let Some(left) = self.left {
+            let (name, ..) = UPSTREAMS[left];
+            let seen = self.upstreams[left].replica.seen();
+            self.broken.extend(check::departure(name, &seen, self.calm));
+        }
         for (index, gateway) in self.gateways.iter_mut().enumerate() {
             gateway.signal("-TERM");
             let code = gateway.wait();
