Claim no more than the store's answer says of the configuration's age

Cause: a reading of the configuration without records was taken to hold until the end of its wait, also when it was a full list, which the store answers at once: up to 0.9 s younger than proved. Change: only an answer that took the whole wait and brought no change counts. What a host tells and is told have names of their own, share::Outgoing and share::Incoming, so that neither is mixed up with a reader's reading.

--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -31,17 +31,17 @@
     let mut reader = Reader::new(store::CONFIG_TOPIC);
     let mut turn = Turn::new(WAIT, FAILURE_PAUSE, MOST_AGE, clock.now());
     loop {
-        if let Some(news) = port.wait(turn.due()) {
+        if let Some(incoming) = port.wait(turn.due()) {
             let now = clock.now();
-            match reader.take(news.segment) {
+            match reader.take(incoming.segment) {
                 Told::Next(records) => {
                     // What a peer cannot prove to be new does not show that the store is back.
-                    if let Some(asked) = news.asked {
+                    if let Some(asked) = incoming.asked {
                         reader.note_success();
                         board.note_config(asked);
                     }
                     adopt_newest(board, records, "peer-reading");
-                    turn.note_told(news.asked, now, port.rank());
+                    turn.note_told(incoming.asked, now, port.rank());
                 }
                 Told::Missing => turn.set_due(now),
                 Told::Behind => (),
@@ -49,19 +49,16 @@
             continue;
         }
         let from = reader.next();
-        let (heard, asked) = (port.heard(), clock.now());
+        let (mut proof, asked) = (port.prove(), clock.now());
         match reader.read(store, WAIT) {
-            Ok(Reading::Full(records) | Reading::Changes(records)) => {
+            Ok(reading) => {
                 reader.note_success();
-                // Without a change the store answers at the end of the wait.
-                let waited = if records.is_empty() {
-                    WAIT
-                } else {
-                    Duration::ZERO
-                };
-                board.note_config(asked + waited);
+                let took = clock.now().saturating_duration_since(asked);
+                proof.waited = waited(&reading, took);
+                let (Reading::Full(records) | Reading::Changes(records)) = reading;
+                board.note_config(asked + proof.waited);
                 if let (Some(from), Some(next)) = (from, reader.next()) {
-                    port.tell((from, next), records.clone(), heard, waited);
+                    port.tell(from, next, records.clone(), proof);
                 }
                 adopt_newest(board, records, "store");
                 // A reading waits by itself; the next one may follow at once.
@@ -78,6 +75,15 @@
     }
 }
 
+/// Returns the time from the question for which an answer that `took` so long says that nothing
+/// came: without a change the store answers at the end of the wait.
+fn waited(reading: &Reading, took: Duration) -> Duration {
+    match reading {
+        Reading::Changes(records) if records.is_empty() && took >= WAIT => WAIT,
+        _ => Duration::ZERO,
+    }
+}
+
 fn adopt_newest(board: &Views, records: Vec<Record>, source: &str) {
     let contents = records
         .into_iter()
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -9,7 +9,7 @@
 use super::reader::Reader;
 use super::reader::Reading;
 use super::reader::Told;
-use super::share::News;
+use super::share::Incoming;
 use super::share::Port;
 use super::share::Turn;
 use super::view::Origin;
@@ -46,7 +46,7 @@
         let now = clock.now();
         log_lateness(now.saturating_duration_since(follower.turn.due()));
         match told {
-            Some(news) => follower.take(news, port.rank(), now),
+            Some(incoming) => follower.take(incoming, port.rank(), now),
             None if follower.turn.due() <= now => follower.read(clock, store, port),
             None => (),
         }
@@ -89,13 +89,13 @@
     }
 
     /// Takes in what a peer tells.
-    fn take(&mut self, news: News, rank: usize, now: Instant) {
-        match self.reader.take(news.segment) {
+    fn take(&mut self, incoming: Incoming, rank: usize, now: Instant) {
+        match self.reader.take(incoming.segment) {
             Told::Next(records) => {
-                self.turn.note_told(news.asked, now, rank);
+                self.turn.note_told(incoming.asked, now, rank);
                 self.origin = Origin {
                     source: "peer-reading",
-                    asked: news.asked,
+                    asked: incoming.asked,
                 };
                 self.take_in(Reading::Changes(records), now);
             }
@@ -111,7 +111,7 @@
         K: Keyed,
     {
         let from = self.reader.next();
-        let (heard, asked) = (port.heard(), clock.now());
+        let (proof, asked) = (port.prove(), clock.now());
         let reading = self.reader.read(store, Duration::ZERO);
         let now = clock.now();
         match reading {
@@ -120,7 +120,7 @@
                 if let (Some(from), Reading::Changes(records), Some(next)) =
                     (from, &reading, self.reader.next())
                 {
-                    port.tell((from, next), records.clone(), heard, Duration::ZERO);
+                    port.tell(from, next, records.clone(), proof);
                 }
                 self.origin = Origin {
                     source: "store",
--- a/src/follow/share.rs
+++ b/src/follow/share.rs
@@ -50,20 +50,27 @@
     pub records: Option<Vec<Record>>,
 }
 
-/// A segment to be told, and what proves to each peer how old it is.
+/// What proves to each peer how old a segment is.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Reading {
-    /// What was read.
-    pub segment: Segment,
+pub struct Proof {
     /// The peers' newest datagrams that were heard when the store was asked.
     pub heard: Arc<Vec<Mark>>,
     /// Time from the question for which the answer says that nothing came.
     pub waited: Duration,
 }
 
-/// A peer's segment.
+/// A segment to be told to peers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outgoing {
+    /// What was read.
+    pub segment: Segment,
+    /// How old that is.
+    pub proof: Proof,
+}
+
+/// A segment that a peer tells.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct News {
+pub struct Incoming {
     /// What the peer read.
     pub segment: Segment,
     /// Time up to which it surely holds all records, if the peer could prove one.
@@ -147,17 +154,17 @@
 #[derive(Debug)]
 pub struct Port {
     topic: &'static str,
-    inbox: Receiver<News>,
-    outbox: mpsc::Sender<Reading>,
+    inbox: Receiver<Incoming>,
+    outbox: mpsc::Sender<Outgoing>,
     rank: Arc<AtomicUsize>,
     heard: Arc<Mutex<Arc<Vec<Mark>>>>,
 }
 
 impl Port {
     /// Waits until `due` for what a peer tells; returns nothing if it tells nothing.
-    pub fn wait(&self, due: Instant) -> Option<News> {
+    pub fn wait(&self, due: Instant) -> Option<Incoming> {
         match self.inbox.recv_deadline(due) {
-            Ok(news) => Some(news),
+            Ok(incoming) => Some(incoming),
             Err(RecvTimeoutError::Timeout) => None,
             Err(RecvTimeoutError::Disconnected) => {
                 // The loop that serves requests has ended, and the process with it.
@@ -167,31 +174,26 @@
         }
     }
 
-    /// Returns the peers' newest datagrams that were heard so far; to be asked for before the store.
-    pub fn heard(&self) -> Arc<Vec<Mark>> {
-        Arc::clone(&self.heard.lock().expect("heard lock"))
+    /// Returns the proof of a reading that begins now.
+    pub fn prove(&self) -> Proof {
+        Proof {
+            heard: Arc::clone(&self.heard.lock().expect("heard lock")),
+            waited: Duration::ZERO,
+        }
     }
 
-    /// Tells peers of records that were read after `heard`; `waited` is the time from the question
-    /// for which the answer says that nothing came.
-    pub fn tell(
-        &self,
-        (from, next): (Offset, Offset),
-        records: Vec<Record>,
-        heard: Arc<Vec<Mark>>,
-        waited: Duration,
-    ) {
-        let reading = Reading {
+    /// Tells peers of records that were read.
+    pub fn tell(&self, from: Offset, next: Offset, records: Vec<Record>, proof: Proof) {
+        let outgoing = Outgoing {
             segment: Segment {
                 topic: self.topic,
                 from,
                 next,
                 records: Some(records),
             },
-            heard,
-            waited,
+            proof,
         };
-        if let Err(cause) = self.outbox.try_send(reading) {
+        if let Err(cause) = self.outbox.try_send(outgoing) {
             debug!(topic = self.topic, cause:% = cause; "peers not told of a reading");
         }
     }
@@ -205,10 +207,10 @@
 /// The end of the exchange that sends and receives datagrams.
 #[derive(Debug)]
 pub struct Exchange {
-    sender: mpsc::Sender<Reading>,
-    /// Readings to be told.
-    pub outbox: mpsc::Receiver<Reading>,
-    inboxes: Vec<(&'static str, Sender<News>)>,
+    sender: mpsc::Sender<Outgoing>,
+    /// Segments to be told.
+    pub outbox: mpsc::Receiver<Outgoing>,
+    inboxes: Vec<(&'static str, Sender<Incoming>)>,
     rank: Arc<AtomicUsize>,
     heard: Arc<Mutex<Arc<Vec<Mark>>>>,
 }
@@ -246,10 +248,10 @@
     }
 
     /// Hands a peer's segment to the thread that reads its topic.
-    pub fn deliver(&self, news: News) {
+    pub fn deliver(&self, incoming: Incoming) {
         for (topic, inbox) in &self.inboxes {
             // A thread that is far behind loses segments, sees the gap and reads by itself.
-            if *topic == news.segment.topic && inbox.try_send(news.clone()).is_err() {
+            if *topic == incoming.segment.topic && inbox.try_send(incoming.clone()).is_err() {
                 debug!(topic = topic; "a peer's reading was dropped");
             }
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -115,8 +115,8 @@
                 }
                 Err(cause) => log::debug!(cause:% = cause; "a datagram was lost"),
             },
-            Some(reading) = exchange.outbox.recv() => {
-                told.tell_reading(&gateway, &socket, &peers, reading);
+            Some(outgoing) = exchange.outbox.recv() => {
+                told.tell_segment(&gateway, &socket, &peers, outgoing);
             }
             Ok(()) = away.changed() => {
                 let ordered: Vec<u32> = away.borrow_and_update().keys().map(|id| gossip::digest(id)).collect();
@@ -195,7 +195,7 @@
             let mark = segment.heard.iter().find(|mark| mark.life == life);
             let waited = Duration::from_millis(u64::from(segment.waited_ms));
             let asked = mark.and_then(|mark| self.sent.at(mark.sequence));
-            exchange.deliver(share::News {
+            exchange.deliver(share::Incoming {
                 asked: asked.map(|asked| asked + waited),
                 segment: decode(topic, segment),
             });
@@ -203,12 +203,12 @@
     }
 
     /// Tells the hosts of the same failure domain what this one has read.
-    fn tell_reading(
+    fn tell_segment(
         &mut self,
         gateway: &Gateway,
         socket: &UdpSocket,
         peers: &Peers,
-        reading: share::Reading,
+        outgoing: share::Outgoing,
     ) {
         let now = Instant::now();
         let near = peers.addresses_near(&gateway.settings.domain, now);
@@ -217,7 +217,7 @@
         }
         self.count(now);
         let beat = Beat {
-            segments: vec![encode(reading)],
+            segments: vec![encode(outgoing)],
             ..self.beat(gateway)
         };
         send(socket, &beat.encode_to_vec(), &near);
@@ -290,13 +290,9 @@
     }
 }
 
-/// Encodes a reading, without its records if they are large.
-fn encode(reading: share::Reading) -> gossip::Segment {
-    let share::Reading {
-        segment,
-        heard,
-        waited,
-    } = reading;
+/// Encodes a segment, without its records if they are large.
+fn encode(outgoing: share::Outgoing) -> gossip::Segment {
+    let share::Outgoing { segment, proof } = outgoing;
     let size = |record: &Record| record.key.len() + record.value.as_ref().map_or(0, Vec::len);
     let told = segment
         .records
@@ -312,8 +308,8 @@
         next: segment.next,
         records: entries.collect(),
         is_left_out,
-        heard: heard.to_vec(),
-        waited_ms: waited.as_millis() as u32,
+        heard: proof.heard.to_vec(),
+        waited_ms: proof.waited.as_millis() as u32,
     }
 }
 
