Count an upstream's own failure before a safe request is tried again

Callers saw: on routes with one attempt a safe request that an upstream had answered with a failure of its own ran at a second one. Cause: whether another send is allowed was asked before the failure was counted as a run, so that the spare send of requests that have not run was granted. Change: the failure is counted first. Test: a_failed_request_runs_at_as_many_upstreams_as_the_route_allows failed before for one attempt.

--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -73,13 +73,15 @@
                     answer.head.status.as_u16()
                 ));
                 let is_failure = answer.head.status.is_server_error();
+                if is_failure {
+                    allowance.note_failure(&Failure::Broken("failed".into()));
+                }
                 let may_improve = call.route.kind == Kind::Safe && allowance.allows_more(true);
                 if !is_failure || !may_improve || held.is_some() {
                     course.note_first();
                     course.end(Outcome::Delivered);
                     return reply::deliver(answer);
                 }
-                allowance.note_failure(&Failure::Broken("failed".into()));
                 held = Some(answer);
             }
             Err(failure) => {
--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -4,7 +4,9 @@
 use std::time::Instant;
 
 use rstest::rstest;
+use serde_json::json;
 
+use pistachiohall::standin::fleet;
 use pistachiohall::standin::fleet::replica::Manner;
 use pistachiohall::standin::fleet::replica::STAMP;
 
@@ -108,6 +110,25 @@
     assert_eq!(answer.fields["pistachiohall-server-stamp"], STAMP);
 }
 
+/// Guards against a second run, beyond the route's attempts, of a request that an upstream has
+/// answered with a failure of its own.
+#[rstest]
+#[case::one_attempt(1)]
+#[case::two_attempts(2)]
+fn a_failed_request_runs_at_as_many_upstreams_as_the_route_allows(#[case] attempts: usize) {
+    let site = Site::desks(&["c1", "c2", "c3"]);
+    let mut config = fleet::config(9);
+    config["routes"][0]["max_attempts"] = json!(attempts);
+    site.store.put_config(&config);
+    site.gateway.wait_line(&["config=9", "outcome=in-force"]);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(Manner::Fail));
+    let answer = site.gateway.call("GET", "/read/a", "r1", &[]);
+    assert_eq!((answer.status, answer.body.as_str()), (500, "failed"));
+    assert_eq!(site.runs(), attempts);
+}
+
 #[test]
 fn refuses_truly_when_all_upstreams_refuse() {
     let site = Site::desks(&["c1", "c2"]);
