Show that the log tells when the request loop stands still

The incident ruled a loop that stands still out by the absence of that line, so that a test has to show that it comes: a gateway that was stopped for longer than its peers wait logs it.

--- a/tests/gateway/belief.rs
+++ b/tests/gateway/belief.rs
@@ -146,6 +146,18 @@
     }
 }
 
+/// After a late request, the log tells whether the host itself stood still.
+#[test]
+fn tells_that_its_request_loop_stood_still() {
+    let site = Site::desks(&["c1"]);
+    let second = Gateway::start("h2", site.store.address(), NO_ORDERS);
+    second.wait_line(&["peers=1"]);
+    site.gateway.signal("-STOP");
+    second.wait_line(&["peers=0"]);
+    site.gateway.signal("-CONT");
+    site.gateway.wait_line(&["request loop stood still"]);
+}
+
 #[test]
 fn ignores_entries_that_name_no_upstream() {
     let site = Site::desks(&["c1"]);
