Log what the product's own interface dropped without a word

Why: a read-through found errors that left no line: a suspect that a peer was not told of, a turn that could not be read after it was given up, and refusals whose caller had left. None is on the path of a gateway's request. Change: a line with the cause each; a call without an effect leaves a test.

--- a/src/admit/gate.rs
+++ b/src/admit/gate.rs
@@ -166,7 +166,9 @@
         let now = self.clock.now();
         for lane in lanes.values_mut() {
             for (waiter, refusal) in lane.give_up(now) {
-                let _ = waiter.send(Err(refusal));
+                if waiter.send(Err(refusal)).is_err() {
+                    log::debug!("a caller left before it was refused");
+                }
             }
             start(lane, now);
         }
--- a/src/once/claim.rs
+++ b/src/once/claim.rs
@@ -7,6 +7,7 @@
 use crossbeam::channel;
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
+use log::debug;
 use log::warn;
 use thiserror::Error;
 use uuid::Uuid;
@@ -190,7 +191,9 @@
             Err(AppendError::Refused(cause)) => {
                 warn!(stream:% = self.replica.stream(), cause:% = cause; "append refused");
                 for one in &group {
-                    let _ = one.refused.send(());
+                    if one.refused.send(()).is_err() {
+                        debug!(claim:? = one.claim; "the call of a refused claim has ended");
+                    }
                 }
                 self.replica.nudge();
             }
--- a/src/order/planner.rs
+++ b/src/order/planner.rs
@@ -217,7 +217,9 @@
         if let Err(cause) = core.platform.append(self.turn.replica().stream(), &data) {
             warn!(cause:% = cause; "turn not given up");
         }
-        let _ = self.turn.replica().poll(&core.platform, Duration::ZERO);
+        if let Err(cause) = self.turn.replica().poll(&core.platform, Duration::ZERO) {
+            warn!(cause:% = cause; "turn not read after it was given up");
+        }
     }
 }
 
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -135,13 +135,23 @@
                 let list = list.clone();
                 self.runtime.spawn(async move {
                     let call = peer.suspects(list);
-                    let _ = tokio::time::timeout(SHORT_TIMEOUT, call).await;
+                    match tokio::time::timeout(SHORT_TIMEOUT, call).await {
+                        Ok(Ok(_)) => (),
+                        Ok(Err(cause)) => {
+                            log::warn!(peer:% = address, cause:% = cause; "suspects not told");
+                        }
+                        Err(cause) => {
+                            log::warn!(peer:% = address, cause:% = cause; "suspects not told");
+                        }
+                    }
                 })
             })
             .collect();
         self.runtime.block_on(async {
             for call in calls {
-                let _ = call.await;
+                if let Err(cause) = call.await {
+                    log::warn!(cause:% = cause; "suspects not told");
+                }
             }
         });
     }
--- a/tests/decisions/target.rs
+++ b/tests/decisions/target.rs
@@ -1,7 +1,5 @@
 //! Upstreams as requests hold them while they change.
 
-use std::time::Duration;
-
 use pistachiohall::fleet::Row;
 use pistachiohall::fleet::State;
 use pistachiohall::gateway::target::Target;
@@ -51,5 +49,4 @@
     held.leave();
     let resized = Target::new(row(1, State::Ready), 16, Some(&held));
     assert!(!resized.takes_work());
-    resized.sweep(std::time::Instant::now() + Duration::from_secs(9));
 }
