Act on what upstreams say of themselves in their answers

Cause: the head of an answer was read for its mark alone. An upstream that says in an answer that it leaves went on getting requests until the registry said so, and one that asks for a pause with Retry-After was tried again after 60 to 700 ms.

Change: the head is decoded once into a notice, kept by life of an upstream beside the registry's entries and longer than these. Requests, readings, repeats, resumptions, frees, reports and orders ask the same gate, again after a connection was opened. Callers are refused at once with the time at which the first upstream takes work again. Peers that start without the store are told.

--- a/src/explain/account.rs
+++ b/src/explain/account.rs
@@ -173,6 +173,10 @@
         .iter()
         .position(|name| line.fields.contains_key(*name))?;
     let detail = match SUBJECTS[place] {
+        // What an upstream says of itself stands beside what the registry says of it.
+        "upstream" if line.fields.contains_key("told_by") => line
+            .text("upstream")
+            .map(|name| format!("{name}, by its answers")),
         "upstream" => line.text("upstream"),
         "dependency" => line.text("topic"),
         _ => None,
--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -45,7 +45,11 @@
 
     /// Notes why a send failed; one that left no byte does not count.
     pub fn note_failure(&mut self, failure: &Failure) {
-        if matches!(failure, Failure::NotSent(_) | Failure::Unreachable(_)) {
+        let is_unsent = matches!(
+            failure,
+            Failure::NotSent(_) | Failure::Withheld(_) | Failure::Unreachable(_)
+        );
+        if is_unsent {
             self.sends = self.sends.saturating_sub(1);
         }
         self.unreached += u32::from(matches!(failure, Failure::Unreachable(_)));
@@ -63,10 +67,10 @@
     /// assert_eq!(allowance.repeats(true), 0);
     /// ```
     pub fn note_read_failure(&mut self, failure: &Failure) {
-        if matches!(failure, Failure::Unreachable(_)) {
+        if matches!(failure, Failure::Unreachable(_) | Failure::Withheld(_)) {
             self.reads = self.reads.saturating_sub(1);
-            self.unreached += 1;
         }
+        self.unreached += u32::from(matches!(failure, Failure::Unreachable(_)));
     }
 
     /// Returns whether the request may have run.
--- a/src/gateway/bootstrap.rs
+++ b/src/gateway/bootstrap.rs
@@ -60,7 +60,7 @@
     }
     let belief = Belief {
         config: String::from_utf8_lossy(&view.config).into_owned(),
-        rows: view.rows.to_vec(),
+        rows: gateway.rows(),
     };
     match serde_json::to_string(&belief) {
         Ok(text) => reply::own(StatusCode::OK, &text),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -69,6 +69,9 @@
     /// No byte of the request left this host.
     #[error("not sent: {0}")]
     NotSent(CompactString),
+    /// The upstream takes no requests now, as it has said itself; none was sent.
+    #[error("withheld: {0}")]
+    Withheld(&'static str),
     /// There was no connection to send it on.
     #[error("unreachable: {0}")]
     Unreachable(CompactString),
@@ -88,7 +91,10 @@
     pub fn is_not_run(&self) -> bool {
         matches!(
             self,
-            Failure::NotSent(_) | Failure::Unreachable(_) | Failure::NotRun(_)
+            Failure::NotSent(_)
+                | Failure::Withheld(_)
+                | Failure::Unreachable(_)
+                | Failure::NotRun(_)
         )
     }
 
@@ -176,6 +182,7 @@
         Ok(Ok(response)) => response,
     };
     let (head, body) = response.into_parts();
+    target.hear(&head, &call.ask.id);
     let answer = match egress::mark(&head, &call.ask.id) {
         Mark::Foreign => return Err(Failure::broken("the answer belongs to another request")),
         mark => Answer {
@@ -245,6 +252,7 @@
         .insert(http::header::HOST, target.authority());
     let exchange = async {
         let (head, body) = connection.send(request).await?.into_parts();
+        target.hear(&head, path);
         let status = head.status;
         let answer = Answer {
             head,
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -20,11 +20,13 @@
 use super::reply;
 use super::reply::Reply;
 use super::stream;
+use super::target::Target;
 use crate::id::UpstreamId;
 use crate::placement;
 use crate::placement::Job;
 use crate::placement::Plan;
 use crate::placement::board::Load;
+use crate::upstream::Role;
 
 /// Longest time after which a refused caller is asked back, as a share of the time it has left;
 /// callers wait for no more than a third.
@@ -34,6 +36,9 @@
 /// Time after which a caller may do better when engines broke off.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Why a request is refused if all engines that could generate asked for a pause.
+const PAUSED: &str = "upstreams asked for a pause";
+
 /// Serves a request.
 pub async fn serve(gateway: &Rc<Gateway>, call: Call, course: Course) -> Reply {
     let mut progress = Progress {
@@ -54,7 +59,11 @@
         } = plan
         {
             progress.course.decide(reason);
-            let most = progress.call.left(now).mul_f64(RETRY_SHARE);
+            let left = progress.call.left(now);
+            let most = match reason {
+                PAUSED => left,
+                _ => left.mul_f64(RETRY_SHARE),
+            };
             return fail(progress, retry_after.min(most));
         }
         if !progress.may_start(gateway, &plan) {
@@ -72,7 +81,8 @@
             Err(_) => {
                 let is_idempotent = progress.call.route.is_idempotent();
                 if !progress.allowance.allows_more(is_idempotent) {
-                    return fail(progress, RETRY_AFTER);
+                    let after = plain::retry_after(gateway, &progress.call, Instant::now());
+                    return fail(progress, after);
                 }
             }
         }
@@ -90,7 +100,7 @@
         return plan_without_prompt(gateway, call, tried, now);
     };
     let board = gateway.board.borrow();
-    let targets = gateway.targets(&call.service);
+    let targets = gateway.targets(&call.service, now);
     let engines: Vec<placement::Engine> = targets
         .iter()
         .filter(|target| !tried.contains(&target.row.id) && !gateway.is_away(&target.row.id, now))
@@ -115,6 +125,15 @@
             }
         })
         .collect();
+    if engines.iter().all(|engine| engine.role == Role::Prefill) {
+        let generates = |target: &Target| target.row.role != Role::Prefill;
+        if let Some(retry_after) = gateway.pause_left(&call.service, generates, now) {
+            return Plan::Refuse {
+                retry_after,
+                reason: PAUSED,
+            };
+        }
+    }
     let job = Job {
         prompt,
         target_left: (call.arrived + call.route.target).saturating_duration_since(now),
@@ -133,7 +152,7 @@
             urgency: URGENCY_PLAIN,
         },
         None => Plan::Refuse {
-            retry_after: RETRY_AFTER,
+            retry_after: plain::retry_after(gateway, call, now),
             reason: "no upstream takes work",
         },
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,7 +37,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::availability;
+use crate::availability::Closure;
+use crate::availability::Lives;
 use crate::catalog::Catalog;
+use crate::fleet::Row;
 use crate::follow::View;
 use crate::gossip;
 use crate::id::HostId;
@@ -72,6 +76,8 @@
     pub counters: Arc<Counters>,
     /// Age of the beliefs that requests are served on.
     pub observer: Observer,
+    /// What upstreams have said of themselves.
+    pub lives: Arc<Lives>,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
     /// Loads and caches of engines.
@@ -92,13 +98,14 @@
 
 impl Gateway {
     /// Returns a gateway that knows nothing yet.
-    pub fn new(settings: Settings, counters: Arc<Counters>) -> Self {
+    pub fn new(settings: Settings, counters: Arc<Counters>, lives: Arc<Lives>) -> Self {
         Gateway {
             hosts: Cell::new(settings.hosts_expected),
             repeats: Cell::new(settings.repeats),
             settings,
             observer: Observer::new(Arc::clone(&counters)),
             counters,
+            lives,
             quarantine: Quarantine::default(),
             board: RefCell::default(),
             news: RefCell::default(),
@@ -179,7 +186,8 @@
             let target = match held {
                 Some(held) if held.row == *row && held.most_connections == most => held,
                 held => {
-                    let target = Rc::new(Target::new(row.clone(), most, held.as_deref()));
+                    let target =
+                        Rc::new(Target::new(row.clone(), most, held.as_deref(), &self.lives));
                     if let Some(held) = held.filter(|held| !held.is_same_life(&target)) {
                         held.leave();
                     }
@@ -222,16 +230,40 @@
         board.retain(|id| view.rows.iter().any(|row| row.id == *id));
     }
 
-    /// Returns the upstreams of a service that take new work.
-    pub fn targets(&self, service: &ServiceId) -> Vec<Rc<Target>> {
+    /// Returns the upstreams of a service that take new work at `now`.
+    pub fn targets(&self, service: &ServiceId, now: Instant) -> Vec<Rc<Target>> {
         self.targets
             .borrow()
             .values()
-            .filter(|target| target.row.service == *service && target.takes_work())
+            .filter(|target| target.row.service == *service && target.takes_work(now))
             .cloned()
             .collect()
     }
 
+    /// Returns the time after which the first of the upstreams that asked for a pause, among those
+    /// that `is_meant` tells, takes work again; none if none of these asked.
+    pub fn pause_left<F>(&self, service: &ServiceId, is_meant: F, now: Instant) -> Option<Duration>
+    where
+        F: Fn(&Target) -> bool,
+    {
+        let targets = self.targets.borrow();
+        let meant = targets
+            .values()
+            .filter(|target| target.row.service == *service && is_meant(target));
+        meant
+            .filter_map(|target| match target.closure(now) {
+                Some(Closure::Paused(left)) => Some(left),
+                Some(Closure::Leaving) | None => None,
+            })
+            .min()
+    }
+
+    /// Returns the upstreams as they are registered, with those that say in their answers that they
+    /// leave as draining.
+    pub fn rows(&self) -> Vec<Row> {
+        availability::as_said(&self.view.borrow().rows, &self.lives)
+    }
+
     /// Notes engines that were ordered to change their role, by the digests of their names.
     pub fn note_away(&self, engines: &[u32], now: Instant) {
         let mut away = self.away.borrow_mut();
@@ -295,6 +327,7 @@
         for target in self.targets.borrow().values() {
             target.sweep(now);
         }
+        self.lives.forget(&self.view.borrow().rows, now);
     }
 
     /// Changes the bounds on repeats; requests and repeats counted so far are forgotten.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -6,12 +6,14 @@
 
 use http::Method;
 use tokio::task;
+use tokio::time;
 
 use super::Gateway;
 use super::exchange;
 use super::exchange::Handle;
 use super::target::Occupied;
 use super::target::Target;
+use crate::availability::Closure;
 use crate::id::UpstreamId;
 use crate::placement;
 use crate::platform::egress;
@@ -19,6 +21,10 @@
 /// Time in which freed memory is given up; it lapses by itself later.
 const FREE_TIME: Duration = Duration::from_millis(500);
 
+/// Longest wait for an engine that asked for a pause; memory that is not taken lapses by itself in
+/// about that time.
+const MOST_FREE_WAIT: Duration = Duration::from_secs(5);
+
 /// A request's place at an engine, counted until it is dropped.
 #[derive(Debug)]
 pub struct Place {
@@ -96,6 +102,9 @@
         }
         let (reader, path) = (Rc::clone(&self.reader), egress::handle_path(&self.handle));
         task::spawn_local(async move {
+            if let Some(Closure::Paused(left)) = reader.closure(Instant::now()) {
+                time::sleep(left.min(MOST_FREE_WAIT)).await;
+            }
             let until = Instant::now() + FREE_TIME;
             let freed = exchange::call_own(&reader, Method::DELETE, &path, until).await;
             log::debug!(upstream:% = reader.row.id, path:% = path, freed:? = freed; "handle freed");
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -47,18 +47,18 @@
     loop {
         let now = Instant::now();
         if now >= call.deadline {
-            return give_up(&allowance, held, course);
+            return give_up(&allowance, held, RETRY_AFTER, course);
         }
         let other = pick(gateway, call, &tried, now);
         let is_second = tried.len() == 1;
         let same = || again(gateway, call, &last, now).filter(|_| is_second);
         let Some(target) = other.or_else(same) else {
             course.decide("no-upstream");
-            return give_up(&allowance, held, course);
+            return give_up(&allowance, held, retry_after(gateway, call, now), course);
         };
         if allowance.repeats(false) > 0 && !gateway.may_repeat(&call.service, 1, now) {
             course.decide("no-budget");
-            return give_up(&allowance, held, course);
+            return give_up(&allowance, held, RETRY_AFTER, course);
         }
         allowance.note_send();
         tried.push(target.row.id.clone());
@@ -90,7 +90,8 @@
                 note_crash(gateway, call, &failure, now);
                 last = Some(failure);
                 if !allowance.allows_more(call.route.is_idempotent()) {
-                    return give_up(&allowance, held, course);
+                    let after = retry_after(gateway, call, Instant::now());
+                    return give_up(&allowance, held, after, course);
                 }
             }
         }
@@ -154,6 +155,8 @@
         Err(Failure::NotRun(StatusCode::MISDIRECTED_REQUEST) | Failure::NotSent(_)) => {
             health.note_failure(Instant::now());
         }
+        // What an upstream says of itself is no fault of its.
+        Err(Failure::Withheld(_)) => (),
         Err(Failure::NotRun(_)) => health.note_refusal(Instant::now()),
         Err(Failure::Broken(_) | Failure::Silent) => health.note_failure(Instant::now()),
     }
@@ -189,7 +192,7 @@
     now: Instant,
 ) -> Option<Rc<Target>> {
     let mut random = rand::rng();
-    let targets = gateway.targets(&call.service);
+    let targets = gateway.targets(&call.service, now);
     let untried = targets
         .into_iter()
         .filter(|target| !tried.contains(&target.row.id));
@@ -209,13 +212,28 @@
         .map(|(_, target)| target)
 }
 
+/// Returns when a refused caller may do better: once an upstream takes work again, if all of them
+/// asked for a pause.
+pub fn retry_after(gateway: &Gateway, call: &Call, now: Instant) -> Duration {
+    if !gateway.targets(&call.service, now).is_empty() {
+        return RETRY_AFTER;
+    }
+    let left = gateway.pause_left(&call.service, |_| true, now);
+    left.map_or(RETRY_AFTER, |left| left.min(call.left(now)))
+}
+
 /// Returns the final answer to a request that brought no good one.
-fn give_up(allowance: &Allowance, held: Option<WholeAnswer>, course: &mut Course) -> Reply {
+fn give_up(
+    allowance: &Allowance,
+    held: Option<WholeAnswer>,
+    retry_after: Duration,
+    course: &mut Course,
+) -> Reply {
     if let Some(answer) = held {
         course.end(Outcome::Delivered);
         return reply::deliver(answer);
     }
-    fail(allowance.may_have_run(), RETRY_AFTER, course)
+    fail(allowance.may_have_run(), retry_after, course)
 }
 
 /// Returns a refusal, or a failure if the request may have run.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -38,6 +38,7 @@
 use super::reply;
 use super::reply::Reply;
 use super::serve;
+use crate::availability::Lives;
 use crate::clock::Clock;
 use crate::follow;
 use crate::follow::View;
@@ -88,10 +89,12 @@
     let (hosts, exchange) = follow::start(&views, own, clock, &store)?;
     let (standing, known) = watch::channel(Standing::default());
     let (away, ordered) = watch::channel(Away::default());
+    let lives = Arc::new(Lives::default());
     let officer = Officer {
         host: settings.name.clone(),
         lease: settings.lease,
         read_share: settings.read_share,
+        lives: Arc::clone(&lives),
     };
     reassign::duty::start(officer, view.clone(), known, away, clock, &store)?;
     if let Some(address) = settings.metrics_listen {
@@ -101,7 +104,7 @@
         .enable_all()
         .build()
         .context("cannot start the request loop")?;
-    let gateway = Rc::new(Gateway::new(settings, counters));
+    let gateway = Rc::new(Gateway::new(settings, counters, lives));
     let peers = peers::Sources {
         hosts,
         away: ordered,
@@ -285,6 +288,9 @@
     if let Some(left) = gateway.repeats_left(now) {
         counters.set("repeats_left", left as i64);
     }
+    let (leaving, paused) = gateway.lives.closed(now);
+    counters.set("upstreams_leaving_by_answer", leaving as i64);
+    counters.set("upstreams_paused", paused as i64);
     counters.set("store_calls", store.calls() as i64);
 }
 
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,8 +14,14 @@
 use super::health::Health;
 use super::pool::Connection;
 use super::pool::Pool;
+use crate::availability;
+use crate::availability::Change;
+use crate::availability::Closure;
+use crate::availability::Life;
+use crate::availability::Lives;
 use crate::fleet::Row;
 use crate::fleet::State;
+use crate::platform::egress;
 
 /// An upstream in use.
 #[derive(Debug)]
@@ -34,12 +41,14 @@
     in_flight: Cell<usize>,
     /// Requests that chose the upstream before it left still hold its earlier entry.
     is_leaving: Cell<bool>,
+    /// What it has said of itself.
+    life: Arc<Life>,
 }
 
 impl Target {
     /// Returns a target for an entry, which takes over the connections of `before` if that was
-    /// the same life of the same upstream.
-    pub fn new(row: Row, most_connections: usize, before: Option<&Target>) -> Self {
+    /// the same life of the same upstream; `lives` knows what it has said of itself before.
+    pub fn new(row: Row, most_connections: usize, before: Option<&Target>, lives: &Lives) -> Self {
         let same = before.filter(|before| is_same_life(&before.row, &row));
         let shared = match same {
             Some(before) => Rc::clone(&before.shared),
@@ -48,6 +57,7 @@
                 health: RefCell::default(),
                 in_flight: Cell::default(),
                 is_leaving: Cell::default(),
+                life: lives.of(&row),
             }),
         };
         let target = Target {
@@ -55,7 +65,8 @@
             most_connections,
             shared,
         };
-        if target.row.state == State::Draining {
+        let has_said_so = target.shared.life.leaving_since().is_some();
+        if target.row.state == State::Draining || has_said_so {
             target.leave();
         }
         target
@@ -66,9 +77,40 @@
         is_same_life(&self.row, &other.row)
     }
 
-    /// Returns whether new work may be sent.
-    pub fn takes_work(&self) -> bool {
-        !self.shared.is_leaving.get()
+    /// Returns whether new work may be sent at `now`.
+    pub fn takes_work(&self, now: Instant) -> bool {
+        self.closure(now).is_none()
+    }
+
+    /// Returns why no new work may be sent at `now`, or nothing if it may.
+    pub fn closure(&self, now: Instant) -> Option<Closure> {
+        match self.shared.is_leaving.get() {
+            true => Some(Closure::Leaving),
+            false => self.shared.life.closure(now),
+        }
+    }
+
+    /// Takes in what the head of an answer says of the upstream itself.
+    pub fn hear(&self, head: &Parts, told_by: &str) {
+        let notice = egress::notice(head.status, &head.headers);
+        let change = availability::hear(
+            &self.row,
+            &self.shared.life,
+            &notice,
+            told_by,
+            Instant::now(),
+        );
+        if change == Some(Change::Leaves) {
+            self.leave();
+        }
+    }
+
+    fn admit(&self) -> Result<(), Failure> {
+        match self.closure(Instant::now()) {
+            None => Ok(()),
+            Some(Closure::Leaving) => Err(Failure::Withheld("the upstream leaves")),
+            Some(Closure::Paused(_)) => Err(Failure::Withheld("the upstream asked for a pause")),
+        }
     }
 
     /// Notes that the upstream leaves: what is open goes on, nothing new is sent.
@@ -81,17 +123,17 @@
     ///
     /// # Errors
     ///
-    /// Fails as [`Pool::get`] does, or with [`Failure::NotSent`] if the upstream leaves.
+    /// Fails as [`Pool::get`] does, or with [`Failure::Withheld`] if the upstream takes no work.
     pub async fn connect(&self, may_reuse: bool, until: Instant) -> Result<Connection, Failure> {
+        self.admit()?;
         let connection = self
             .shared
             .pool
             .get(may_reuse, self.most_connections, until)
             .await?;
-        match self.takes_work() {
-            true => Ok(connection),
-            false => Err(Failure::NotSent("the upstream leaves".into())),
-        }
+        // What the upstream said while the connection was opened counts as well.
+        self.admit()?;
+        Ok(connection)
     }
 
     /// Keeps a connection after an answer that ended by its own framing.
@@ -100,7 +142,7 @@
             .headers
             .get(http::header::CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        if closes || !self.takes_work() {
+        if closes || self.shared.is_leaving.get() {
             return;
         }
         self.shared.pool.give_back(connection, keep_alive(head));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! pistachiohall: a serving system for a fixed fleet of model engines.
 
 pub mod admit;
+pub mod availability;
 pub mod catalog;
 pub mod cli;
 pub mod clock;
--- a/src/platform/egress.rs
+++ b/src/platform/egress.rs
@@ -5,11 +5,14 @@
 
 use http::HeaderMap;
 use http::HeaderValue;
+use http::StatusCode;
 use http::response::Parts;
 use serde::Deserialize;
 use serde_json::json;
 
 use super::header;
+use crate::availability;
+use crate::availability::Notice;
 use crate::gateway::call::Ask;
 use crate::gateway::exchange::Handle;
 use crate::gateway::exchange::Mark;
@@ -92,7 +95,7 @@
 pub fn mark(head: &Parts, id: &str) -> Mark {
     let echoed = head.headers.get(header::REQUEST_ID);
     let says_not_run = head.headers.contains_key(header::NOT_RUN)
-        || head.status == http::StatusCode::MISDIRECTED_REQUEST;
+        || head.status == StatusCode::MISDIRECTED_REQUEST;
     match echoed {
         Some(echo) if echo.as_bytes() != id.as_bytes() => return Mark::Foreign,
         None if !says_not_run => return Mark::Foreign,
@@ -108,6 +111,53 @@
     }
 }
 
+/// Statuses whose `Retry-After` asks for a pause: the upstream has turned the request away.
+const TURNED_AWAY: [StatusCode; 2] = [
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::TOO_MANY_REQUESTS,
+];
+
+/// Returns what an answer's head says of the upstream itself, whatever the answer is worth.
+///
+/// ```
+/// use std::time::Duration;
+/// use pistachiohall::platform::egress;
+/// let mut headers = http::HeaderMap::new();
+/// headers.insert("server-leaving", "1".parse().unwrap());
+/// headers.insert("retry-after", "1.5".parse().unwrap());
+/// let notice = egress::notice(http::StatusCode::SERVICE_UNAVAILABLE, &headers);
+/// assert!(notice.is_leaving);
+/// assert_eq!(notice.pause, Some(Duration::from_millis(1500)));
+/// assert_eq!(egress::notice(http::StatusCode::OK, &headers).pause, None);
+/// ```
+pub fn notice(status: StatusCode, headers: &HeaderMap) -> Notice {
+    let is_leaving = headers
+        .get_all(header::LEAVING)
+        .iter()
+        .any(|value| value.as_bytes().trim_ascii() == b"1");
+    let asked: Vec<&HeaderValue> = match TURNED_AWAY.contains(&status) {
+        true => headers.get_all(http::header::RETRY_AFTER).iter().collect(),
+        false => Vec::new(),
+    };
+    // Of several values the longest holds: it is the one that no request breaks.
+    let pause = asked.iter().copied().filter_map(pause).max();
+    Notice {
+        is_leaving,
+        pause,
+        is_pause_unreadable: pause.is_none() && !asked.is_empty(),
+    }
+}
+
+/// Decodes seconds, whole or not; the longest pause stands for all that are longer.
+fn pause(value: &HeaderValue) -> Option<Duration> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    if seconds.is_nan() || seconds < 0.0 {
+        return None;
+    }
+    let bounded = seconds.min(availability::MOST_PAUSE.as_secs_f64());
+    Some(Duration::from_secs_f64(bounded))
+}
+
 /// Returns the fields of an answer that are passed on to the caller.
 pub fn answer_fields(headers: &HeaderMap) -> HeaderMap {
     let mut fields = HeaderMap::with_capacity(headers.len());
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -24,6 +24,8 @@
 pub const STAGE: HeaderName = HeaderName::from_static("pistachiohall-stage");
 /// `address/handle` of a prompt that was read elsewhere.
 pub const MEMORY_SOURCE: HeaderName = HeaderName::from_static("pistachiohall-kv-source");
+/// Says that the upstream leaves, if it is `1`.
+pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Event that a resumed stream goes on after.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
--- a/src/reassign/duty.rs
+++ b/src/reassign/duty.rs
@@ -1,6 +1,7 @@
 //! Compares the roles that engines have with those that are wanted, and gives orders.
 
 use std::collections::HashMap;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
@@ -8,8 +9,10 @@
 use std::time::Instant;
 
 use anyhow::Result;
+use anyhow::ensure;
 use attohttpc::Method;
 use attohttpc::RequestBuilder;
+use attohttpc::Response;
 use log::info;
 use log::warn;
 use tokio::sync::watch;
@@ -18,6 +21,9 @@
 use super::Standing;
 use super::term::Held;
 use super::term::Term;
+use crate::availability;
+use crate::availability::Life;
+use crate::availability::Lives;
 use crate::clock;
 use crate::clock::Clock;
 use crate::fleet::Row;
@@ -43,6 +49,9 @@
 /// Longest wait for an engine's answer to an order.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Largest report that is read; one names each request that an engine works on.
+const REPORT_BYTES: u64 = 1 << 20;
+
 /// What the duty is started with.
 #[derive(Debug, Clone)]
 pub struct Officer {
@@ -52,6 +61,8 @@
     pub lease: Duration,
     /// Share of the engines that should read prompts.
     pub read_share: f64,
+    /// What engines have said of themselves.
+    pub lives: Arc<Lives>,
 }
 
 /// Engines that were ordered to change and when.
@@ -151,12 +162,13 @@
         let Some(catalog) = &view.catalog else {
             return Vec::new();
         };
+        let known = availability::as_said(&view.rows, &self.officer.lives);
         let services = catalog
             .services()
             .filter(|service| service.engine.is_some());
         services
             .flat_map(|service| {
-                let rows = view.rows.iter().filter(|row| row.service == service.name);
+                let rows = known.iter().filter(|row| row.service == service.name);
                 let engines: Vec<Row> = rows.cloned().collect();
                 let is_changing = |id: &UpstreamId| {
                     self.given.contains_key(id) || standing.away.contains(&gossip::digest(id))
@@ -185,7 +197,18 @@
     where
         C: Clock,
     {
-        let report = match ask(row) {
+        let life = self.officer.lives.of(row);
+        if let Some(closure) = life.closure(clock.now()) {
+            info!(
+                upstream:% = row.id,
+                role:? = change.role,
+                closure:? = closure,
+                outcome = "withheld";
+                "role not ordered"
+            );
+            return;
+        }
+        let report = match ask(row, &life, clock) {
             Ok(report) => report,
             Err(cause) => {
                 warn!(
@@ -199,11 +222,11 @@
         };
         let outcome = match report.role == change.role || report.is_busy {
             true => Outcome::Needless,
-            false if clock.now() >= held.until => return,
+            false if clock.now() >= held.until || life.closure(clock.now()).is_some() => return,
             false => {
                 let body =
                     egress::role_order(&self.officer.host, held.fence, change.role, report.orders);
-                send(row, &body)
+                send(row, &life, &body, clock)
             }
         };
         info!(
@@ -266,8 +289,11 @@
     Needless,
 }
 
-fn send(row: &Row, body: &str) -> Outcome {
-    match post(row.address, &row.id, body) {
+fn send<C>(row: &Row, life: &Life, body: &str, clock: &C) -> Outcome
+where
+    C: Clock,
+{
+    match post(row, life, body, clock) {
         Ok(status) if (200..300).contains(&status) => Outcome::Taken,
         Ok(status) => Outcome::Refused(status),
         Err(cause) if crate::upstream::is_before_first_byte(&cause) => Outcome::NotSent,
@@ -278,16 +304,37 @@
     }
 }
 
-fn post(address: SocketAddr, upstream: &UpstreamId, body: &str) -> attohttpc::Result<u16> {
-    let request = request(Method::POST, address, egress::ORDER_PATH, upstream);
+fn post<C>(row: &Row, life: &Life, body: &str, clock: &C) -> attohttpc::Result<u16>
+where
+    C: Clock,
+{
+    let request = request(Method::POST, row.address, egress::ORDER_PATH, &row.id);
     let request = request.header("content-type", "application/json");
-    Ok(request.text(body).send()?.status().as_u16())
+    let response = request.text(body).send()?;
+    hear(row, life, &response, egress::ORDER_PATH, clock.now());
+    Ok(response.status().as_u16())
 }
 
-fn ask(row: &Row) -> Result<Report> {
+fn ask<C>(row: &Row, life: &Life, clock: &C) -> Result<Report>
+where
+    C: Clock,
+{
     let request = request(Method::GET, row.address, egress::REPORT_PATH, &row.id);
-    let response = request.send()?.error_for_status()?;
-    Ok(egress::report(&response.bytes()?)?)
+    let response = request.send()?;
+    hear(row, life, &response, egress::REPORT_PATH, clock.now());
+    let (_, _, reader) = response.error_for_status()?.split();
+    let mut body = Vec::new();
+    reader.take(REPORT_BYTES + 1).read_to_end(&mut body)?;
+    ensure!(
+        body.len() as u64 <= REPORT_BYTES,
+        "the report is larger than {REPORT_BYTES} bytes"
+    );
+    Ok(egress::report(&body)?)
+}
+
+fn hear(row: &Row, life: &Life, response: &Response, path: &str, now: Instant) {
+    let notice = egress::notice(response.status(), response.headers());
+    availability::hear(row, life, &notice, path, now);
 }
 
 fn request(
--- a/src/standin/fleet/replica.rs
+++ b/src/standin/fleet/replica.rs
@@ -26,6 +26,12 @@
 pub const STAMP: &str = "3e1b.07.5a2.600.0.c9f2a4d1";
 /// Longest time that a request hangs.
 const HANG_TIME: Duration = Duration::from_secs(20);
+/// Pause between two bytes of an event that drips.
+const DRIP_PAUSE: Duration = Duration::from_millis(50);
+/// Chunk of a body that has no end, and of an event that has none.
+const ENDLESS_PIECE: &str = "1d\r\ndata: more and more and more\n\r\n";
+/// Pieces that are written at once where bytes come without end.
+const POURED_PIECES: usize = 64;
 
 /// How an upstream treats requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -55,6 +61,16 @@
     Late,
     /// It breaks a stream off within the event of this number.
     Break(u64),
+    /// It sends fields without end in place of an answer's head.
+    EndlessHead,
+    /// It sends a signed answer whose body has no end.
+    EndlessBody,
+    /// It refuses in a body that has no end and comes slowly.
+    EndlessRefusal,
+    /// It sends an event that has no end.
+    EndlessEvent,
+    /// It sends a byte of an event now and then, and never its end.
+    Drip,
 }
 
 /// A request that an upstream got.
@@ -72,8 +88,11 @@
     pub body: Vec<u8>,
     /// Whether it ran.
     pub ran: bool,
-    /// How long after its arrival the caller closed the connection, for a request that hangs.
+    /// How long after its arrival the caller closed the connection, for a request whose answer does
+    /// not end.
     pub left_after: Option<Duration>,
+    /// Bytes of an answer without end that were written.
+    pub poured: usize,
 }
 
 impl Seen {
@@ -95,6 +114,10 @@
     fence: u64,
     pause: Duration,
     beat: u64,
+    /// Whether its answers say that it leaves.
+    is_leaving: bool,
+    /// Value of the `Retry-After` field of its refusals.
+    retry_after: Option<String>,
 }
 
 /// The stand-in.
@@ -146,6 +169,8 @@
             fence: 0,
             pause: Duration::ZERO,
             beat: 0,
+            is_leaving: false,
+            retry_after: None,
         }));
         let own = Arc::clone(&state);
         let server = Server::start(address, move |request, stream| {
@@ -179,6 +204,16 @@
         self.state().pause = pause;
     }
 
+    /// Has all its answers say, or no longer say, that it leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.state().is_leaving = is_leaving;
+    }
+
+    /// Changes the value of the `Retry-After` field of its refusals.
+    pub fn set_retry_after(&self, value: Option<&str>) {
+        self.state().retry_after = value.map(str::to_owned);
+    }
+
     /// Returns all requests that it got.
     pub fn seen(&self) -> Vec<Seen> {
         self.state().seen.clone()
@@ -234,12 +269,17 @@
         (state.id.clone(), state.manner, state.stage, state.pause)
     };
     match request.path.as_str() {
+        "/v1/report" if manner == Manner::EndlessBody => {
+            let index = note(shared, &request, false);
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            return pour(shared, index, head, ENDLESS_PIECE, false, stream);
+        }
         "/v1/report" => return report(shared, stream),
         "/v1/order" => return order(shared, &request, stream),
         path if path.starts_with("/v1/kv-handle/") => {
             let name = path.trim_start_matches("/v1/kv-handle/");
             shared.lock().expect("replica lock").handles.remove(name);
-            wire::answer(stream, 200, &[], b"")?;
+            say(shared, stream, 200, &[], b"")?;
             return Ok(Next::Keep);
         }
         _ => (),
@@ -258,7 +298,13 @@
     let is_wrong_stage = stage.is_some() && reads != (stage == Some("prefill"));
     if is_other || is_wrong_stage {
         note(shared, &request, false);
-        wire::answer(stream, 421, &[("Pistachiohall-Request-Id", &own_id)], b"")?;
+        say(
+            shared,
+            stream,
+            421,
+            &[("Pistachiohall-Request-Id", &own_id)],
+            b"",
+        )?;
         return Ok(Next::Keep);
     }
     if manner == Manner::Shed {
@@ -267,9 +313,31 @@
             ("Pistachiohall-Request-Id", own_id.as_str()),
             ("Pistachiohall-Not-Executed", "1"),
         ];
-        wire::answer(stream, 503, &fields, b"")?;
+        say(shared, stream, 503, &fields, b"")?;
         return Ok(Next::Keep);
     }
+    let endless = match manner {
+        Manner::EndlessHead => Some(String::from("HTTP/1.1 200 OK\r\n")),
+        Manner::EndlessRefusal => Some(format!(
+            "HTTP/1.1 503 Status\r\nTransfer-Encoding: chunked\r\n\
+             Pistachiohall-Request-Id: {own_id}\r\nPistachiohall-Not-Executed: 1\r\n\r\n"
+        )),
+        Manner::EndlessBody | Manner::EndlessEvent | Manner::Drip => Some(format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\
+             Pistachiohall-Request-Id: {own_id}\r\nPistachiohall-Server-Stamp: {STAMP}\r\n\r\n"
+        )),
+        _ => None,
+    };
+    if let Some(head) = endless {
+        let index = note(shared, &request, manner != Manner::EndlessRefusal);
+        let piece = match manner {
+            Manner::EndlessHead => "X-More: more and more and more\r\n",
+            Manner::Drip => "1\r\nd\r\n",
+            _ => ENDLESS_PIECE,
+        };
+        let is_slow = matches!(manner, Manner::Drip | Manner::EndlessRefusal);
+        return pour(shared, index, &head, piece, is_slow, stream);
+    }
     if reads {
         return read_ahead(shared, &request, &own_id, stream);
     }
@@ -277,7 +345,13 @@
         && !source.contains('/')
     {
         note(shared, &request, false);
-        wire::answer(stream, 503, &[("Pistachiohall-Not-Executed", "1")], b"")?;
+        say(
+            shared,
+            stream,
+            503,
+            &[("Pistachiohall-Not-Executed", "1")],
+            b"",
+        )?;
         return Ok(Next::Keep);
     }
     let index = note(shared, &request, true);
@@ -288,6 +362,35 @@
     }
 }
 
+/// Writes an answer, with the fields by which the upstream speaks of itself.
+fn say<W>(
+    shared: &Mutex<State>,
+    out: &mut W,
+    status: u16,
+    fields: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()>
+where
+    W: Write,
+{
+    let own = own_fields(shared, status);
+    let own = own.iter().map(|(name, value)| (*name, value.as_str()));
+    let fields: Vec<(&str, &str)> = fields.iter().copied().chain(own).collect();
+    wire::answer(out, status, &fields, body)
+}
+
+fn own_fields(shared: &Mutex<State>, status: u16) -> Vec<(&'static str, String)> {
+    let state = shared.lock().expect("replica lock");
+    let mut fields = Vec::new();
+    if state.is_leaving {
+        fields.push(("Server-Leaving", "1".to_owned()));
+    }
+    if let (503, Some(value)) = (status, &state.retry_after) {
+        fields.push(("Retry-After", value.clone()));
+    }
+    fields
+}
+
 fn note(shared: &Mutex<State>, request: &Request, ran: bool) -> usize {
     let mut state = shared.lock().expect("replica lock");
     state.seen.push(Seen {
@@ -298,6 +401,7 @@
         body: request.body.clone(),
         ran,
         left_after: None,
+        poured: 0,
     });
     state.seen.len() - 1
 }
@@ -308,7 +412,7 @@
         json!({"stage": state.stage, "models": [], "busy": false, "sequence": state.orders,
                "queued": 0, "active": 0, "kv_used": 0, "kv_total": 0, "kv_handles": 0})
     };
-    wire::answer(stream, 200, &[], body.to_string().as_bytes())?;
+    say(shared, stream, 200, &[], body.to_string().as_bytes())?;
     Ok(Next::Keep)
 }
 
@@ -337,7 +441,7 @@
             202
         }
     };
-    wire::answer(stream, status, &[], b"")?;
+    say(shared, stream, status, &[], b"")?;
     Ok(Next::Keep)
 }
 
@@ -355,7 +459,8 @@
         .handles
         .insert(handle.clone());
     let body = json!({"kv_handle": handle, "tokens": 100, "version": 1}).to_string();
-    wire::answer(
+    say(
+        shared,
         stream,
         200,
         &[("Pistachiohall-Request-Id", id)],
@@ -379,42 +484,69 @@
     match manner {
         Manner::Hang => return hang(shared, index, stream),
         Manner::Reset => return Ok(Next::Reset),
-        Manner::Fail => wire::answer(stream, 500, &signed, b"failed")?,
+        Manner::Fail => say(shared, stream, 500, &signed, b"failed")?,
         Manner::Foreign => {
             let fields = [("Pistachiohall-Request-Id", "another"), signed[1]];
-            wire::answer(stream, 200, &fields, body)?;
+            say(shared, stream, 200, &fields, body)?;
         }
-        Manner::Unsigned => wire::answer(stream, 200, &signed[..1], body)?,
+        Manner::Unsigned => say(shared, stream, 200, &signed[..1], body)?,
         Manner::Encoded => {
             let fields = [signed[0], signed[1], ("Content-Encoding", "gzip")];
-            wire::answer(stream, 200, &fields, body)?;
+            say(shared, stream, 200, &fields, body)?;
         }
         Manner::Short => {
             let mut whole = Vec::new();
-            wire::answer(&mut whole, 200, &signed, body)?;
+            say(shared, &mut whole, 200, &signed, body)?;
             stream.write_all(&whole[..whole.len() - 4])?;
             return Ok(Next::Close);
         }
         Manner::Extra => {
-            wire::answer(stream, 200, &signed, body)?;
-            wire::answer(stream, 200, &signed, b"not asked for")?;
+            say(shared, stream, 200, &signed, body)?;
+            say(shared, stream, 200, &signed, b"not asked for")?;
         }
         Manner::Late => {
             let caller = stream.peer_addr()?;
             let is_known = !shared.lock().expect("replica lock").callers.insert(caller);
             if is_known {
                 let fields = [("Pistachiohall-Request-Id", "before"), signed[1]];
-                wire::answer(stream, 200, &fields, b"of before")?;
+                say(shared, stream, 200, &fields, b"of before")?;
             }
-            wire::answer(stream, 200, &signed, body)?;
-        }
-        Manner::Sound | Manner::Shed | Manner::Break(_) => {
-            wire::answer(stream, 200, &signed, body)?
+            say(shared, stream, 200, &signed, body)?;
         }
+        _ => say(shared, stream, 200, &signed, body)?,
     }
     Ok(Next::Keep)
 }
 
+/// Sends the same piece until the caller leaves, and notes when that was.
+fn pour(
+    shared: &Mutex<State>,
+    index: usize,
+    head: &str,
+    piece: &str,
+    is_slow: bool,
+    stream: &mut TcpStream,
+) -> io::Result<Next> {
+    let begun = Instant::now();
+    stream.write_all(head.as_bytes())?;
+    let pieces = match is_slow {
+        true => piece.to_owned(),
+        false => piece.repeat(POURED_PIECES),
+    };
+    while begun.elapsed() < HANG_TIME {
+        shared.lock().expect("replica lock").seen[index].poured += pieces.len();
+        if stream.write_all(pieces.as_bytes()).is_err() {
+            let mut state = shared.lock().expect("replica lock");
+            state.seen[index].left_after = Some(begun.elapsed());
+            break;
+        }
+        if is_slow {
+            thread::sleep(DRIP_PAUSE);
+        }
+    }
+    Ok(Next::Close)
+}
+
 /// Waits until the caller leaves, and notes when.
 fn hang(shared: &Mutex<State>, index: usize, stream: &mut TcpStream) -> io::Result<Next> {
     let begun = Instant::now();
@@ -451,9 +583,13 @@
     let after = number(request.fields.get("last-event-id").map(String::as_str)).unwrap_or(0);
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
-         Pistachiohall-Request-Id: {id}\r\nPistachiohall-Server-Stamp: {STAMP}\r\n\r\n"
+         Pistachiohall-Request-Id: {id}\r\nPistachiohall-Server-Stamp: {STAMP}\r\n"
     );
     stream.write_all(head.as_bytes())?;
+    for (name, value) in own_fields(shared, 200) {
+        write!(stream, "{name}: {value}\r\n")?;
+    }
+    stream.write_all(b"\r\n")?;
     for number in after + 1..=count {
         let event = format!("id: {number}\ndata: token {number}\n\n");
         if manner == Manner::Break(number) {
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions without network and clock, each under the load or trouble that it answers.
 
+mod availability;
 mod budget;
 mod catalog;
 mod doubt;
--- a/tests/decisions/target.rs
+++ b/tests/decisions/target.rs
@@ -1,5 +1,8 @@
 //! Upstreams as requests hold them while they change.
 
+use std::time::Instant;
+
+use pistachiohall::availability::Lives;
 use pistachiohall::fleet::Row;
 use pistachiohall::fleet::State;
 use pistachiohall::gateway::target::Target;
@@ -23,11 +26,11 @@
 /// waits for a connection.
 #[test]
 fn a_request_that_holds_an_upstream_sees_that_it_drains() {
-    let chosen = Target::new(row(1, State::Ready), 8, None);
-    assert!(chosen.takes_work());
-    let changed = Target::new(row(1, State::Draining), 8, Some(&chosen));
-    assert!(!changed.takes_work());
-    assert!(!chosen.takes_work());
+    let chosen = Target::new(row(1, State::Ready), 8, None, &Lives::default());
+    assert!(chosen.takes_work(Instant::now()));
+    let changed = Target::new(row(1, State::Draining), 8, Some(&chosen), &Lives::default());
+    assert!(!changed.takes_work(Instant::now()));
+    assert!(!chosen.takes_work(Instant::now()));
 }
 
 /// A new life under the same name takes work, whatever became of the one before.
@@ -35,18 +38,18 @@
 #[case::drained(State::Draining)]
 #[case::ready(State::Ready)]
 fn a_new_life_takes_work(#[case] before: State) {
-    let before = Target::new(row(1, before), 8, None);
+    let before = Target::new(row(1, before), 8, None, &Lives::default());
     before.leave();
-    let after = Target::new(row(2, State::Ready), 8, Some(&before));
-    assert!(after.takes_work());
-    assert!(!before.takes_work());
+    let after = Target::new(row(2, State::Ready), 8, Some(&before), &Lives::default());
+    assert!(after.takes_work(Instant::now()));
+    assert!(!before.takes_work(Instant::now()));
 }
 
 /// The number of connections changes with the hosts that are heard; an upstream that left stays so.
 #[test]
 fn an_upstream_that_left_stays_so_under_another_bound_on_connections() {
-    let held = Target::new(row(1, State::Ready), 8, None);
+    let held = Target::new(row(1, State::Ready), 8, None, &Lives::default());
     held.leave();
-    let resized = Target::new(row(1, State::Ready), 16, Some(&held));
-    assert!(!resized.takes_work());
+    let resized = Target::new(row(1, State::Ready), 16, Some(&held), &Lives::default());
+    assert!(!resized.takes_work(Instant::now()));
 }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -5,5 +5,6 @@
 mod input;
 mod lifecycle;
 mod model;
+mod notice;
 mod plain;
 mod site;
