Bound what is read of an upstream whose bytes do not end

Cause: an event of a stream larger than a megabyte was thrown away piece by piece, so that the stream was read to the request's deadline, and a later event could come out with a hole. The end of a refusal was waited for as long as an answer. Reports and the store's answers had no bound in bytes, and answers that are held had none together.

Change: an event beyond 256 KB breaks the stream; a refusal counts by its head, with 100 ms for the rest; heads, handles, own calls, reports and the store's answers have bounds in bytes; answers that are held share 32 MB.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -2,12 +2,18 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use thiserror::Error;
 
 /// Largest event that is waited for, in bytes.
-const EVENT_BYTES: usize = 1 << 20;
+pub const EVENT_BYTES: usize = 256 << 10;
 /// Start of the line that carries an event's identifier.
 const ID_FIELD: &[u8] = b"id:";
 
+/// An event is larger than any that is waited for: the bytes are no stream of events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("an event is larger than {EVENT_BYTES} bytes")]
+pub struct Oversize;
+
 /// Bytes of a stream that do not make a whole event yet, and the last whole event's identifier.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -18,26 +24,33 @@
 impl Splitter {
     /// Takes in bytes and returns the whole events that they complete, if any.
     ///
-    /// Returns nothing more once an event is larger than a megabyte; `is_whole` then tells.
+    /// # Errors
+    ///
+    /// Fails once an event is larger than [`EVENT_BYTES`]; the stream cannot go on then.
     ///
     /// ```
     /// use pistachiohall::gateway::events::Splitter;
     /// let mut splitter = Splitter::default();
-    /// assert_eq!(splitter.push(b"id: 7\ndata: a\n\nid: 8\nda"), Some("id: 7\ndata: a\n\n".into()));
+    /// let events = splitter.push(b"id: 7\ndata: a\n\nid: 8\nda").unwrap();
+    /// assert_eq!(events, Some("id: 7\ndata: a\n\n".into()));
     /// assert_eq!(splitter.last_id(), Some(7));
     /// assert!(!splitter.is_whole());
     /// ```
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, Oversize> {
         let searched = self.rest.len().saturating_sub(3);
-        if self.rest.len() + bytes.len() <= EVENT_BYTES {
-            self.rest.extend_from_slice(bytes);
+        self.rest.extend_from_slice(bytes);
+        let end = last_end(&self.rest[searched..]).map_or(0, |end| searched + end);
+        if self.rest.len() - end > EVENT_BYTES {
+            return Err(Oversize);
+        }
+        if end == 0 {
+            return Ok(None);
         }
-        let end = searched + last_end(&self.rest[searched..])?;
         let events = self.rest.split_to(end).freeze();
         if let Some(id) = newest_id(&events) {
             self.last_id = Some(id);
         }
-        Some(events)
+        Ok(Some(events))
     }
 
     /// Returns whether all bytes made whole events.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,10 +1,13 @@
 //! One request to one upstream and its answer.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use compact_str::CompactString;
 use http::Method;
 use http::Request;
@@ -13,8 +16,6 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::time;
@@ -26,7 +27,15 @@
 use crate::platform::egress;
 
 /// Largest answer that is held until it is whole; larger ones would strain a small host's memory.
-const HELD_BYTES: usize = 4 << 20;
+pub const HELD_BYTES: usize = 4 << 20;
+/// Answers that are held at the same time, in bytes; a fifth of the smallest host's memory.
+const ALL_HELD_BYTES: usize = 32 << 20;
+/// Largest refusal that is read to its end, in bytes.
+const REFUSAL_BYTES: usize = 16 << 10;
+/// Time in which the rest of a refusal has to come; its head has said all that the caller needs.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
+/// Largest answer to a call of the gateway's own, in bytes.
+const OWN_BYTES: usize = 64 << 10;
 
 /// Memory of a prompt that one engine has read for another.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -196,7 +205,8 @@
         return Ok(answer);
     }
     let status = answer.head.status;
-    let ended = time::timeout_at(terms.until.into(), finish(target, answer)).await;
+    let ending = finish(gateway, target, answer, REFUSAL_BYTES);
+    let ended = time::timeout(REFUSAL_TIME, ending).await;
     match ended {
         Ok(Ok(_)) => (),
         Ok(Err(failure)) => {
@@ -213,16 +223,15 @@
 ///
 /// # Errors
 ///
-/// Fails if the body ends early or is larger than what is held.
-pub async fn finish(target: &Rc<Target>, answer: Answer) -> Result<WholeAnswer, Failure> {
-    let body = Limited::new(answer.body, HELD_BYTES).collect().await;
-    let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(cause) if cause.is::<LengthLimitError>() => {
-            return Err(Failure::broken("the answer is too large"));
-        }
-        Err(cause) => return Err(Failure::broken(cause)),
-    };
+/// Fails if the body ends early, is larger than `most` bytes, or would strain the host's memory
+/// together with all others that are held.
+pub async fn finish(
+    gateway: &Gateway,
+    target: &Rc<Target>,
+    answer: Answer,
+    most: usize,
+) -> Result<WholeAnswer, Failure> {
+    let body = collect(answer.body, most, &gateway.held_bytes).await?;
     target.give_back(answer.connection, &answer.head);
     Ok(WholeAnswer {
         head: answer.head,
@@ -231,12 +240,56 @@
     })
 }
 
+/// Bytes that are counted as held until the guard is dropped.
+struct Holding<'a> {
+    all: &'a Cell<usize>,
+    own: usize,
+}
+
+impl Holding<'_> {
+    fn add(&mut self, bytes: usize, most: usize) -> Result<(), Failure> {
+        self.own += bytes;
+        self.all.set(self.all.get() + bytes);
+        if self.own > most {
+            return Err(Failure::broken(format_args!(
+                "the answer is larger than {most} bytes"
+            )));
+        }
+        if self.all.get() > ALL_HELD_BYTES {
+            return Err(Failure::broken(format_args!(
+                "answers of more than {ALL_HELD_BYTES} bytes are held"
+            )));
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Holding<'_> {
+    fn drop(&mut self) {
+        self.all.set(self.all.get().saturating_sub(self.own));
+    }
+}
+
+async fn collect(mut body: Incoming, most: usize, held: &Cell<usize>) -> Result<Bytes, Failure> {
+    let mut holding = Holding { all: held, own: 0 };
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(Failure::broken)?;
+        if let Some(data) = frame.data_ref() {
+            holding.add(data.len(), most)?;
+            whole.extend_from_slice(data);
+        }
+    }
+    Ok(whole.freeze())
+}
+
 /// Makes a call of the gateway's own, such as freeing memory.
 ///
 /// # Errors
 ///
 /// Fails as [`send`] does.
 pub async fn call_own(
+    gateway: &Gateway,
     target: &Rc<Target>,
     method: Method,
     path: &str,
@@ -260,7 +313,9 @@
             mark: Mark::Unsigned,
             connection,
         };
-        finish(target, answer).await.map(|_| status)
+        finish(gateway, target, answer, OWN_BYTES)
+            .await
+            .map(|_| status)
     };
     match time::timeout_at(until.into(), exchange).await {
         Ok(ended) => ended,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -82,6 +82,8 @@
     pub quarantine: Quarantine,
     /// Loads and caches of engines.
     pub board: RefCell<placement::Board>,
+    /// Bytes of answers that are held until they are whole.
+    pub held_bytes: Cell<usize>,
     /// What peers have not been told of.
     pub news: RefCell<peers::News>,
     hosts: Cell<usize>,
@@ -108,6 +110,7 @@
             lives,
             quarantine: Quarantine::default(),
             board: RefCell::default(),
+            held_bytes: Cell::default(),
             news: RefCell::default(),
             away: RefCell::default(),
             doubts: RefCell::default(),
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -37,6 +37,9 @@
 /// Urgency of a request that names none, the last of the scale.
 const LEAST_URGENT: u8 = 9;
 
+/// Largest answer to the request to read a prompt, in bytes; it names a handle.
+const HANDLE_BYTES: usize = 64 << 10;
+
 /// A stream whose first events are there.
 #[derive(Debug)]
 pub struct Opened {
@@ -260,7 +263,7 @@
     let exchange = async {
         let answer = exchange::send(gateway, &target, call, &terms).await?;
         let status = answer.head.status;
-        let answer = exchange::finish(&target, answer).await?;
+        let answer = exchange::finish(gateway, &target, answer, HANDLE_BYTES).await?;
         if !status.is_success() {
             return Err(Failure::NotRun(status));
         }
@@ -280,6 +283,7 @@
                 gateway.board.borrow_mut().note_pace(&engine, ratio);
             }
             Ok(Held {
+                gateway: Rc::clone(gateway),
                 handle,
                 reader: target,
                 is_taken: false,
@@ -306,7 +310,9 @@
             return Err(Failure::Broken("the answer is not signed".into()));
         }
         if !answer.head.status.is_success() || call.route.kind != Kind::Stream {
-            return exchange::finish(&target, answer).await.map(Started::Whole);
+            return exchange::finish(gateway, &target, answer, exchange::HELD_BYTES)
+                .await
+                .map(Started::Whole);
         }
         let Answer {
             head,
@@ -344,10 +350,13 @@
     loop {
         match body.frame().await {
             Some(Ok(frame)) => {
-                let Some(events) = frame.data_ref().and_then(|data| splitter.push(data)) else {
-                    continue;
-                };
-                return Ok((events, false));
+                let data = frame.data_ref().map_or(&[][..], |data| data);
+                let events = splitter
+                    .push(data)
+                    .map_err(|cause| Failure::Broken(compact_str::format_compact!("{cause}")))?;
+                if let Some(events) = events {
+                    return Ok((events, false));
+                }
             }
             Some(Err(cause)) => {
                 return Err(Failure::Broken(compact_str::format_compact!("{cause}")));
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -87,6 +87,8 @@
 /// Memory that was read ahead; freed at its engine unless it was taken.
 #[derive(Debug)]
 pub struct Held {
+    /// Gateway.
+    pub gateway: Rc<Gateway>,
     /// Memory.
     pub handle: Handle,
     /// Engine that holds it.
@@ -100,13 +102,14 @@
         if self.is_taken {
             return;
         }
+        let gateway = Rc::clone(&self.gateway);
         let (reader, path) = (Rc::clone(&self.reader), egress::handle_path(&self.handle));
         task::spawn_local(async move {
             if let Some(Closure::Paused(left)) = reader.closure(Instant::now()) {
                 time::sleep(left.min(MOST_FREE_WAIT)).await;
             }
             let until = Instant::now() + FREE_TIME;
-            let freed = exchange::call_own(&reader, Method::DELETE, &path, until).await;
+            let freed = exchange::call_own(&gateway, &reader, Method::DELETE, &path, until).await;
             log::debug!(upstream:% = reader.row.id, path:% = path, freed:? = freed; "handle freed");
         });
     }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -132,7 +132,7 @@
     };
     let exchange = async {
         let answer = exchange::send(gateway, target, call, &terms).await?;
-        let answer = exchange::finish(target, answer).await?;
+        let answer = exchange::finish(gateway, target, answer, exchange::HELD_BYTES).await?;
         match answer.mark {
             Mark::Signed => Ok(answer),
             _ => Err(Failure::Broken("the answer is not signed".into())),
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -31,6 +31,8 @@
 /// Idle connections kept to one upstream. Upstreams bound the connections of all hosts together,
 /// and those of a host that lost power stay open there for a while.
 const MOST_IDLE: usize = 8;
+/// Bytes of an answer that wait to be read on a connection; a larger head is no answer.
+const BUFFER_BYTES: usize = 64 << 10;
 /// How much earlier than the upstream an idle connection is given up.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
 
@@ -211,7 +213,10 @@
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_TIMEOUT))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
     let driver = task::spawn_local(async move {
         if let Err(cause) = connection.await {
             log::debug!(address:% = address, cause:% = cause; "connection to an upstream ended");
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -113,7 +113,15 @@
                 Ok(Some(Err(cause))) => {
                     return End::Broken(compact_str::format_compact!("{cause}"));
                 }
-                Ok(Some(Ok(frame))) => frame.data_ref().and_then(|data| opened.splitter.push(data)),
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.data_ref().map_or(&[][..], |data| data);
+                    match opened.splitter.push(data) {
+                        Ok(events) => events,
+                        Err(cause) => {
+                            return End::Broken(compact_str::format_compact!("{cause}"));
+                        }
+                    }
+                }
             };
             if let Some(events) = events
                 && let Some(end) = self.send(events).await
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,5 +1,6 @@
 //! The platform's store: calls of its log and the framing of its records.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -42,6 +43,9 @@
 /// Longest wait for an answer beyond the wait asked for; leaves time for one more try within the
 /// two seconds in which changes have to be in force.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Largest answer that is read, in bytes; the store bounds readings and pages to a megabyte of
+/// content, which base64 makes a third larger.
+const ANSWER_BYTES: u64 = 4 << 20;
 /// Bytes before the first record of a reading: end and first kept offset, eight each.
 const READ_HEAD_BYTES: usize = 16;
 /// Bytes of a record's length.
@@ -144,7 +148,7 @@
             return Err(AppendError::Refused(format!("the store answered {status}")).into());
         }
         let unknown = |cause: &dyn std::fmt::Display| AppendError::Unknown(cause.to_string());
-        let body = response.bytes().map_err(|cause| unknown(&cause))?;
+        let body = content_of(response).map_err(|cause| unknown(&cause))?;
         if status == STATUS_MOVED {
             let moved: Moved = serde_json::from_slice(&body).map_err(|cause| unknown(&cause))?;
             return Err(ConditionError::Moved(moved.end_offset));
@@ -172,7 +176,7 @@
             .send()
             .map_err(read_error)?;
         let status = response.status();
-        let body = response.bytes().map_err(read_error)?;
+        let body = content_of(response)?;
         if status == STATUS_GONE {
             let gone: Gone = serde_json::from_slice(&body).map_err(read_error)?;
             return Err(ChangesError::Gap(gone.first_offset));
@@ -198,7 +202,7 @@
             .send()
             .and_then(Response::error_for_status)
             .map_err(read_error)?;
-        let body = response.bytes().map_err(read_error)?;
+        let body = content_of(response)?;
         serde_json::from_slice(&body).map_err(read_error)
     }
 }
@@ -248,6 +252,20 @@
     }
 }
 
+/// Reads an answer's body, up to [`ANSWER_BYTES`].
+fn content_of(response: Response) -> Result<Vec<u8>, ReadError> {
+    let (_, _, reader) = response.split();
+    let mut body = Vec::new();
+    let read = reader.take(ANSWER_BYTES + 1).read_to_end(&mut body);
+    read.map_err(read_error)?;
+    if body.len() as u64 > ANSWER_BYTES {
+        return Err(ReadError(format!(
+            "the store's answer is larger than {ANSWER_BYTES} bytes"
+        )));
+    }
+    Ok(body)
+}
+
 fn read_error<E>(cause: E) -> ReadError
 where
     E: std::fmt::Display,
--- a/tests/decisions/events.rs
+++ b/tests/decisions/events.rs
@@ -3,8 +3,19 @@
 use proptest::prelude::ProptestConfig;
 use proptest::proptest;
 
+use pistachiohall::gateway::events::EVENT_BYTES;
+use pistachiohall::gateway::events::Oversize;
 use pistachiohall::gateway::events::Splitter;
 
+/// Guards against an event with a hole where bytes beyond the limit were thrown away.
+#[test]
+fn an_event_without_end_fails_and_holds_a_bounded_amount() {
+    let mut splitter = Splitter::default();
+    let piece = vec![b'x'; EVENT_BYTES - 8];
+    assert_eq!(splitter.push(&piece), Ok(None));
+    assert_eq!(splitter.push(&piece), Err(Oversize));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -21,7 +32,7 @@
         let mut splitter = Splitter::default();
         let mut out = Vec::new();
         for pair in cuts.windows(2) {
-            if let Some(events) = splitter.push(&bytes[pair[0]..pair[1]]) {
+            if let Some(events) = splitter.push(&bytes[pair[0]..pair[1]]).unwrap() {
                 assert!(events.ends_with(format!("{end}{end}").as_bytes()));
                 out.extend_from_slice(&events);
             }
--- /dev/null
+++ b/tests/gateway/endless.rs
@@ -0,0 +1,173 @@
+//! Bytes that are no answer and do not end, in a head, a body or an event, at each reader.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+
+use pistachiohall::standin::fleet::replica::Manner;
+use pistachiohall::standin::fleet::replica::Seen;
+
+use super::site::Gateway;
+use super::site::NO_ORDERS;
+use super::site::Site;
+use super::site::wait_for;
+
+const SHORT_PROMPT: [(&str, &str); 2] = [
+    ("Pistachiohall-Token-Count", "200,4"),
+    ("Pistachiohall-Prompt-Prefix", "a1:50,b2:30,c3:120"),
+];
+const LONG_PROMPT: [(&str, &str); 2] = [
+    ("Pistachiohall-Token-Count", "9000,4"),
+    ("Pistachiohall-Prompt-Prefix", "a1:2500,b2:3500,c3:3000"),
+];
+/// Timeout of all routes.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Time beyond it in which an answer has to be there.
+const SLACK: Duration = Duration::from_millis(500);
+/// Bytes that a connection between two processes of one machine takes up unread, at most.
+const SOCKET_BYTES: usize = 16 << 20;
+
+/// Waits until the gateway has closed the connection of the first request at `id`.
+fn closed(site: &Site, id: &str) -> Seen {
+    let first = || site.replicas[id].seen().into_iter().next();
+    wait_for("the end of the connection", || {
+        first().is_some_and(|seen| seen.left_after.is_some())
+    });
+    first().unwrap()
+}
+
+/// Guards against a caller that waits, and a host that reads, until an upstream in trouble stops.
+#[rstest]
+#[case::head(Manner::EndlessHead)]
+#[case::body(Manner::EndlessBody)]
+fn a_safe_request_is_answered_elsewhere(#[case] manner: Manner) {
+    let site = Site::desks(&["c1", "c2"]);
+    site.replicas["c1"].set_manner(manner);
+    wait_for("a request at the upstream", || {
+        let begun = Instant::now();
+        let answer = site.gateway.call("GET", "/read/a", "r", &[]);
+        assert_eq!(
+            (answer.status, answer.body.as_str()),
+            (200, "the whole answer")
+        );
+        assert!(begun.elapsed() < TIMEOUT);
+        !site.replicas["c1"].seen().is_empty()
+    });
+    let seen = closed(&site, "c1");
+    assert!(seen.left_after.unwrap() < TIMEOUT + SLACK);
+    assert!(
+        seen.poured < SOCKET_BYTES,
+        "{} bytes were taken",
+        seen.poured
+    );
+}
+
+#[rstest]
+#[case::head(Manner::EndlessHead)]
+#[case::body(Manner::EndlessBody)]
+fn an_unsafe_request_fails_and_runs_once(#[case] manner: Manner) {
+    let site = Site::desks(&["c1", "c2"]);
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(manner));
+    let answer = site.gateway.call("POST", "/act/a", "r1", &[]);
+    assert_eq!(answer.status, 502, "it may have run");
+    assert_eq!(site.runs(), 1);
+}
+
+/// Guards against a caller who waits for the end of a refusal whose head has said all.
+#[test]
+fn a_refusal_without_end_is_a_refusal() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_manner(Manner::EndlessRefusal);
+    let begun = Instant::now();
+    let answer = site.gateway.call("POST", "/act/a", "r1", &[]);
+    assert_eq!(answer.status, 503);
+    assert!(
+        begun.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        begun.elapsed()
+    );
+    closed(&site, "c1");
+}
+
+/// An event without end is broken off by its size, long before the request's time is over.
+#[test]
+fn an_event_without_end_breaks_the_stream() {
+    let site = Site::start(&[], &[("d1", "decode")], NO_ORDERS);
+    site.replicas["d1"].set_manner(Manner::EndlessEvent);
+    let answer = site.gateway.call("POST", "/draft/a", "r1", &SHORT_PROMPT);
+    assert_ne!(answer.status, 200);
+    let seen = closed(&site, "d1");
+    assert!(seen.left_after.unwrap() < Duration::from_secs(1));
+    assert!(
+        seen.poured < SOCKET_BYTES,
+        "{} bytes were taken",
+        seen.poured
+    );
+}
+
+/// A stream that sends a byte now and then and never an event ends with the request's time.
+#[test]
+fn a_stream_that_drips_ends_in_time() {
+    let site = Site::start(&[], &[("d1", "decode")], NO_ORDERS);
+    site.replicas["d1"].set_manner(Manner::Drip);
+    let begun = Instant::now();
+    let answer = site.gateway.call("POST", "/draft/a", "r1", &SHORT_PROMPT);
+    assert_ne!(answer.status, 200);
+    assert!(begun.elapsed() < TIMEOUT + SLACK);
+    assert!(closed(&site, "d1").left_after.unwrap() < TIMEOUT + SLACK);
+}
+
+/// A slow stream whose events come within the route's time is passed on to its end.
+#[test]
+fn a_slow_and_sound_stream_is_not_cut() {
+    let site = Site::start(&[], &[("d1", "decode")], NO_ORDERS);
+    site.replicas["d1"].set_pause(Duration::from_millis(380));
+    let answer = site.gateway.call("POST", "/draft/a", "r1", &SHORT_PROMPT);
+    assert_eq!(answer.status, 200);
+    assert!(answer.is_whole);
+    assert!(answer.body.contains("token 4"));
+}
+
+/// A reader whose answer does not end has not read the prompt; another engine serves the request.
+#[rstest]
+#[case::head(Manner::EndlessHead)]
+#[case::body(Manner::EndlessBody)]
+fn a_reading_without_end_is_given_up(#[case] manner: Manner) {
+    let engines = [("p1", "prefill"), ("d1", "decode")];
+    let site = Site::start(&[], &engines, NO_ORDERS);
+    site.replicas["p1"].set_manner(manner);
+    let answer = site.gateway.call("POST", "/ask/a", "r1", &LONG_PROMPT);
+    assert!([200, 503].contains(&answer.status), "{}", answer.status);
+    let seen = closed(&site, "p1");
+    assert!(seen.left_after.unwrap() < Duration::from_secs(1));
+    assert!(
+        seen.poured < SOCKET_BYTES,
+        "{} bytes were taken",
+        seen.poured
+    );
+}
+
+/// A report without end is given up, and the duty goes on with the other engines.
+#[test]
+fn a_report_without_end_is_given_up() {
+    let engines = [("d1", "decode"), ("d2", "decode"), ("d3", "decode")];
+    let site = Site::start(&[], &engines, NO_ORDERS);
+    // Engines that started last are asked first; with equal starts, in the order of names.
+    site.replicas["d1"].set_manner(Manner::EndlessBody);
+    let orders = "[orders]\nread_share = 0.67\n";
+    let second = Gateway::start("h0", site.store.address(), orders);
+    second.wait_line(&["upstream=d1", "report=none", "larger than"]);
+    wait_for("an order to another engine", || {
+        let stages = ["d2", "d3"].map(|id| site.replicas[id].role().0);
+        stages.contains(&Some("prefill"))
+    });
+    let seen = closed(&site, "d1");
+    assert!(
+        seen.poured < SOCKET_BYTES,
+        "{} bytes were taken",
+        seen.poured
+    );
+}
