Count a lease's time while the machine is suspended

Cause: the lease was measured by the monotonic clock, which stands still while a machine is suspended. A host that was suspended for seconds with a lease in force went on giving orders under it for up to two seconds after it woke, while another host held the next lease. Where engines do not check tokens both would have acted. Found by reading, after operators of similar systems saw orders go out twice around a hand-over.

Change: the clock tells the time since the machine's start, and the lease uses it. The soak draws upstreams that speak of themselves in their answers, from seed 2000 on.

--- a/src/clock/mock.rs
+++ b/src/clock/mock.rs
@@ -14,6 +14,7 @@
     start: Instant,
     start_wall: SystemTime,
     elapsed: Arc<Mutex<Duration>>,
+    suspended: Arc<Mutex<Duration>>,
 }
 
 impl Mock {
@@ -32,6 +33,7 @@
             start: Instant::now(),
             start_wall: wall,
             elapsed: Arc::default(),
+            suspended: Arc::default(),
         }
     }
 
@@ -40,6 +42,15 @@
         *self.elapsed.lock().expect("clock lock") += period;
     }
 
+    /// Lets a time pass in which the machine is suspended: its monotonic time stands still.
+    pub fn suspend(&self, period: Duration) {
+        *self.suspended.lock().expect("clock lock") += period;
+    }
+
+    fn suspended(&self) -> Duration {
+        *self.suspended.lock().expect("clock lock")
+    }
+
     fn elapsed(&self) -> Duration {
         *self.elapsed.lock().expect("clock lock")
     }
@@ -50,8 +61,12 @@
         self.start + self.elapsed()
     }
 
+    fn boot(&self) -> Duration {
+        self.elapsed() + self.suspended()
+    }
+
     fn wall(&self) -> SystemTime {
-        self.start_wall + self.elapsed()
+        self.start_wall + self.elapsed() + self.suspended()
     }
 
     fn sleep(&self, period: Duration) {
--- a/src/clock/real.rs
+++ b/src/clock/real.rs
@@ -16,6 +16,11 @@
         Instant::now()
     }
 
+    fn boot(&self) -> Duration {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
--- a/src/reassign/duty.rs
+++ b/src/reassign/duty.rs
@@ -149,7 +149,7 @@
             return;
         };
         for change in wanted {
-            if clock.now() >= held.until {
+            if clock.boot() >= held.until {
                 return;
             }
             if let Some(row) = view.rows.iter().find(|row| row.id == change.engine) {
@@ -222,7 +222,7 @@
         };
         let outcome = match report.role == change.role || report.is_busy {
             true => Outcome::Needless,
-            false if clock.now() >= held.until || life.closure(clock.now()).is_some() => return,
+            false if clock.boot() >= held.until || life.closure(clock.now()).is_some() => return,
             false => {
                 let body =
                     egress::role_order(&self.officer.host, held.fence, change.role, report.orders);
--- a/src/reassign/term.rs
+++ b/src/reassign/term.rs
@@ -1,7 +1,6 @@
 //! The right to give orders: a record in the store that one host holds for a while.
 
 use std::time::Duration;
-use std::time::Instant;
 
 use log::info;
 use log::warn;
@@ -37,7 +36,8 @@
 struct Seen {
     record: Option<Record>,
     end: Offset,
-    since: Instant,
+    /// When the record was first seen so, by the time since the machine's start.
+    since: Duration,
 }
 
 /// A lease that is in force.
@@ -45,8 +45,9 @@
 pub struct Held {
     /// Fencing token: offset of the lease's record.
     pub fence: Offset,
-    /// When orders under it have to stop.
-    pub until: Instant,
+    /// When orders under it have to stop, by the time since the machine's start: a suspended host
+    /// must not go on as if no time had passed.
+    pub until: Duration,
 }
 
 /// The lease as one host sees it.
@@ -79,7 +80,7 @@
         C: Clock,
         K: Keyed,
     {
-        let now = clock.now();
+        let now = clock.boot();
         if let Some(held) = self.held
             && now < held.until
         {
@@ -137,7 +138,7 @@
         self.seen = None;
     }
 
-    fn look<K>(&mut self, now: Instant, store: &K) -> Result<(), ReadError>
+    fn look<K>(&mut self, now: Duration, store: &K) -> Result<(), ReadError>
     where
         K: Keyed,
     {
@@ -172,13 +173,13 @@
     }
 
     /// Returns where the topic has to end for the lease to be taken, if it may be taken now.
-    fn takeable(&self, now: Instant) -> Option<Offset> {
+    fn takeable(&self, now: Duration) -> Option<Offset> {
         let seen = self.seen.as_ref()?;
         let is_own = seen
             .record
             .as_ref()
             .is_none_or(|record| record.holder == self.host && record.born == self.born);
-        let stood = now.saturating_duration_since(seen.since);
+        let stood = now.saturating_sub(seen.since);
         (is_own || stood >= self.lease * STANDING_LEASES).then_some(seen.end)
     }
 }
--- a/src/standin/fleet/replica.rs
+++ b/src/standin/fleet/replica.rs
@@ -93,6 +93,10 @@
     pub left_after: Option<Duration>,
     /// Bytes of an answer without end that were written.
     pub poured: usize,
+    /// Whether it was refused with a time for which the upstream wants no more.
+    pub asked_pause: bool,
+    /// Whether its answers said that it leaves when the request came.
+    pub said_leaving: bool,
 }
 
 impl Seen {
@@ -308,7 +312,11 @@
         return Ok(Next::Keep);
     }
     if manner == Manner::Shed {
-        note(shared, &request, false);
+        let index = note(shared, &request, false);
+        {
+            let mut state = shared.lock().expect("replica lock");
+            state.seen[index].asked_pause = state.retry_after.is_some();
+        }
         let fields = [
             ("Pistachiohall-Request-Id", own_id.as_str()),
             ("Pistachiohall-Not-Executed", "1"),
@@ -393,6 +401,7 @@
 
 fn note(shared: &Mutex<State>, request: &Request, ran: bool) -> usize {
     let mut state = shared.lock().expect("replica lock");
+    let said_leaving = state.is_leaving;
     state.seen.push(Seen {
         at: Instant::now(),
         method: request.method.clone(),
@@ -402,6 +411,8 @@
         ran,
         left_after: None,
         poured: 0,
+        asked_pause: false,
+        said_leaving,
     });
     state.seen.len() - 1
 }
--- a/tests/decisions/term.rs
+++ b/tests/decisions/term.rs
@@ -101,7 +101,7 @@
         }
     }
     let taken = taken.unwrap();
-    assert!(clock.now() >= held.until + LEASE);
+    assert!(clock.boot() >= held.until + LEASE);
     assert!(taken.fence > held.fence);
 }
 
@@ -117,6 +117,24 @@
     assert_eq!(held.fence, 1);
 }
 
+/// Guards against orders of two hosts at once: the monotonic time of a suspended machine stands
+/// still, and its lease must not.
+#[test]
+fn a_host_that_was_suspended_holds_its_lease_no_longer() {
+    let store = Memory::default();
+    let (clock, others) = (
+        Mock::new(SystemTime::UNIX_EPOCH),
+        Mock::new(SystemTime::UNIX_EPOCH),
+    );
+    let (mut one, mut other) = (term("h1"), term("h2"));
+    one.acquire(&clock, &store).unwrap();
+    assert!(other.acquire(&others, &store).is_none());
+    clock.suspend(10 * LEASE);
+    others.advance(10 * LEASE);
+    assert!(other.acquire(&others, &store).is_some());
+    assert!(one.acquire(&clock, &store).is_none());
+}
+
 /// A process that was restarted is another holder.
 #[test]
 fn a_restarted_host_waits_like_any_other() {
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -18,6 +18,13 @@
 const LEAVE_TIME: Duration = Duration::from_secs(2);
 /// Time beyond it on a machine that is busy with other tests.
 const LEAVE_SLACK: Duration = Duration::from_secs(3);
+/// Value of the field by which an upstream asks for a pause.
+pub const PAUSE_TEXT: &str = "2";
+/// The pause.
+const PAUSE: Duration = Duration::from_secs(2);
+/// Time after the question for a pause from which requests count, and how many may come then.
+const PAUSE_START: Duration = Duration::from_millis(500);
+const PAUSE_REQUESTS: usize = 2;
 /// Body of a plain answer.
 const PLAIN: &str = "the whole answer";
 /// Statuses that say that a request has not run and will not.
@@ -95,6 +102,98 @@
     .collect()
 }
 
+/// What an upstream said of itself in its answers, and which requests it got.
+pub struct Said<'a> {
+    /// Name of the upstream.
+    pub upstream: &'a str,
+    /// All calls.
+    pub calls: &'a [Call],
+    /// What it saw.
+    pub seen: &'a [Seen],
+    /// What happened to the gateways.
+    pub disturbances: &'a [Disturbance],
+}
+
+impl Said<'_> {
+    /// Returns the promises that were broken.
+    pub fn broken(&self) -> Vec<String> {
+        let calls: HashMap<&str, &Call> = self
+            .calls
+            .iter()
+            .map(|call| (call.id.as_str(), call))
+            .collect();
+        let sent: Vec<(&Seen, &Call)> = self
+            .seen
+            .iter()
+            .filter_map(|seen| Some((seen, *calls.get(seen.field("pistachiohall-request-id"))?)))
+            .collect();
+        let gateways = self.calls.iter().map(|call| call.gateway).max();
+        let gateways = 0..=gateways.unwrap_or_default();
+        gateways
+            .flat_map(|gateway| {
+                let own: Vec<_> = sent
+                    .iter()
+                    .copied()
+                    .filter(|(_, call)| call.gateway == gateway)
+                    .collect();
+                let mut broken = self.after_leaving(gateway, &own);
+                broken.extend(self.within_pause(gateway, &own));
+                broken
+            })
+            .collect()
+    }
+
+    /// A restart or a freeze of the gateway excuses what it forgot.
+    fn is_disturbed(&self, gateway: usize, from: Instant, until: Instant) -> bool {
+        self.disturbances
+            .iter()
+            .any(|one| one.gateway == gateway && one.until >= from && one.from <= until)
+    }
+
+    fn after_leaving(&self, gateway: usize, sent: &[(&Seen, &Call)]) -> Vec<String> {
+        // The head that the caller got is of the upstream that ran the request.
+        let told = sent.iter().filter(|(seen, call)| {
+            let answer = call.answer.as_ref();
+            let is_told = answer.is_some_and(|answer| answer.fields.contains_key("server-leaving"));
+            is_told && seen.ran && seen.said_leaving
+        });
+        let Some(told) = told.map(|(_, call)| call.ended).min() else {
+            return Vec::new();
+        };
+        let late = sent.iter().filter(|(seen, call)| {
+            call.sent > told + LEAVE_TIME && !self.is_disturbed(gateway, told, seen.at)
+        });
+        late.map(|(_, call)| {
+            format!(
+                "{} reached {} by gateway {gateway}, which had passed on that it leaves",
+                call.id, self.upstream
+            )
+        })
+        .collect()
+    }
+
+    fn within_pause(&self, gateway: usize, sent: &[(&Seen, &Call)]) -> Vec<String> {
+        let asked = sent.iter().filter(|(seen, _)| seen.asked_pause);
+        asked
+            .filter_map(|(asked, _)| {
+                let within = sent
+                    .iter()
+                    .filter(|(seen, _)| {
+                        seen.at > asked.at + PAUSE_START && seen.at < asked.at + PAUSE
+                    })
+                    .count();
+                let is_disturbed = self.is_disturbed(gateway, asked.at, asked.at + PAUSE);
+                (within > PAUSE_REQUESTS && !is_disturbed).then(|| {
+                    format!(
+                        "{within} requests of gateway {gateway} reached {} in its pause",
+                        self.upstream
+                    )
+                })
+            })
+            .collect()
+    }
+}
+
 /// Returns what is wrong with an answer.
 fn answer(call: &Call, runs: usize, is_disturbed: bool) -> Option<String> {
     let answer = call.answer.as_ref()?;
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -16,6 +16,10 @@
 const LONGEST: Duration = Duration::from_millis(1200);
 /// Seeds from which on upstreams leave.
 const FIRST_LEAVING: u64 = 1000;
+/// Seeds from which on upstreams speak of themselves in their answers.
+const FIRST_NOTICE: u64 = 2000;
+/// Sets the draw of these apart from that of the other faults.
+const NOTICE_SEED: u64 = 0x5a1d;
 /// Sets the draw of leaving upstreams apart from that of the other faults.
 const LEAVE_SEED: u64 = 0x1ea7e;
 /// Fewest and most faults of a run.
@@ -48,6 +52,10 @@
     Lapse(usize),
     /// An upstream leaves for the rest of the run.
     Leave(usize, Departure),
+    /// An upstream's answers say that it leaves, for the rest of the run.
+    SayLeaving(usize),
+    /// An upstream refuses all and asks for a pause.
+    AskPause(usize),
 }
 
 /// How an upstream leaves.
@@ -102,6 +110,7 @@
         entries.push(Entry { fault, from, until });
     }
     entries.extend(leave(seed, upstreams));
+    entries.extend(notice(seed, upstreams));
     entries.sort_by_key(|entry| entry.from);
     entries
 }
@@ -125,6 +134,24 @@
     })
 }
 
+/// Draws the upstream that speaks of itself in some runs.
+fn notice(seed: u64, upstreams: usize) -> Option<Entry> {
+    let mut random = StdRng::seed_from_u64(seed ^ NOTICE_SEED);
+    let upstream = random.random_range(0..upstreams);
+    let fault = match random.random_range(0..3) {
+        _ if seed < FIRST_NOTICE => return None,
+        0 => Fault::SayLeaving(upstream),
+        1 => Fault::AskPause(upstream),
+        _ => return None,
+    };
+    let from = SPAN.mul_f64(random.random());
+    Some(Entry {
+        fault,
+        from,
+        until: from + LONGEST,
+    })
+}
+
 fn link(random: &mut StdRng) -> Link {
     match random.random_range(0..5) {
         0 => Link::Slow(Duration::from_millis(random.random_range(5..120))),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -39,6 +39,8 @@
 #[case::streams_broken_off(68)]
 #[case::upstream_removed(1030)]
 #[case::upstream_drained(1045)]
+#[case::says_that_it_leaves(2004)]
+#[case::asks_for_a_pause(2009)]
 fn promises_hold_under_faults(#[case] seed: u64) {
     let report = play(seed);
     assert!(report.answers > 0, "no request was answered");
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -112,6 +112,7 @@
     was_killed: [bool; GATEWAYS],
     disturbances: Vec<Disturbance>,
     left: Option<usize>,
+    says_leaving: Option<usize>,
     calm: Instant,
     broken: Vec<String>,
 }
@@ -132,7 +133,7 @@
             .collect();
         world.suffer(&entries, &addresses);
         world.calm = Instant::now();
-        thread::sleep(match world.left {
+        thread::sleep(match world.left.or(world.says_leaving) {
             Some(_) => LONG_AFTERMATH,
             None => AFTERMATH,
         });
@@ -194,6 +195,7 @@
             was_killed: [false; GATEWAYS],
             disturbances: Vec::new(),
             left: None,
+            says_leaving: None,
             calm: Instant::now(),
             broken: Vec::new(),
         }
@@ -262,6 +264,15 @@
                 let (name, ..) = UPSTREAMS[index];
                 self.store.remove(store::UPSTREAM_TOPIC, name);
             }
+            Fault::SayLeaving(index) => {
+                self.says_leaving = Some(index);
+                self.upstreams[index].replica.set_leaving(true);
+            }
+            Fault::AskPause(index) => {
+                let replica = &self.upstreams[index].replica;
+                replica.set_retry_after(Some(check::PAUSE_TEXT));
+                replica.set_manner(Manner::Shed);
+            }
             Fault::Leave(index, departure) => {
                 let (name, ..) = UPSTREAMS[index];
                 self.left = Some(index);
@@ -292,7 +303,16 @@
                     self.restart(index, addresses);
                 }
             }
-            Fault::Reload(_) | Fault::Configure | Fault::Compact | Fault::Leave(..) => (),
+            Fault::Reload(_)
+            | Fault::Configure
+            | Fault::Compact
+            | Fault::Leave(..)
+            | Fault::SayLeaving(_) => (),
+            Fault::AskPause(index) => {
+                let replica = &self.upstreams[index].replica;
+                replica.set_retry_after(None);
+                replica.set_manner(Manner::Sound);
+            }
             Fault::Store(_) => self.store.set_trouble(Trouble::None),
             Fault::StoreLink(index, _) => self.store_links[index].set(Link::Sound),
             Fault::Upstream(index, _) => self.upstreams[index].proxy.set(Link::Sound),
@@ -392,6 +412,16 @@
             let seen = self.upstreams[left].replica.seen();
             self.broken.extend(check::departure(name, &seen, self.calm));
         }
+        for (upstream, (name, ..)) in self.upstreams.iter().zip(UPSTREAMS) {
+            let seen = upstream.replica.seen();
+            let said = check::Said {
+                upstream: name,
+                calls,
+                seen: &seen,
+                disturbances: &self.disturbances,
+            };
+            self.broken.extend(said.broken());
+        }
         for (index, gateway) in self.gateways.iter_mut().enumerate() {
             gateway.signal("-TERM");
             let code = gateway.wait();
