Learn how fast the engines of a site are from its first readings

Cause: a forecast was multiplied by a pace that was an average of ratios to that same forecast, so that it settled at the square root of the truth; it started at the first site's engines, took some sixty readings of one host at one engine to move, and was bounded at 8.

Change: one pace a service, whose first readings count in full, and a slower one for what sets an engine apart; both follow the ratio to the forecast. A running request's cost goes with the pace.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -227,7 +227,7 @@
             let held = before.rows.iter().find(|held| held.id == row.id);
             let is_new_life = held.is_none_or(|held| held.born != row.born);
             if is_new_life || !board.knows(&row.id) {
-                board.add(&row.id, engine.memory_tokens);
+                board.add(&row.id, &row.service, engine.memory_tokens);
             }
         }
         board.retain(|id| view.rows.iter().any(|row| row.id == *id));
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -5,17 +5,15 @@
 use std::time::Instant;
 
 use super::cache::Cache;
+use super::pace::Pace;
 use crate::gateway::call::Part;
 use crate::gossip;
 use crate::id::HostId;
+use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
 /// Age from which a peer's numbers no longer count; peers repeat them at least every 400 ms.
 const PEER_MEMORY: Duration = Duration::from_millis(1000);
-/// Weight of the newest measurement of an engine's pace.
-const PACE_SMOOTHING: f64 = 0.05;
-/// Bounds of an engine's pace.
-const PACE_BOUNDS: (f64, f64) = (0.5, 8.0);
 
 /// Work that one host has given to one engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -31,27 +29,31 @@
 #[derive(Debug)]
 struct Engine {
     digest: u32,
+    service: ServiceId,
     own: Load,
     peers: HashMap<HostId, (Load, Instant)>,
     cache: Cache,
-    pace: f64,
+    /// Relative to the pace of its service.
+    pace: Pace,
 }
 
 /// Loads and caches of all engines.
 #[derive(Debug, Default)]
 pub struct Board {
     engines: HashMap<UpstreamId, Engine>,
+    paces: HashMap<ServiceId, Pace>,
 }
 
 impl Board {
     /// Adds an engine, or forgets all about one that was started anew.
-    pub fn add(&mut self, id: &UpstreamId, memory_tokens: u64) {
+    pub fn add(&mut self, id: &UpstreamId, service: &ServiceId, memory_tokens: u64) {
         let engine = Engine {
             digest: gossip::digest(id),
+            service: service.clone(),
             own: Load::default(),
             peers: HashMap::new(),
             cache: Cache::new(memory_tokens),
-            pace: 1.0,
+            pace: Pace::of_engine(),
         };
         self.engines.insert(id.clone(), engine);
     }
@@ -139,14 +141,19 @@
 
     /// Returns how long an engine takes relative to the cost model.
     pub fn pace(&self, id: &UpstreamId) -> f64 {
-        self.engines.get(id).map_or(1.0, |engine| engine.pace)
+        let Some(engine) = self.engines.get(id) else {
+            return 1.0;
+        };
+        let service = self.paces.get(&engine.service);
+        engine.pace.factor() * service.map_or(1.0, Pace::factor)
     }
 
-    /// Notes how long a reading took relative to what was expected.
+    /// Notes how long a reading took relative to what was forecast with the engine's pace.
     pub fn note_pace(&mut self, id: &UpstreamId, ratio: f64) {
         if let Some(engine) = self.engines.get_mut(id) {
-            let pace = engine.pace * (1.0 - PACE_SMOOTHING) + ratio * PACE_SMOOTHING;
-            engine.pace = pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+            let service = self.paces.entry(engine.service.clone());
+            service.or_insert_with(Pace::of_service).note(ratio);
+            engine.pace.note(ratio);
         }
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,6 +5,7 @@
 pub mod board;
 pub mod cache;
 pub mod cost;
+pub mod pace;
 
 use std::time::Duration;
 
@@ -260,7 +261,7 @@
 fn whole<'a>(job: &Job<'_>, engine: &'a Engine, lane: Lane) -> Way<'a> {
     let reading = cost::reading(job.prompt, engine.cached, engine.role).mul_f64(engine.pace);
     let wait = queue(engine, lane) + reading;
-    let crowding = cost::crowding(engine.running);
+    let crowding = cost::crowding(engine.running) * engine.pace;
     Way {
         reader: engine,
         generator: engine,
@@ -279,7 +280,7 @@
     let reading = cost::reading(job.prompt, reader.cached, reader.role).mul_f64(reader.pace);
     let load = |engine: &Engine| {
         let distance = cost::distance(engine.domain != reader.domain);
-        engine.backlog.as_secs_f64() / 2.0 + cost::crowding(engine.running) + distance
+        engine.backlog.as_secs_f64() / 2.0 + cost::crowding(engine.running) * engine.pace + distance
     };
     let by_load = |one: &&Engine, other: &&Engine| load(one).total_cmp(&load(other));
     let generator = generators.iter().copied().min_by(by_load)?;
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod gossip;
 mod logging;
+mod pace;
 mod placement;
 mod reassign;
 mod share;
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -239,7 +239,7 @@
 fn peers_loads_count_until_they_fall_silent() {
     let mut board = Board::default();
     let engine = "e1".into();
-    board.add(&engine, 1000);
+    board.add(&engine, &"lm".into(), 1000);
     let now = Instant::now();
     let load = |running| Load {
         running,
