--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -8,4 +8,5 @@
 mod model;
 mod notice;
 mod plain;
+mod reports;
 mod site;
