--- a/src/availability/mod.rs
+++ b/src/availability/mod.rs
@@ -5,6 +5,7 @@
 //! clock or a socket.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -151,8 +152,13 @@
     /// Forgets lives that have no entry among `rows` and said nothing that still binds.
     pub fn forget(&self, rows: &[Row], now: Instant) {
         let mut lives = self.lives.lock().expect("lives lock");
+        if lives.len() <= rows.len() {
+            return;
+        }
+        let entries: HashSet<(&UpstreamId, Birth)> =
+            rows.iter().map(|row| (&row.id, row.born)).collect();
         lives.retain(|(id, born), life| {
-            let has_entry = rows.iter().any(|row| row.id == *id && row.born == *born);
+            let has_entry = entries.contains(&(id, *born));
             has_entry || !life.is_over(now)
         });
     }
--- a/tests/decisions/availability.rs
+++ b/tests/decisions/availability.rs
@@ -14,21 +14,12 @@
 use pistachiohall::fleet::Row;
 use pistachiohall::fleet::State;
 use pistachiohall::platform::egress;
-use pistachiohall::upstream::Role;
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Returns the entry of an upstream's life that is ready.
 fn row(born: u64) -> Row {
-    Row {
-        id: "c1".into(),
-        born,
-        service: "desk".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        domain: "derby".into(),
-        role: Role::Mixed,
-        state: State::Ready,
-        slots: 6,
-    }
+    super::row(born, State::Ready)
 }
 
 fn pause(seconds: u32) -> Notice {
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -14,3 +14,21 @@
 mod share;
 mod target;
 mod term;
+
+use pistachiohall::fleet::Row;
+use pistachiohall::fleet::State;
+use pistachiohall::upstream::Role;
+
+/// Returns the entry of one life of a plain upstream.
+fn row(born: u64, state: State) -> Row {
+    Row {
+        id: "c1".into(),
+        born,
+        service: "desk".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        domain: "derby".into(),
+        role: Role::Mixed,
+        state,
+        slots: 6,
+    }
+}
--- a/tests/decisions/target.rs
+++ b/tests/decisions/target.rs
@@ -3,24 +3,11 @@
 use std::time::Instant;
 
 use pistachiohall::availability::Lives;
-use pistachiohall::fleet::Row;
 use pistachiohall::fleet::State;
 use pistachiohall::gateway::target::Target;
-use pistachiohall::upstream::Role;
 use rstest::rstest;
 
-fn row(born: u64, state: State) -> Row {
-    Row {
-        id: "c1".into(),
-        born,
-        service: "desk".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        domain: "derby".into(),
-        role: Role::Mixed,
-        state,
-        slots: 6,
-    }
-}
+use super::row;
 
 /// Guards against new work at a draining upstream by a request that chose it just before and still
 /// waits for a connection.
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -9,18 +9,12 @@
 use pistachiohall::standin::fleet::replica::Seen;
 
 use super::site::Gateway;
+use super::site::LONG_PROMPT;
 use super::site::NO_ORDERS;
+use super::site::SHORT_PROMPT;
 use super::site::Site;
 use super::site::wait_for;
 
-const SHORT_PROMPT: [(&str, &str); 2] = [
-    ("Pistachiohall-Token-Count", "200,4"),
-    ("Pistachiohall-Prompt-Prefix", "a1:50,b2:30,c3:120"),
-];
-const LONG_PROMPT: [(&str, &str); 2] = [
-    ("Pistachiohall-Token-Count", "9000,4"),
-    ("Pistachiohall-Prompt-Prefix", "a1:2500,b2:3500,c3:3000"),
-];
 /// Timeout of all routes.
 const TIMEOUT: Duration = Duration::from_secs(2);
 /// Time beyond it in which an answer has to be there.
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -24,6 +24,16 @@
 
 /// Longest wait for something that must come about, far above what it takes on a busy machine.
 pub const LONG: Duration = Duration::from_secs(30);
+/// Fields of a request whose prompt is read at one engine for another.
+pub const LONG_PROMPT: [(&str, &str); 2] = [
+    ("Pistachiohall-Token-Count", "9000,4"),
+    ("Pistachiohall-Prompt-Prefix", "a1:2500,b2:3500,c3:3000"),
+];
+/// Fields of a request whose prompt is read where its tokens are generated.
+pub const SHORT_PROMPT: [(&str, &str); 2] = [
+    ("Pistachiohall-Token-Count", "200,4"),
+    ("Pistachiohall-Prompt-Prefix", "a1:50,b2:30,c3:120"),
+];
 /// Pause between two looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
 
