Read the longest prompts while queues are short

Cause: a request that will be late was refused if its whole wait, its own reading included, took more than a third of the caller's time.

Change: the third bounds the wait before the reading; the reading has to end while it is waited for.

Result: the two new tests of the longest prompts failed and pass.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -26,7 +26,8 @@
 /// Share of the target within which the first event has to be expected for an immediate start;
 /// the rest covers the network, the first token and errors of the estimate.
 const TARGET_SHARE: f64 = 0.75;
-/// Share of the time left until which late answers are still accepted into the queue.
+/// Share of the time left that a request which will be late may wait before it is read. Its own
+/// reading is not counted: a later try would take as long.
 const LATE_SHARE: f64 = 0.35;
 /// Share of the time left for which one try without a first event is waited for; the rest is for
 /// another try.
@@ -119,6 +120,8 @@
     reader: &'a Engine,
     generator: &'a Engine,
     spare: Option<&'a Engine>,
+    /// Time until the prompt is read.
+    queue: Duration,
     /// Time to the first event.
     wait: Duration,
     /// Wait and engine time together.
@@ -159,7 +162,7 @@
         return best.plan(urgency);
     }
     match best_way(job, engines, Lane::Late) {
-        Some(late) if late.wait <= job.left.mul_f64(LATE_SHARE) => late.plan(URGENCY_LATE),
+        Some(late) if late.is_of_use(job.left) => late.plan(URGENCY_LATE),
         _ => Plan::Refuse {
             retry_after: best.wait.saturating_sub(on_time).max(RETRY_LEAST),
             reason: "reading is backed up",
@@ -168,6 +171,11 @@
 }
 
 impl Way<'_> {
+    /// Returns whether a late answer is there while its caller still waits for it.
+    fn is_of_use(&self, left: Duration) -> bool {
+        self.queue <= left.mul_f64(LATE_SHARE) && self.wait <= left.mul_f64(LATE_PATIENCE_SHARE)
+    }
+
     fn plan(&self, urgency: u8) -> Plan {
         let reader = self.reader.id.clone();
         let generator = self.generator.id.clone();
@@ -260,12 +268,14 @@
 
 fn whole<'a>(job: &Job<'_>, engine: &'a Engine, lane: Lane) -> Way<'a> {
     let reading = cost::reading(job.prompt, engine.cached, engine.role).mul_f64(engine.pace);
-    let wait = queue(engine, lane) + reading;
+    let queue = queue(engine, lane);
+    let wait = queue + reading;
     let crowding = cost::crowding(engine.running) * engine.pace;
     Way {
         reader: engine,
         generator: engine,
         spare: None,
+        queue,
         wait,
         cost: wait.as_secs_f64() + WORK_WEIGHT * reading.as_secs_f64() + crowding,
     }
@@ -288,11 +298,13 @@
     let spare = others
         .filter(|engine| engine.id != generator.id)
         .min_by(by_load);
-    let wait = queue(reader, lane) + reading + MOVE_TIME;
+    let queue = queue(reader, lane);
+    let wait = queue + reading + MOVE_TIME;
     Some(Way {
         reader,
         generator,
         spare,
+        queue,
         wait,
         cost: wait.as_secs_f64() + WORK_WEIGHT * reading.as_secs_f64(),
     })
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -14,6 +14,7 @@
 use pistachiohall::placement::board::Load;
 use pistachiohall::placement::cost;
 use pistachiohall::upstream::Role;
+use rstest::rstest;
 
 fn engine(id: &str, role: Role) -> Engine {
     Engine {
@@ -285,3 +286,53 @@
         "a second try has to fit in: {on_time:?}"
     );
 }
+
+/// Pattern: the longest prompts at engines that read slowly and have little before them. Their own
+/// reading takes most of what the target allows and more than a third of the caller's time, which
+/// no later try changes: they are read, and not refused.
+#[rstest]
+#[case::idle(0)]
+#[case::short_queue(300)]
+fn the_longest_prompts_are_read_while_queues_are_short(#[case] backlog_ms: u64) {
+    let mut prompt = long(5);
+    prompt.tokens = 60_000;
+    let mut engines = fleet();
+    for engine in &mut engines {
+        engine.pace = 7.0;
+        engine.backlog = Duration::from_millis(backlog_ms);
+    }
+    let job = Job {
+        prompt: &prompt,
+        target_left: Duration::from_millis(800),
+        left: Duration::from_secs(5),
+    };
+    let reading = cost::reading(&prompt, 0, Role::Prefill).mul_f64(7.0);
+    assert!(reading > job.left.mul_f64(0.35) && reading < job.left.mul_f64(0.6));
+    let plan = placement::plan(&job, &engines);
+    assert!(matches!(plan, Plan::Split { urgency, .. } if urgency == placement::URGENCY_LATE));
+}
+
+/// The same prompts behind a long queue, or too long for what is left: refused at once, since the
+/// reading would end in vain.
+#[rstest]
+#[case::long_queue(1800, 5000)]
+#[case::too_little_time(0, 2000)]
+fn the_longest_prompts_are_refused_when_they_cannot_be_read_in_time(
+    #[case] backlog_ms: u64,
+    #[case] left_ms: u64,
+) {
+    let mut prompt = long(5);
+    prompt.tokens = 60_000;
+    let mut engines = fleet();
+    for engine in &mut engines {
+        engine.pace = 7.0;
+        engine.backlog = Duration::from_millis(backlog_ms);
+    }
+    let job = Job {
+        prompt: &prompt,
+        target_left: Duration::from_millis(800),
+        left: Duration::from_millis(left_ms),
+    };
+    let plan = placement::plan(&job, &engines);
+    assert!(matches!(plan, Plan::Refuse { .. }), "{plan:?}");
+}
