--- a/tests/decisions/target.rs
+++ b/tests/decisions/target.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use pistachiohall::availability::Closure;
 use pistachiohall::availability::Lives;
 use pistachiohall::fleet::State;
 use pistachiohall::gateway::target::Target;
@@ -40,3 +41,22 @@
     let resized = Target::new(row(1, State::Ready), 16, Some(&held), &Lives::default());
     assert!(!resized.takes_work(Instant::now()));
 }
+
+/// What one answer says binds every request that has chosen the upstream, and the next entry of the
+/// same life, also one that is found again after it was gone.
+#[test]
+fn what_an_upstream_says_binds_all_who_hold_it() {
+    let lives = Lives::default();
+    let now = Instant::now();
+    let chosen = Target::new(row(1, State::Ready), 8, None, &lives);
+    let changed = Target::new(row(1, State::Ready), 16, Some(&chosen), &lives);
+    let answer = http::Response::builder()
+        .header("server-leaving", "1")
+        .body(())
+        .unwrap();
+    changed.hear(&answer.into_parts().0, "r1");
+    assert_eq!(chosen.closure(now), Some(Closure::Leaving));
+    let found_again = Target::new(row(1, State::Ready), 8, None, &lives);
+    assert!(!found_again.takes_work(now));
+    assert!(Target::new(row(2, State::Ready), 8, None, &lives).takes_work(now));
+}
--- a/tests/gateway/explain.rs
+++ b/tests/gateway/explain.rs
@@ -115,3 +115,18 @@
     let cause = "cause: malformed or without a route: no route for host";
     assert!(account.contains(cause), "{account}");
 }
+
+/// What an upstream said of itself is shown with its age, beside what the registry says of it.
+#[test]
+fn walk_of_a_request_refused_since_upstreams_asked_for_a_pause() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_manner(Manner::Shed);
+    site.replicas["c1"].set_retry_after(Some("20"));
+    assert_eq!(site.gateway.call("POST", "/act/a", "r1", &[]).status, 503);
+    site.gateway.wait_line(&["request=r1", "outcome=refused"]);
+    let (code, account) = explain("r1", &[&site.gateway]);
+    assert_eq!(code, Some(0));
+    told(&account, "upstream asks for a pause");
+    assert!(account.contains("pause_ms=20000"), "{account}");
+    assert!(account.contains("upstream added"), "{account}");
+}
--- a/tests/gateway/notice.rs
+++ b/tests/gateway/notice.rs
@@ -64,6 +64,19 @@
         .wait_line(&["upstream=c1", "outcome=leaving", "told_by="]);
 }
 
+/// Connections that were kept to an upstream that leaves are closed, so that it can end.
+#[test]
+fn kept_connections_to_an_upstream_that_leaves_are_closed() {
+    let site = Site::desks(&["c1", "c2"]);
+    reach(&site, &site.gateway, "c1");
+    assert!(site.replicas["c1"].open_connections() > 0);
+    site.replicas["c1"].set_leaving(true);
+    reach(&site, &site.gateway, "c1");
+    wait_for("the end of kept connections", || {
+        site.replicas["c1"].open_connections() == 0
+    });
+}
+
 /// Guards against new work at a leaving upstream while the store is away and after its return, when
 /// the registry still holds the entry of the same life.
 #[test]
