Send subjects home while hosts know nothing, and learn paces where caches are known

Cause: after all processes had started anew, hosts believed that no engine keeps anything, took whichever of four engines had the shortest queue, and had shared parts read at several of them. A reading that was quick since the engine had kept the part taught a pace that was too low.

Change: an engine that is not believed to keep a subject's shared parts costs more the later it comes in the order that all hosts share; a reading teaches the pace only where its shared parts are known to be kept.

Result: the test of hosts that know nothing failed and passes.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -40,6 +40,19 @@
 }
 
 impl Prompt {
+    /// Returns the tokens of the parts that other requests share.
+    ///
+    /// ```
+    /// use pistachiohall::gateway::call::{Part, Prompt};
+    /// let part = |id, tokens| Part { id, tokens };
+    /// let parts = vec![part(1, 10), part(2, 20), part(3, 40)];
+    /// assert_eq!(Prompt { parts, ..Prompt::default() }.shared_tokens(), 30);
+    /// ```
+    pub fn shared_tokens(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.tokens).sum()
+    }
+
     /// Returns the last part that other requests share, by which requests are kept together.
     ///
     /// ```
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -234,6 +234,14 @@
     cost::reading(prompt, cached, target.row.role).mul_f64(board.pace(&target.row.id))
 }
 
+/// Returns whether an engine is believed to keep all parts of a prompt that other requests share.
+fn keeps_shared_parts(gateway: &Gateway, call: &Call, engine: &UpstreamId) -> bool {
+    call.ask.prompt.as_ref().is_some_and(|prompt| {
+        let cached = gateway.board.borrow().cached(engine, &prompt.parts);
+        cached >= prompt.shared_tokens()
+    })
+}
+
 fn note_reading(gateway: &Gateway, call: &Call, engine: &UpstreamId) {
     if let Some(prompt) = &call.ask.prompt {
         let parts = &prompt.parts;
@@ -256,6 +264,7 @@
     let backlog = reading(gateway, call, &target);
     let engine = target.row.id.clone();
     let before = gateway.board.borrow().load(&engine, Instant::now()).backlog;
+    let is_kept = keeps_shared_parts(gateway, call, &engine);
     let _place = Place::new(gateway, &target, backlog, urgency);
     note_reading(gateway, call, &engine);
     let terms = terms(call, Work::Read, urgency, None);
@@ -277,7 +286,8 @@
     plain::note_health(&target, &ended);
     match ended {
         Ok(handle) => {
-            if before < backlog {
+            // Where it is not known what the engine keeps, the time tells nothing of its pace.
+            if before < backlog && is_kept {
                 let expected = (before + backlog).as_secs_f64().max(0.001);
                 let ratio = begun.elapsed().as_secs_f64() / expected;
                 gateway.board.borrow_mut().note_pace(&engine, ratio);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -23,6 +23,9 @@
 /// Weight of an engine's own time against the caller's wait: time spent on reading again is taken
 /// from other callers.
 const WORK_WEIGHT: f64 = 1.0;
+/// Weight of the time to read a subject's shared parts at one more engine, for each place by which
+/// that engine comes after the one that all hosts prefer.
+const STRAY_WEIGHT: f64 = 0.5;
 /// Share of the target within which the first event has to be expected for an immediate start;
 /// the rest covers the network, the first token and errors of the estimate.
 const TARGET_SHARE: f64 = 0.75;
@@ -247,13 +250,27 @@
     ranked
         .iter()
         .take(CONSIDERED_READERS)
-        .filter_map(|reader| match reader.role {
-            Role::Prefill => split(job, reader, &generators, lane),
-            Role::Decode | Role::Mixed => Some(whole(job, reader, lane)),
+        .enumerate()
+        .filter_map(|(place, reader)| {
+            let mut way = match reader.role {
+                Role::Prefill => split(job, reader, &generators, lane)?,
+                Role::Decode | Role::Mixed => whole(job, reader, lane),
+            };
+            way.cost += STRAY_WEIGHT * place as f64 * shared_reading(job.prompt, reader);
+            Some(way)
         })
         .min_by(by_cost)
 }
 
+/// Returns the seconds that an engine reads shared parts which it is not believed to keep.
+fn shared_reading(prompt: &Prompt, engine: &Engine) -> f64 {
+    let reading = |cached| cost::reading(prompt, cached, engine.role).mul_f64(engine.pace);
+    let kept = engine.cached.max(prompt.shared_tokens());
+    reading(engine.cached)
+        .saturating_sub(reading(kept))
+        .as_secs_f64()
+}
+
 fn by_cost(one: &Way<'_>, other: &Way<'_>) -> std::cmp::Ordering {
     one.cost.total_cmp(&other.cost)
 }
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -336,3 +336,49 @@
     let plan = placement::plan(&job, &engines);
     assert!(matches!(plan, Plan::Refuse { .. }), "{plan:?}");
 }
+
+/// Pattern: all hosts start at once before engines that kept what they had read. None knows what is
+/// kept where and each sees other small queues; subjects still go where every host sends them, since
+/// a shared part that is read at a second engine takes time from all.
+#[test]
+fn hosts_that_know_nothing_send_subjects_home() {
+    for subject in 0..40 {
+        let prompt = long(subject);
+        let home = reader(&placement::plan(&job(&prompt), &fleet()))
+            .unwrap()
+            .to_owned();
+        for host in 0..6_u64 {
+            let mut engines = fleet();
+            for (index, engine) in engines.iter_mut().enumerate() {
+                let queue = (host * 7 + subject * 3 + index as u64 * 5) % 8;
+                engine.backlog = Duration::from_millis(queue);
+            }
+            let plan = placement::plan(&job(&prompt), &engines);
+            assert_eq!(
+                reader(&plan),
+                Some(home.as_str()),
+                "{subject} by host {host}"
+            );
+        }
+    }
+}
+
+/// An engine that is known to keep a subject's parts costs nothing more for being a later choice.
+#[test]
+fn a_subject_goes_where_it_is_known_to_be_kept() {
+    let prompt = long(5);
+    let home = reader(&placement::plan(&job(&prompt), &fleet()))
+        .unwrap()
+        .to_owned();
+    let mut kept = 0;
+    for index in 0..6 {
+        let mut engines = fleet();
+        if engines[index].id == home {
+            continue;
+        }
+        engines[index].cached = 6300;
+        let plan = placement::plan(&job(&prompt), &engines);
+        kept += usize::from(reader(&plan) == Some(engines[index].id.as_str()));
+    }
+    assert_eq!(kept, 3, "the other three that are considered");
+}
