--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -105,7 +105,8 @@
         }
     }
 
-    fn admit(&self) -> Result<(), Failure> {
+    /// Fails if the upstream takes no requests now.
+    fn check_open(&self) -> Result<(), Failure> {
         match self.closure(Instant::now()) {
             None => Ok(()),
             Some(Closure::Leaving) => Err(Failure::Withheld("the upstream leaves")),
@@ -125,14 +126,14 @@
     ///
     /// Fails as [`Pool::get`] does, or with [`Failure::Withheld`] if the upstream takes no work.
     pub async fn connect(&self, may_reuse: bool, until: Instant) -> Result<Connection, Failure> {
-        self.admit()?;
+        self.check_open()?;
         let connection = self
             .shared
             .pool
             .get(may_reuse, self.most_connections, until)
             .await?;
         // What the upstream said while the connection was opened counts as well.
-        self.admit()?;
+        self.check_open()?;
         Ok(connection)
     }
 
--- a/src/standin/fleet/mod.rs
+++ b/src/standin/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! not at all.
 
 pub mod client;
+pub mod endless;
 pub mod replica;
 pub mod store;
 pub mod wire;
--- a/src/standin/fleet/replica.rs
+++ b/src/standin/fleet/replica.rs
@@ -15,6 +15,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::endless;
 use super::store::Store;
 use super::wire;
 use super::wire::Fields;
@@ -26,12 +27,6 @@
 pub const STAMP: &str = "3e1b.07.5a2.600.0.c9f2a4d1";
 /// Longest time that a request hangs.
 const HANG_TIME: Duration = Duration::from_secs(20);
-/// Pause between two bytes of an event that drips.
-const DRIP_PAUSE: Duration = Duration::from_millis(50);
-/// Chunk of a body that has no end, and of an event that has none.
-const ENDLESS_PIECE: &str = "1d\r\ndata: more and more and more\n\r\n";
-/// Pieces that are written at once where bytes come without end.
-const POURED_PIECES: usize = 64;
 
 /// How an upstream treats requests.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -273,10 +268,9 @@
         (state.id.clone(), state.manner, state.stage, state.pause)
     };
     match request.path.as_str() {
-        "/v1/report" if manner == Manner::EndlessBody => {
+        "/v1/report" if let Some(answer) = endless::Answer::of(manner, "") => {
             let index = note(shared, &request, false);
-            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-            return pour(shared, index, head, ENDLESS_PIECE, false, stream);
+            return pour(shared, index, &answer, stream);
         }
         "/v1/report" => return report(shared, stream),
         "/v1/order" => return order(shared, &request, stream),
@@ -324,27 +318,9 @@
         say(shared, stream, 503, &fields, b"")?;
         return Ok(Next::Keep);
     }
-    let endless = match manner {
-        Manner::EndlessHead => Some(String::from("HTTP/1.1 200 OK\r\n")),
-        Manner::EndlessRefusal => Some(format!(
-            "HTTP/1.1 503 Status\r\nTransfer-Encoding: chunked\r\n\
-             Pistachiohall-Request-Id: {own_id}\r\nPistachiohall-Not-Executed: 1\r\n\r\n"
-        )),
-        Manner::EndlessBody | Manner::EndlessEvent | Manner::Drip => Some(format!(
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\
-             Pistachiohall-Request-Id: {own_id}\r\nPistachiohall-Server-Stamp: {STAMP}\r\n\r\n"
-        )),
-        _ => None,
-    };
-    if let Some(head) = endless {
+    if let Some(answer) = endless::Answer::of(manner, &own_id) {
         let index = note(shared, &request, manner != Manner::EndlessRefusal);
-        let piece = match manner {
-            Manner::EndlessHead => "X-More: more and more and more\r\n",
-            Manner::Drip => "1\r\nd\r\n",
-            _ => ENDLESS_PIECE,
-        };
-        let is_slow = matches!(manner, Manner::Drip | Manner::EndlessRefusal);
-        return pour(shared, index, &head, piece, is_slow, stream);
+        return pour(shared, index, &answer, stream);
     }
     if reads {
         return read_ahead(shared, &request, &own_id, stream);
@@ -529,32 +505,17 @@
     Ok(Next::Keep)
 }
 
-/// Sends the same piece until the caller leaves, and notes when that was.
+/// Writes an answer without end, and notes how it went.
 fn pour(
     shared: &Mutex<State>,
     index: usize,
-    head: &str,
-    piece: &str,
-    is_slow: bool,
+    answer: &endless::Answer,
     stream: &mut TcpStream,
 ) -> io::Result<Next> {
-    let begun = Instant::now();
-    stream.write_all(head.as_bytes())?;
-    let pieces = match is_slow {
-        true => piece.to_owned(),
-        false => piece.repeat(POURED_PIECES),
-    };
-    while begun.elapsed() < HANG_TIME {
-        shared.lock().expect("replica lock").seen[index].poured += pieces.len();
-        if stream.write_all(pieces.as_bytes()).is_err() {
-            let mut state = shared.lock().expect("replica lock");
-            state.seen[index].left_after = Some(begun.elapsed());
-            break;
-        }
-        if is_slow {
-            thread::sleep(DRIP_PAUSE);
-        }
-    }
+    let poured = answer.pour(stream)?;
+    let mut state = shared.lock().expect("replica lock");
+    state.seen[index].poured = poured.bytes;
+    state.seen[index].left_after = poured.left_after;
     Ok(Next::Close)
 }
 
