End the soak when a gateway does not start, and keep its port for it

The harness panicked, and the scope waited for callers that nobody had asked to stop.

Change: each gateway of a test has a loopback address of its own; callers are asked to stop when the run panics.

--- a/tests/gateway/lifecycle.rs
+++ b/tests/gateway/lifecycle.rs
@@ -149,3 +149,16 @@
     let reason = "pistachiohall_decisions_total{reason=\"no upstream takes work\"} 1";
     assert!(metrics.contains(reason), "{metrics}");
 }
+
+/// Guards the harness: another process takes the number of the gateway's port while it is down.
+#[test]
+fn a_gateway_starts_again_where_it_was_while_its_ports_number_is_taken() {
+    let mut site = Site::desks(&["c1"]);
+    let peers = site.gateway.peers();
+    site.gateway.signal("-KILL");
+    assert_eq!(site.gateway.wait(), None);
+    let _taken = std::net::TcpListener::bind(("127.0.0.1", peers.port())).unwrap();
+    site.gateway.restart();
+    site.gateway.wait_ready();
+    assert_eq!(site.gateway.peers(), peers);
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Child;
@@ -10,6 +11,8 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -54,6 +57,9 @@
     child: Child,
     addresses: HashMap<String, SocketAddr>,
     settings: PathBuf,
+    /// Address that its peers reach it at, also after a restart. No other process uses it: on a
+    /// shared one a connection may take the number of its port while it is down.
+    peer_ip: Ipv4Addr,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
@@ -79,10 +85,12 @@
     pub fn start(name: &str, store: SocketAddr, more: &str) -> Self {
         let unique = uuid::Uuid::now_v7();
         let settings = std::env::temp_dir().join(format!("{name}-{unique}.ini"));
+        let peer_ip = own_ip();
         let mut gateway = Gateway {
-            child: spawn(&settings, &text(name, store, more)),
+            child: spawn(&settings, &text(name, store, peer_ip, more)),
             addresses: HashMap::new(),
             settings,
+            peer_ip,
             lines: Arc::default(),
         };
         gateway.read_lines();
@@ -173,7 +181,8 @@
 
     /// Writes other settings over the file.
     pub fn rewrite(&self, name: &str, store: SocketAddr, more: &str) {
-        std::fs::write(&self.settings, text(name, store, more)).unwrap();
+        let text = text(name, store, self.peer_ip, more);
+        std::fs::write(&self.settings, text).unwrap();
     }
 
     /// Kills the process and starts it again with the same peer address.
@@ -182,7 +191,7 @@
         self.child.wait().unwrap();
         let text = std::fs::read_to_string(&self.settings).unwrap();
         let peers = format!("peer_listen = {}", self.addresses["peers"]);
-        let text = text.replace("peer_listen = 127.0.0.1:0", &peers);
+        let text = text.replace(&format!("peer_listen = {}:0", self.peer_ip), &peers);
         self.lines = Arc::default();
         self.child = spawn(&self.settings, &text);
         self.read_lines();
@@ -209,10 +218,18 @@
     }
 }
 
-fn text(name: &str, store: SocketAddr, more: &str) -> String {
+/// Returns a loopback address that no other gateway of any test has.
+fn own_ip() -> Ipv4Addr {
+    static GATEWAYS: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let number = GATEWAYS.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 64 + high % 128, low, number)
+}
+
+fn text(name: &str, store: SocketAddr, peer_ip: Ipv4Addr, more: &str) -> String {
     format!(
         "[gateway]\nname = {name}\ndomain = derby\nlisten = 127.0.0.1:0\n\
-         ready_listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\nmetrics_listen = 127.0.0.1:0\n\
+         ready_listen = 127.0.0.1:0\npeer_listen = {peer_ip}:0\nmetrics_listen = 127.0.0.1:0\n\
          store = {store}\n{more}"
     )
 }
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -67,6 +67,16 @@
     pub answer: Option<Answer>,
 }
 
+/// Asks callers to stop when it is dropped, also by a panic: the scope that they run in would wait
+/// for them without end.
+pub struct Ends<'a>(pub &'a AtomicBool);
+
+impl Drop for Ends<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// Sends requests until `stop`, and returns them all.
 pub fn run(
     name: &str,
@@ -137,3 +147,18 @@
     // A connection that ends before a status gives no answer.
     client.receive().ok().filter(|answer| answer.status != 0)
 }
+
+/// Guards the soak: a run that panics while callers go on has to end, and to show why.
+#[test]
+fn callers_end_when_the_run_panics() {
+    let gateways = [Mutex::new(None)];
+    let stop = AtomicBool::new(false);
+    let run = || {
+        thread::scope(|scope| {
+            let _ends = Ends(&stop);
+            scope.spawn(|| run("c", 1, &gateways, &stop));
+            panic!("a gateway did not start");
+        })
+    };
+    assert!(std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)).is_err());
+}
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -124,6 +123,7 @@
     let stop = AtomicBool::new(false);
     let addresses = std::mem::take(&mut world.addresses);
     let calls: Vec<Call> = thread::scope(|scope| {
+        let ends = caller::Ends(&stop);
         let callers: Vec<_> = (0..CALLERS)
             .map(|number| {
                 let name = format!("s{seed}c{number}");
@@ -137,7 +137,7 @@
             Some(_) => LONG_AFTERMATH,
             None => AFTERMATH,
         });
-        stop.store(true, Ordering::SeqCst);
+        drop(ends);
         let calls = callers.into_iter();
         calls.flat_map(|caller| caller.join().unwrap()).collect()
     });
