--- a/src/availability/mod.rs
+++ b/src/availability/mod.rs
@@ -176,7 +176,7 @@
 }
 
 /// Returns entries with those upstreams as draining that say in their answers that they leave.
-pub fn as_said(rows: &[Row], lives: &Lives) -> Vec<Row> {
+pub fn mark_leaving(rows: &[Row], lives: &Lives) -> Vec<Row> {
     let mut rows = rows.to_vec();
     for row in &mut rows {
         if lives.of(row).leaving_since().is_some() {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -4,7 +4,7 @@
 use bytes::BytesMut;
 use thiserror::Error;
 
-/// Largest event that is waited for, in bytes.
+/// Largest event that is waited for, in bytes; a thousand times that of a token.
 pub const EVENT_BYTES: usize = 256 << 10;
 /// Start of the line that carries an event's identifier.
 const ID_FIELD: &[u8] = b"id:";
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -32,7 +32,8 @@
 const ALL_HELD_BYTES: usize = 32 << 20;
 /// Largest refusal that is read to its end, in bytes.
 const REFUSAL_BYTES: usize = 16 << 10;
-/// Time in which the rest of a refusal has to come; its head has said all that the caller needs.
+/// Time in which the rest of a refusal has to come, some round trips; its head has said all that the
+/// caller needs.
 const REFUSAL_TIME: Duration = Duration::from_millis(100);
 /// Largest answer to a call of the gateway's own, in bytes.
 const OWN_BYTES: usize = 64 << 10;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -264,7 +264,7 @@
     /// Returns the upstreams as they are registered, with those that say in their answers that they
     /// leave as draining.
     pub fn rows(&self) -> Vec<Row> {
-        availability::as_said(&self.view.borrow().rows, &self.lives)
+        availability::mark_leaving(&self.view.borrow().rows, &self.lives)
     }
 
     /// Notes engines that were ordered to change their role, by the digests of their names.
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -37,7 +37,7 @@
 /// Urgency of a request that names none, the last of the scale.
 const LEAST_URGENT: u8 = 9;
 
-/// Largest answer to the request to read a prompt, in bytes; it names a handle.
+/// Largest answer to the request to read a prompt, in bytes; it names a handle in some hundred.
 const HANDLE_BYTES: usize = 64 << 10;
 
 /// A stream whose first events are there.
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -31,7 +31,8 @@
 /// Idle connections kept to one upstream. Upstreams bound the connections of all hosts together,
 /// and those of a host that lost power stay open there for a while.
 const MOST_IDLE: usize = 8;
-/// Bytes of an answer that wait to be read on a connection; a larger head is no answer.
+/// Bytes of an answer that wait to be read on a connection; a larger head is no answer. Heads that
+/// callers may send are a quarter of it.
 const BUFFER_BYTES: usize = 64 << 10;
 /// How much earlier than the upstream an idle connection is given up.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -65,8 +65,8 @@
             most_connections,
             shared,
         };
-        let has_said_so = target.shared.life.leaving_since().is_some();
-        if target.row.state == State::Draining || has_said_so {
+        let hmark_leaving_so = target.shared.life.leaving_since().is_some();
+        if target.row.state == State::Draining || hmark_leaving_so {
             target.leave();
         }
         target
--- a/src/reassign/duty.rs
+++ b/src/reassign/duty.rs
@@ -162,7 +162,7 @@
         let Some(catalog) = &view.catalog else {
             return Vec::new();
         };
-        let known = availability::as_said(&view.rows, &self.officer.lives);
+        let known = availability::mark_leaving(&view.rows, &self.officer.lives);
         let services = catalog
             .services()
             .filter(|service| service.engine.is_some());
--- a/tests/decisions/availability.rs
+++ b/tests/decisions/availability.rs
@@ -83,11 +83,11 @@
     assert_eq!(again.closure(now + 60 * SECOND), Some(Closure::Leaving));
     assert_eq!(lives.of(&row(2)).closure(now), None);
     assert_eq!(
-        availability::as_said(&[row(1)], &lives)[0].state,
+        availability::mark_leaving(&[row(1)], &lives)[0].state,
         State::Draining
     );
     assert_eq!(
-        availability::as_said(&[row(2)], &lives)[0].state,
+        availability::mark_leaving(&[row(2)], &lives)[0].state,
         State::Ready
     );
 }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -3,10 +3,11 @@
 mod belief;
 mod endless;
 mod explain;
+mod field_reports;
 mod input;
 mod lifecycle;
 mod model;
 mod notice;
 mod plain;
-mod reports;
+
 mod site;
