Log exchanges that end without an answer, and watch those whose caller leaves

Logs and metrics could not tell which of the hypotheses on requests that end their upstreams holds: what broke at a reader was called not sent, silence left no line, and a caller that left first left none either. No decision changes.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -60,6 +60,17 @@
     Generate(&'a Handle),
 }
 
+impl Work<'_> {
+    /// Returns the name by which log lines tell it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Work::Whole => "whole",
+            Work::Read => "read",
+            Work::Generate(_) => "generate",
+        }
+    }
+}
+
 /// What the head of an answer says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mark {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod reply;
 pub mod serve;
 pub mod stream;
+pub mod suspect;
 pub mod target;
 
 use std::cell::Cell;
@@ -80,6 +81,8 @@
     pub lives: Arc<Lives>,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
+    /// Bounds the lines that tell of exchanges without an answer.
+    pub suspect_lines: suspect::Lines,
     /// Loads and caches of engines.
     pub board: RefCell<placement::Board>,
     /// Bytes of answers that are held until they are whole.
@@ -109,6 +112,7 @@
             counters,
             lives,
             quarantine: Quarantine::default(),
+            suspect_lines: suspect::Lines::default(),
             board: RefCell::default(),
             held_bytes: Cell::default(),
             news: RefCell::default(),
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -25,6 +25,8 @@
 use super::plain;
 use super::pool::Connection;
 use super::record::Course;
+use super::suspect;
+use super::suspect::Watch;
 use super::target::Target;
 use crate::catalog::Kind;
 use crate::gossip;
@@ -59,6 +61,8 @@
     pub is_ended: bool,
     /// Place at the engine.
     pub place: Place,
+    /// Watches over the stream to its end.
+    pub watch: Watch,
 }
 
 /// What an engine's answer started with.
@@ -87,7 +91,7 @@
     fn note_failure(&mut self, gateway: &Gateway, engine: &UpstreamId, failure: &Failure) {
         self.allowance.note_failure(failure);
         self.tried.push(engine.clone());
-        plain::note_crash(gateway, &self.call, failure, Instant::now());
+        suspect::note_crash(gateway, &self.call, failure, Instant::now());
     }
 
     /// Returns whether the budget allows to carry out a plan now.
@@ -269,6 +273,7 @@
     note_reading(gateway, call, &engine);
     let terms = terms(call, Work::Read, urgency, None);
     let begun = Instant::now();
+    let mut watch = Watch::new(gateway, call, &target, Work::Read);
     let exchange = async {
         let answer = exchange::send(gateway, &target, call, &terms).await?;
         let status = answer.head.status;
@@ -283,6 +288,7 @@
         Ok(ended) => ended,
         Err(_) => Err(Failure::Silent),
     };
+    watch.note(&ended);
     plain::note_health(&target, &ended);
     match ended {
         Ok(handle) => {
@@ -308,12 +314,13 @@
 
 /// Sends a request and waits for the first events of its answer.
 async fn start(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     target: Rc<Target>,
     call: &Call,
     terms: &Terms<'_>,
     mut place: Place,
 ) -> Result<Started, Failure> {
+    let mut watch = Some(Watch::new(gateway, call, &target, terms.work));
     let exchange = async {
         let answer = exchange::send(gateway, &target, call, terms).await?;
         if answer.mark == Mark::Unsigned {
@@ -334,6 +341,7 @@
         let (first, is_ended) = first_events(&mut body, &mut splitter).await?;
         place.end_reading();
         let target = Rc::clone(&target);
+        let watch = watch.take().expect("an exchange starts one stream");
         Ok(Started::Stream(Opened {
             head,
             body,
@@ -343,12 +351,16 @@
             first,
             is_ended,
             place,
+            watch,
         }))
     };
     let ended = match time::timeout_at(terms.until.into(), exchange).await {
         Ok(ended) => ended,
         Err(_) => Err(Failure::Silent),
     };
+    if let Some(mut watch) = watch {
+        watch.note(&ended);
+    }
     plain::note_health(&target, &ended);
     ended
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -20,9 +20,10 @@
 use super::record::Outcome;
 use super::reply;
 use super::reply::Reply;
+use super::suspect;
+use super::suspect::Watch;
 use super::target::Target;
 use crate::catalog::Kind;
-use crate::gossip;
 use crate::id::UpstreamId;
 
 /// Multiple of the route's target after which an idempotent request is tried elsewhere.
@@ -87,7 +88,7 @@
             Err(failure) => {
                 course.step(format_args!("{}={failure:?}", target.row.id));
                 allowance.note_failure(&failure);
-                note_crash(gateway, call, &failure, now);
+                suspect::note_crash(gateway, call, &failure, now);
                 last = Some(failure);
                 if !allowance.allows_more(call.route.is_idempotent()) {
                     let after = retry_after(gateway, call, Instant::now());
@@ -115,7 +116,7 @@
 }
 
 async fn attempt(
-    gateway: &Gateway,
+    gateway: &Rc<Gateway>,
     target: &Rc<Target>,
     call: &Call,
     may_reuse: bool,
@@ -130,6 +131,7 @@
         until,
         deadline: call.deadline,
     };
+    let mut watch = Watch::new(gateway, call, target, terms.work);
     let exchange = async {
         let answer = exchange::send(gateway, target, call, &terms).await?;
         let answer = exchange::finish(gateway, target, answer, exchange::HELD_BYTES).await?;
@@ -142,6 +144,7 @@
         Ok(ended) => ended,
         Err(_) => Err(Failure::Silent),
     };
+    watch.note(&ended);
     note_health(target, &ended);
     ended
 }
@@ -162,17 +165,6 @@
     }
 }
 
-/// Notes that a request may have crashed the upstream that ran it.
-pub fn note_crash(gateway: &Gateway, call: &Call, failure: &Failure, now: Instant) {
-    if matches!(failure, Failure::Broken(_)) && !call.body.is_empty() {
-        let suspect = gateway.quarantine.note_crash(call.fingerprint(), now);
-        gateway.news.borrow_mut().suspects.push(gossip::Suspect {
-            fingerprint: suspect.fingerprint,
-            crashes: u32::from(suspect.crashes),
-        });
-    }
-}
-
 /// Returns until when one try is waited for.
 ///
 /// Only an idempotent request that can go elsewhere is worth giving up on early.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -16,9 +16,9 @@
 use super::open::Opened;
 use super::open::Progress;
 use super::open::Started;
-use super::plain;
 use super::record::Outcome;
 use super::reply::Piece;
+use super::suspect;
 use crate::placement::Plan;
 
 /// A stream on its way to a caller.
@@ -59,8 +59,10 @@
                         target,
                         connection,
                         head,
+                        mut watch,
                         ..
                     } = opened;
+                    watch.succeed();
                     target.give_back(connection, &head);
                     let is_sent = self.sender.send(Piece::End).await.is_ok();
                     self.progress.course.end(if is_sent {
@@ -82,7 +84,9 @@
                         .step(format_args!("{id}=broken:{cause:?}"));
                     let failure = Failure::Broken(cause);
                     opened.target.health().note_failure(Instant::now());
-                    plain::note_crash(&self.gateway, &self.progress.call, &failure, Instant::now());
+                    let now = Instant::now();
+                    suspect::note_crash(&self.gateway, &self.progress.call, &failure, now);
+                    opened.watch.fail(&failure, now);
                     self.progress.tried.push(id);
                     let last_id = opened
                         .splitter
