--- a/src/standin/fleet/mod.rs
+++ b/src/standin/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod endless;
+pub mod mortal;
 pub mod replica;
 pub mod store;
 pub mod wire;
--- a/src/standin/fleet/replica/answer.rs
+++ b/src/standin/fleet/replica/answer.rs
@@ -17,6 +17,8 @@
 use super::Seen;
 use super::State;
 use crate::standin::fleet::endless;
+use crate::standin::fleet::mortal;
+use crate::standin::fleet::mortal::Death;
 use crate::standin::fleet::wire;
 use crate::standin::fleet::wire::Next;
 use crate::standin::fleet::wire::Request;
@@ -34,12 +36,17 @@
         let state = shared.lock().expect("replica lock");
         (state.id.clone(), state.manner, state.stage, state.pause)
     };
+    if shared.lock().expect("replica lock").is_ended {
+        let index = note(shared, &request, false);
+        return die(shared, index, stream);
+    }
     match request.path.as_str() {
         "/v1/report" if let Some(answer) = endless::Answer::of(manner, "") => {
             let index = note(shared, &request, false);
             return pour(shared, index, &answer, stream);
         }
         "/v1/report" => return report(shared, stream),
+        "/healthz" => return health(shared, stream),
         "/v1/order" => return order(shared, &request, stream),
         path if path.starts_with("/v1/kv-handle/") => {
             let name = path.trim_start_matches("/v1/kv-handle/");
@@ -85,6 +92,11 @@
         say(shared, stream, 503, &fields, b"")?;
         return Ok(Next::Keep);
     }
+    if ends(shared, &request, reads) {
+        let index = note(shared, &request, !reads);
+        shared.lock().expect("replica lock").is_ended = true;
+        return die(shared, index, stream);
+    }
     if let Some(answer) = endless::Answer::of(manner, &own_id) {
         let index = note(shared, &request, manner != Manner::EndlessRefusal);
         return pour(shared, index, &answer, stream);
@@ -113,6 +125,23 @@
     }
 }
 
+/// Returns whether a request ends the upstream as it begins to run.
+fn ends(shared: &Mutex<State>, request: &Request, reads: bool) -> bool {
+    let nature = shared.lock().expect("replica lock").nature;
+    nature.is_some_and(|nature| {
+        request.path.ends_with(mortal::DEADLY) && !(reads && nature.spares_readers)
+    })
+}
+
+/// Ends a connection the way in which the upstream ends.
+fn die(shared: &Mutex<State>, index: usize, stream: &mut TcpStream) -> io::Result<Next> {
+    let nature = shared.lock().expect("replica lock").nature;
+    match nature.map(|nature| nature.death) {
+        Some(Death::Dark) => hang(shared, index, stream),
+        Some(Death::Reset) | None => Ok(Next::Reset),
+    }
+}
+
 /// Writes an answer, with the fields by which the upstream speaks of itself.
 fn say<W>(
     shared: &Mutex<State>,
@@ -170,6 +199,7 @@
         let body = json!({
             "stage": state.stage, "models": [], "busy": false, "sequence": state.orders,
             "queued": 0, "active": 0, "kv_used": 0, "kv_total": 0, "kv_handles": 0,
+            "born": state.born,
         });
         (body, fields)
     };
@@ -177,6 +207,16 @@
     Ok(Next::Keep)
 }
 
+fn health(shared: &Mutex<State>, stream: &mut TcpStream) -> io::Result<Next> {
+    let (id, body) = {
+        let state = shared.lock().expect("replica lock");
+        (state.id.clone(), json!({"born": state.born}).to_string())
+    };
+    let fields = [("Pistachiohall-Replica-Id", id.as_str())];
+    say(shared, stream, 200, &fields, body.as_bytes())?;
+    Ok(Next::Keep)
+}
+
 fn order(shared: &Mutex<State>, request: &Request, stream: &mut TcpStream) -> io::Result<Next> {
     note(shared, request, false);
     let order: Value = serde_json::from_slice(&request.body)?;
--- a/src/standin/fleet/replica/mod.rs
+++ b/src/standin/fleet/replica/mod.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::mortal::Nature;
 use super::store::Store;
 use super::wire::Fields;
 use super::wire::Server;
@@ -111,6 +112,10 @@
     is_leaving_in_report: bool,
     /// Value of the `Retry-After` field of its refusals.
     retry_after: Option<String>,
+    /// How it ends under a marked request; none if it does not.
+    nature: Option<Nature>,
+    is_ended: bool,
+    born: u64,
 }
 
 /// The stand-in.
@@ -118,7 +123,6 @@
 pub struct Replica {
     service: String,
     domain: String,
-    born: u64,
     state: Arc<Mutex<State>>,
     server: Server,
 }
@@ -165,6 +169,9 @@
             is_leaving: false,
             is_leaving_in_report: false,
             retry_after: None,
+            nature: None,
+            is_ended: false,
+            born: 1,
         }));
         let own = Arc::clone(&state);
         let server = Server::start(address, move |request, stream| {
@@ -173,7 +180,6 @@
         Ok(Replica {
             service: service.into(),
             domain: domain.into(),
-            born: 1,
             state,
             server,
         })
@@ -213,6 +219,26 @@
         self.state().retry_after = value.map(str::to_owned);
     }
 
+    /// Has marked requests end it.
+    pub fn set_death(&self, nature: Nature) {
+        self.state().nature = Some(nature);
+    }
+
+    /// Changes the start that its entry names.
+    pub fn set_born(&self, born: u64) {
+        self.state().born = born;
+    }
+
+    /// Returns whether a request has ended it.
+    pub fn is_ended(&self) -> bool {
+        self.state().is_ended
+    }
+
+    /// Ends it without a request.
+    pub fn end(&self) {
+        self.state().is_ended = true;
+    }
+
     /// Returns all requests that it got.
     pub fn seen(&self) -> Vec<Seen> {
         self.state().seen.clone()
@@ -246,7 +272,7 @@
         let mut entry = json!({
             "service": self.service, "address": self.address().to_string(), "zone": self.domain,
             "version": "v1", "slots": 8, "state": condition, "cold_remaining_ms": 0,
-            "sequence": state.beat, "born": self.born,
+            "sequence": state.beat, "born": state.born,
         });
         if let Some(stage) = state.stage {
             entry["stage"] = json!(stage);
--- a/src/standin/fleet/store.rs
+++ b/src/standin/fleet/store.rs
@@ -111,18 +111,14 @@
         self.shared.state.lock().expect("store lock").calls
     }
 
+    /// Returns what upstreams write their entries with.
+    pub fn registry(&self) -> Registry {
+        Registry(Arc::clone(&self.shared))
+    }
+
     /// Writes the newest record of a key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
-        let mut content = vec![key.len() as u8];
-        content.extend_from_slice(key.as_bytes());
-        content.extend_from_slice(value);
-        let mut state = self.shared.state.lock().expect("store lock");
-        state
-            .topics
-            .entry(topic.into())
-            .or_default()
-            .append(content);
-        self.shared.changed.notify_all();
+        self.registry().put(topic, key, value);
     }
 
     /// Puts a configuration into force, as the operator does.
@@ -166,6 +162,31 @@
     }
 }
 
+/// A hand with which upstreams write their entries while the store goes on elsewhere.
+#[derive(Debug, Clone)]
+pub struct Registry(Arc<Shared>);
+
+impl Registry {
+    /// Writes the newest record of a key.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut content = vec![key.len() as u8];
+        content.extend_from_slice(key.as_bytes());
+        content.extend_from_slice(value);
+        let mut state = self.0.state.lock().expect("store lock");
+        state
+            .topics
+            .entry(topic.into())
+            .or_default()
+            .append(content);
+        self.0.changed.notify_all();
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, topic: &str, key: &str) {
+        self.put(topic, key, b"");
+    }
+}
+
 fn split_key(content: &[u8]) -> Option<(String, Vec<u8>)> {
     let (length, rest) = content.split_first()?;
     let (key, value) = rest.split_at_checked(usize::from(*length))?;
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway as a real process on the platform's stand-ins, rule by rule.
 
 mod belief;
+mod deadly;
 mod endless;
 mod explain;
 mod field_reports;
