--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -109,6 +109,8 @@
     pub name: ServiceId,
     /// Connections that an upstream accepts from all hosts together.
     pub most_connections: usize,
+    /// Path at which an upstream says that it is sound, if there is one.
+    pub health_path: Option<CompactString>,
     /// What its engines can do; none for a plain service.
     pub engine: Option<Engine>,
 }
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -8,6 +8,7 @@
 pub mod reader;
 mod registry;
 pub mod share;
+pub mod suspects;
 mod view;
 
 pub use self::view::Origin;
@@ -27,7 +28,7 @@
 use crate::platform::store;
 
 /// Starts all threads; returns where the hosts that were found are told, and the threads' end of
-/// the exchange with peers.
+/// the exchange with peers. `suspects` are the ends of the thread that keeps suspects.
 ///
 /// # Errors
 ///
@@ -35,6 +36,7 @@
 pub fn start<C, K>(
     board: &Arc<Views>,
     own: hosts::Own,
+    suspects: suspects::Ends,
     clock: &C,
     store: &K,
 ) -> Result<(watch::Receiver<Hosts>, Exchange)>
@@ -53,6 +55,10 @@
     thread::Builder::new()
         .name("registry".into())
         .spawn(move || registry::follow(&own_board, &own_clock, &own_store, &port))?;
+    let (host, own_clock, own_store) = (own.name.clone(), clock.clone(), store.clone());
+    thread::Builder::new()
+        .name("suspects".into())
+        .spawn(move || suspects::follow(&host, &own_clock, &own_store, &suspects))?;
     let (sender, receiver) = watch::channel(Hosts::default());
     let (own_clock, own_store) = (clock.clone(), store.clone());
     thread::Builder::new()
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -90,6 +90,27 @@
     pub forward: HeaderMap,
 }
 
+/// Returns a digest that is equal for all tries of one request: of what is asked, by whom.
+///
+/// Where there is no body, the parts of the prompt stand for the content.
+pub fn fingerprint(ask: &Ask, body: &[u8]) -> Fingerprint {
+    let mut hasher = std::hash::DefaultHasher::new();
+    ask.method.hash(&mut hasher);
+    ask.host.hash(&mut hasher);
+    ask.uri.path_and_query().hash(&mut hasher);
+    for value in ask.forward.get_all(http::header::AUTHORIZATION) {
+        value.as_bytes().hash(&mut hasher);
+    }
+    body.hash(&mut hasher);
+    if let (true, Some(prompt)) = (body.is_empty(), &ask.prompt) {
+        (prompt.tokens, prompt.most_generated).hash(&mut hasher);
+        for part in &prompt.parts {
+            (part.id, part.tokens).hash(&mut hasher);
+        }
+    }
+    hasher.finish()
+}
+
 /// A request that has a route.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -107,17 +128,11 @@
     pub arrived: Instant,
     /// When the caller stops waiting or the route's timeout is reached, whichever is first.
     pub deadline: Instant,
+    /// Digest that is equal for all tries of one request.
+    pub fingerprint: Fingerprint,
 }
 
 impl Call {
-    /// Returns a digest that is equal for tries of one request.
-    pub fn fingerprint(&self) -> Fingerprint {
-        let mut hasher = std::hash::DefaultHasher::new();
-        self.ask.uri.hash(&mut hasher);
-        self.body.hash(&mut hasher);
-        hasher.finish()
-    }
-
     /// Returns the time that is left at `now`.
     pub fn left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -213,6 +213,11 @@
             connection,
         },
     };
+    // Who answers 421 may be another upstream at the same address.
+    if answer.head.status != StatusCode::MISDIRECTED_REQUEST {
+        let mut suspicion = gateway.suspicion.borrow_mut();
+        suspicion.note_answer(target.life(), now);
+    }
     if answer.mark != Mark::NotRun {
         return Ok(answer);
     }
@@ -306,7 +311,7 @@
     method: Method,
     path: &str,
     until: Instant,
-) -> Result<StatusCode, Failure> {
+) -> Result<WholeAnswer, Failure> {
     let mut connection = target.connect(true, until).await?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.method_mut() = method;
@@ -318,16 +323,13 @@
     let exchange = async {
         let (head, body) = connection.send(request).await?.into_parts();
         target.hear(&head, path);
-        let status = head.status;
         let answer = Answer {
             head,
             body,
             mark: Mark::Unsigned,
             connection,
         };
-        finish(gateway, target, answer, OWN_BYTES)
-            .await
-            .map(|_| status)
+        finish(gateway, target, answer, OWN_BYTES).await
     };
     match time::timeout_at(until.into(), exchange).await {
         Ok(ended) => ended,
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -20,6 +20,7 @@
 use super::reply;
 use super::reply::Reply;
 use super::stream;
+use super::suspect;
 use super::target::Target;
 use crate::id::UpstreamId;
 use crate::placement;
@@ -52,6 +53,10 @@
         if now >= progress.call.deadline {
             return fail(progress, RETRY_AFTER);
         }
+        if let Some(retry_after) = suspect::refusal(gateway, &progress.call).await {
+            progress.course.decide(suspect::REASON);
+            return fail(progress, retry_after);
+        }
         let plan = plan(gateway, &progress.call, &progress.tried, now);
         if let Plan::Refuse {
             retry_after,
@@ -72,7 +77,7 @@
         }
         let after_event = progress.call.ask.after_event;
         match open::open(gateway, &mut progress, &plan, after_event).await {
-            Ok(Started::Stream(opened)) => return deliver(gateway, opened, progress),
+            Ok(Started::Stream(opened)) => return deliver(gateway, *opened, progress),
             Ok(Started::Whole(answer)) => {
                 progress.course.note_first();
                 progress.course.end(Outcome::Delivered);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,9 +35,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::sync::Notify;
+
 use crate::availability;
 use crate::availability::Closure;
 use crate::availability::Lives;
@@ -46,12 +49,13 @@
 use crate::follow::View;
 use crate::gossip;
 use crate::id::HostId;
+use crate::id::LifeDigest;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::placement;
-use crate::quarantine::Quarantine;
 use crate::retry::window;
 use crate::settings::gateway::Settings;
+use crate::suspicion::Ledger;
 
 use self::belief::Observer;
 use self::doubt::Doubts;
@@ -79,16 +83,22 @@
     pub observer: Observer,
     /// What upstreams have said of themselves.
     pub lives: Arc<Lives>,
-    /// Requests that crash upstreams.
-    pub quarantine: Quarantine,
-    /// Bounds the lines that tell of exchanges without an answer.
+    /// Requests that may end upstreams.
+    pub suspicion: RefCell<Ledger>,
+    /// Bounds the lines that tell of these.
     pub suspect_lines: suspect::Lines,
+    /// Whether it is known what hosts have kept of suspects, or cannot be waited for.
+    pub knows_suspects: Cell<bool>,
     /// Loads and caches of engines.
     pub board: RefCell<placement::Board>,
     /// Bytes of answers that are held until they are whole.
     pub held_bytes: Cell<usize>,
     /// What peers have not been told of.
     pub news: RefCell<peers::News>,
+    /// Wakes the exchange with peers for a suspect that no host may send on.
+    pub urgent: Notify,
+    /// Whether many of the known hosts are not heard.
+    pub hears_part: Arc<AtomicBool>,
     hosts: Cell<usize>,
     away: RefCell<HashMap<u32, Instant>>,
     doubts: RefCell<Doubts>,
@@ -104,6 +114,7 @@
 impl Gateway {
     /// Returns a gateway that knows nothing yet.
     pub fn new(settings: Settings, counters: Arc<Counters>, lives: Arc<Lives>) -> Self {
+        let suspicion = RefCell::new(Ledger::new(gossip::digest(&settings.name)));
         Gateway {
             hosts: Cell::new(settings.hosts_expected),
             repeats: Cell::new(settings.repeats),
@@ -111,11 +122,14 @@
             observer: Observer::new(Arc::clone(&counters)),
             counters,
             lives,
-            quarantine: Quarantine::default(),
+            suspicion,
             suspect_lines: suspect::Lines::default(),
+            knows_suspects: Cell::default(),
             board: RefCell::default(),
             held_bytes: Cell::default(),
             news: RefCell::default(),
+            urgent: Notify::new(),
+            hears_part: Arc::default(),
             away: RefCell::default(),
             doubts: RefCell::default(),
             is_leaving: Cell::default(),
@@ -129,7 +143,7 @@
 
     /// Returns whether new connections should come here.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving.get() && self.knows_all()
+        !self.is_leaving.get() && self.knows_all() && self.knows_suspects.get()
     }
 
     /// Returns whether the configuration and the upstreams are known.
@@ -329,6 +343,15 @@
         self.targets.borrow().get(id).cloned()
     }
 
+    /// Returns the upstream that is in the life of this digest.
+    pub fn target_of(&self, life: LifeDigest) -> Option<Rc<Target>> {
+        let targets = self.targets.borrow();
+        targets
+            .values()
+            .find(|target| target.life() == life)
+            .cloned()
+    }
+
     /// Closes connections that have been idle for too long.
     pub fn sweep(&self, now: Instant) {
         for target in self.targets.borrow().values() {
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -69,7 +69,7 @@
 #[derive(Debug)]
 pub enum Started {
     /// A stream.
-    Stream(Opened),
+    Stream(Box<Opened>),
     /// A failure of the engine's own, whole.
     Whole(exchange::WholeAnswer),
 }
@@ -88,10 +88,9 @@
 }
 
 impl Progress {
-    fn note_failure(&mut self, gateway: &Gateway, engine: &UpstreamId, failure: &Failure) {
+    fn note_failure(&mut self, engine: &UpstreamId, failure: &Failure) {
         self.allowance.note_failure(failure);
         self.tried.push(engine.clone());
-        suspect::note_crash(gateway, &self.call, failure, Instant::now());
     }
 
     /// Returns whether the budget allows to carry out a plan now.
@@ -132,6 +131,7 @@
             if let (Err(failure), Some(spare)) = (&started, spare)
                 && failure.is_not_run()
                 && progress.allowance.allows_more(false)
+                && suspect::is_clear(gateway, &progress.call)
                 && gateway.may_repeat(&progress.call.service, 1, Instant::now())
             {
                 started = start_at(gateway, progress, spare, &terms).await;
@@ -170,7 +170,7 @@
         .course
         .step(format_args!("{engine}/{urgency}={outcome}"));
     if let Err(failure) = &started {
-        progress.note_failure(gateway, engine, failure);
+        progress.note_failure(engine, failure);
     }
     started
 }
@@ -342,7 +342,7 @@
         place.end_reading();
         let target = Rc::clone(&target);
         let watch = watch.take().expect("an exchange starts one stream");
-        Ok(Started::Stream(Opened {
+        Ok(Started::Stream(Box::new(Opened {
             head,
             body,
             connection,
@@ -352,7 +352,7 @@
             is_ended,
             place,
             watch,
-        }))
+        })))
     };
     let ended = match time::timeout_at(terms.until.into(), exchange).await {
         Ok(ended) => ended,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -25,22 +26,27 @@
 use crate::id::HostId;
 use crate::log::keyed::Record;
 use crate::placement::board::Load;
-use crate::quarantine::Suspect;
 use crate::reassign::Standing;
 use crate::reassign::duty::Away;
+use crate::suspicion;
 
 /// Records that are told with a segment, in bytes; hosts read larger ones by themselves.
 const SEGMENT_BYTES: usize = 32_000;
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 60_000;
 
-/// Readings and suspects that peers have not been told of.
+/// Suspects told in one datagram, some 50 bytes each.
+const MOST_SUSPECTS: usize = 8;
+/// Shortest pause between two datagrams that do not wait for their turn.
+const URGENT_PAUSE: Duration = Duration::from_millis(200);
+/// Share of the known hosts that are not heard from which what they see is read from the store.
+const PARTIAL_SHARE: f64 = 0.2;
+
+/// What peers have not been told of.
 #[derive(Debug, Default)]
 pub struct News {
     /// Prompts read.
     pub readings: Vec<gossip::Reading>,
-    /// Suspects found.
-    pub suspects: Vec<gossip::Suspect>,
 }
 
 /// What the exchange hears from other threads and tells them.
@@ -118,6 +124,7 @@
             Some(outgoing) = exchange.outbox.recv() => {
                 told.tell_segment(&gateway, &socket, &peers, outgoing);
             }
+            () = gateway.urgent.notified() => told.tell_urgent(&gateway, &socket, &peers),
             Ok(()) = away.changed() => {
                 let ordered: Vec<u32> = away.borrow_and_update().keys().map(|id| gossip::digest(id)).collect();
                 gateway.note_away(&ordered, Instant::now());
@@ -142,6 +149,7 @@
     sequence: u64,
     sent: gossip::Sent,
     at: Instant,
+    urgent_at: Instant,
     pause: Duration,
     loads: Vec<gossip::Load>,
     heard: usize,
@@ -157,6 +165,7 @@
             sequence: 0,
             sent: gossip::Sent::default(),
             at: Instant::now(),
+            urgent_at: Instant::now(),
             pause: gossip::SHORTEST_PAUSE,
             loads: Vec::new(),
             heard: 0,
@@ -223,6 +232,25 @@
         send(socket, &beat.encode_to_vec(), &near);
     }
 
+    /// Tells the peers that are heard of suspects without waiting for the next turn.
+    fn tell_urgent(&mut self, gateway: &Gateway, socket: &UdpSocket, peers: &Peers) {
+        let now = Instant::now();
+        if now.saturating_duration_since(self.urgent_at) < URGENT_PAUSE {
+            return;
+        }
+        let suspects = gateway.suspicion.borrow_mut().tell(MOST_SUSPECTS, now);
+        if suspects.is_empty() {
+            return;
+        }
+        self.urgent_at = now;
+        self.count(now);
+        let beat = Beat {
+            suspects: suspects.iter().map(Into::into).collect(),
+            ..self.beat(gateway)
+        };
+        send(socket, &beat.encode_to_vec(), &peers.addresses(now));
+    }
+
     async fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket, peers: &mut Peers) {
         let now = Instant::now();
         let since = now.saturating_duration_since(self.at);
@@ -234,7 +262,8 @@
         gateway.note_away(&self.away, now);
         let unreachable = gateway.unreachable(now);
         let is_same = loads == self.loads && unreachable == self.unreachable;
-        let is_quiet = is_same && news.readings.is_empty() && news.suspects.is_empty();
+        let suspects = gateway.suspicion.borrow_mut().tell(MOST_SUSPECTS, now);
+        let is_quiet = is_same && news.readings.is_empty() && suspects.is_empty();
         if is_quiet && since < gossip::LONGEST_PAUSE {
             return;
         }
@@ -244,7 +273,7 @@
         self.unreachable = unreachable;
         let beat = Beat {
             readings: news.readings,
-            suspects: news.suspects,
+            suspects: suspects.iter().map(Into::into).collect(),
             ..self.beat(gateway)
         };
         let datagram = beat.encode_to_vec();
@@ -252,6 +281,9 @@
         self.pause = gossip::pause(datagram.len(), due.len());
         send(socket, &datagram, &due);
         let heard = peers.heard(now);
+        let missing = (peers.known() - heard) as f64;
+        let is_partial = missing >= PARTIAL_SHARE * peers.known() as f64 && missing > 0.0;
+        gateway.hears_part.store(is_partial, Ordering::Relaxed);
         if heard != self.heard {
             info!(
                 peers = heard,
@@ -359,13 +391,10 @@
             .collect();
         board.note_peer_reading(reading.engine, &parts);
     }
-    for suspect in &beat.suspects {
-        let crashes = u8::try_from(suspect.crashes).unwrap_or(u8::MAX);
-        let told = Suspect {
-            fingerprint: suspect.fingerprint,
-            crashes,
-        };
-        gateway.quarantine.merge(told, now);
+    if !beat.suspects.is_empty() {
+        let told: Vec<suspicion::Told> = beat.suspects.iter().map(Into::into).collect();
+        let origin = gossip::digest(&beat.host);
+        gateway.suspicion.borrow_mut().hear(origin, &told, now);
     }
     if is_newest {
         let host = HostId::from(beat.host.as_str());
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -110,7 +110,8 @@
             }
             let until = Instant::now() + FREE_TIME;
             let freed = exchange::call_own(&gateway, &reader, Method::DELETE, &path, until).await;
-            log::debug!(upstream:% = reader.row.id, path:% = path, freed:? = freed; "handle freed");
+            let status = freed.map(|answer| answer.head.status);
+            log::debug!(upstream:% = reader.row.id, path:% = path, freed:? = status; "handle freed");
         });
     }
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -57,6 +57,10 @@
             course.decide("no-upstream");
             return give_up(&allowance, held, retry_after(gateway, call, now), course);
         };
+        if let Some(retry_after) = suspect::refusal(gateway, call).await {
+            course.decide(suspect::REASON);
+            return give_up(&allowance, held, retry_after, course);
+        }
         if allowance.repeats(false) > 0 && !gateway.may_repeat(&call.service, 1, now) {
             course.decide("no-budget");
             return give_up(&allowance, held, RETRY_AFTER, course);
@@ -88,7 +92,6 @@
             Err(failure) => {
                 course.step(format_args!("{}={failure:?}", target.row.id));
                 allowance.note_failure(&failure);
-                suspect::note_crash(gateway, call, &failure, now);
                 last = Some(failure);
                 if !allowance.allows_more(call.route.is_idempotent()) {
                     let after = retry_after(gateway, call, Instant::now());
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -4,12 +4,14 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use anyhow::Context;
 use anyhow::Result;
+use crossbeam::channel;
 use http::Request;
 use http::StatusCode;
 use hyper::body::Incoming;
@@ -38,11 +40,13 @@
 use super::reply;
 use super::reply::Reply;
 use super::serve;
+use super::suspect;
 use crate::availability::Lives;
 use crate::clock::Clock;
 use crate::follow;
 use crate::follow::View;
 use crate::follow::Views;
+use crate::follow::suspects::Remark;
 use crate::platform::ingress;
 use crate::platform::store::Store;
 use crate::reassign;
@@ -50,6 +54,7 @@
 use crate::reassign::duty::Away;
 use crate::reassign::duty::Officer;
 use crate::settings::gateway::Settings;
+use crate::suspicion::Told;
 
 /// Pause between two looks for idle connections and at what still runs.
 const SWEEP_PAUSE: Duration = Duration::from_millis(500);
@@ -57,6 +62,10 @@
 const FINISH_PAUSE: Duration = Duration::from_millis(20);
 /// Time before the end of the shutdown limit at which what still runs is given up.
 const FINISH_MARGIN: Duration = Duration::from_millis(500);
+/// States of suspects that wait to be kept; each takes the place of those before it.
+const LASTING: usize = 2;
+/// Readings of suspects that wait to be taken in.
+const REMARKS: usize = 64;
 /// Signals that wait to be handled.
 const SIGNALS: usize = 8;
 
@@ -86,7 +95,15 @@
         domain: settings.domain.clone(),
         peer: socket.local_addr()?,
     };
-    let (hosts, exchange) = follow::start(&views, own, clock, &store)?;
+    let (keep, lasting) = channel::bounded(LASTING);
+    let (remark, remarks) = mpsc::channel(REMARKS);
+    let is_partial = Arc::<AtomicBool>::default();
+    let suspects = follow::suspects::Ends {
+        lasting,
+        remarks: remark,
+        is_partial: Arc::clone(&is_partial),
+    };
+    let (hosts, exchange) = follow::start(&views, own, suspects, clock, &store)?;
     let (standing, known) = watch::channel(Standing::default());
     let (away, ordered) = watch::channel(Away::default());
     let lives = Arc::new(Lives::default());
@@ -104,7 +121,9 @@
         .enable_all()
         .build()
         .context("cannot start the request loop")?;
-    let gateway = Rc::new(Gateway::new(settings, counters, lives));
+    let mut gateway = Gateway::new(settings, counters, lives);
+    gateway.hears_part = is_partial;
+    let gateway = Rc::new(gateway);
     let peers = peers::Sources {
         hosts,
         away: ordered,
@@ -120,6 +139,8 @@
         notices,
         file,
         store,
+        keep,
+        remarks,
     };
     runtime.block_on(LocalSet::new().run_until(serve_until_asked(gateway, sources)))
 }
@@ -160,6 +181,9 @@
     notices: mpsc::Receiver<Notice>,
     file: PathBuf,
     store: Store,
+    /// Takes what must outlast the process.
+    keep: channel::Sender<Vec<Told>>,
+    remarks: mpsc::Receiver<Remark>,
 }
 
 async fn serve_until_asked(gateway: Rc<Gateway>, sources: Sources) -> Result<bool> {
@@ -172,6 +196,8 @@
         mut notices,
         file,
         store,
+        keep,
+        remarks,
     } = sources;
     let callers = listen::open(gateway.settings.listen)?;
     let balancer = listen::open(gateway.settings.ready_listen)?;
@@ -189,7 +215,8 @@
     task::spawn_local(follow_views(Rc::clone(&gateway), view));
     let socket = UdpSocket::from_std(socket)?;
     task::spawn_local(peers::run(Rc::clone(&gateway), socket, peer_sources));
-    task::spawn_local(sweep(Rc::clone(&gateway), Arc::clone(&views), store));
+    task::spawn_local(suspect::follow(Rc::clone(&gateway), remarks));
+    task::spawn_local(sweep(Rc::clone(&gateway), Arc::clone(&views), store, keep));
     task::spawn_local(bootstrap::ask_peers(Rc::clone(&gateway), views));
     let (phase, connections) = start_listening(&gateway, callers, balancer);
     answer_peers(&gateway, TcpListener::from_std(questions)?);
@@ -262,10 +289,19 @@
     }
 }
 
-async fn sweep(gateway: Rc<Gateway>, views: Arc<Views>, store: Store) {
+async fn sweep(
+    gateway: Rc<Gateway>,
+    views: Arc<Views>,
+    store: Store,
+    keep: channel::Sender<Vec<Told>>,
+) {
     loop {
         let now = Instant::now();
         gateway.sweep(now);
+        let lasting = suspect::settle(&gateway, views.read().upstreams, now);
+        if keep.try_send(lasting).is_err() {
+            log::debug!("the thread that keeps suspects is busy; it is told again");
+        }
         set_gauges(&gateway, &views, &store, now);
         time::sleep(SWEEP_PAUSE).await;
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,22 +17,19 @@
 use tokio::time;
 
 use super::Gateway;
+use super::call;
 use super::call::Call;
 use super::generate;
 use super::plain;
 use super::record::Course;
-use super::record::Outcome;
 use super::reply;
 use super::reply::Reply;
 use crate::catalog::Catalog;
 use crate::catalog::Kind;
 use crate::platform::ingress;
-use crate::quarantine::Verdict;
 
 /// Time after which a host that has just started should know its configuration.
 const RETRY_START: Duration = Duration::from_millis(500);
-/// Time after which a request that crashed upstreams may be sent again.
-const RETRY_SUSPECT: Duration = Duration::from_secs(60);
 
 /// Serves one request of a caller.
 pub async fn serve(gateway: Rc<Gateway>, request: Request<Incoming>) -> Reply {
@@ -89,6 +86,7 @@
         service: service.clone(),
         route: route.clone(),
         version: catalog.version(),
+        fingerprint: call::fingerprint(&ask, &body),
         ask,
         body,
         arrived,
@@ -122,14 +120,6 @@
 async fn run(gateway: &Rc<Gateway>, call: Call) -> Reply {
     let mut course = Course::new(&call, &gateway.counters);
     gateway.note_request(&call.service, call.arrived);
-    if gateway.quarantine.verdict(call.fingerprint()) == Verdict::Refused {
-        course.decide("quarantined");
-        course.end(Outcome::Refused);
-        return reply::refuse(
-            "not run: the request crashed upstreams before",
-            RETRY_SUSPECT,
-        );
-    }
     match call.route.kind {
         Kind::Safe | Kind::Unsafe => plain::serve(gateway, &call, &mut course).await,
         Kind::Stream => generate::serve(gateway, call, course).await,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -84,9 +84,7 @@
                         .step(format_args!("{id}=broken:{cause:?}"));
                     let failure = Failure::Broken(cause);
                     opened.target.health().note_failure(Instant::now());
-                    let now = Instant::now();
-                    suspect::note_crash(&self.gateway, &self.progress.call, &failure, now);
-                    opened.watch.fail(&failure, now);
+                    opened.watch.fail(&failure);
                     self.progress.tried.push(id);
                     let last_id = opened
                         .splitter
@@ -153,6 +151,13 @@
             .note_failure(&Failure::Broken("cut".into()));
         while self.progress.allowance.allows_more(is_resumable) {
             let now = Instant::now();
+            if suspect::refusal(&gateway, &self.progress.call)
+                .await
+                .is_some()
+            {
+                self.progress.course.decide(suspect::REASON);
+                return None;
+            }
             let plan = generate::plan(&gateway, &self.progress.call, &self.progress.tried, now);
             if now >= self.progress.call.deadline || !self.progress.may_start(&gateway, &plan) {
                 self.progress.course.decide("no-resume");
@@ -170,7 +175,7 @@
                     if !first.is_empty() && self.send(first).await.is_some() {
                         return None;
                     }
-                    return Some(opened);
+                    return Some(*opened);
                 }
                 Ok(Started::Whole(answer)) => {
                     let status = answer.head.status.as_u16();
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -1,122 +1,345 @@
-//! Requests that may end the upstreams that run them: what the request loop notes of them.
+//! Requests that may end the upstreams that run them: what the request loop notes of them, asks
+//! upstreams and peers, and refuses.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
+use http::Method;
+use http::StatusCode;
 use log::info;
+use tokio::sync::mpsc;
+use tokio::task;
+use tokio::time;
 
 use super::Gateway;
 use super::call::Call;
+use super::exchange;
 use super::exchange::Failure;
 use super::exchange::Work;
 use super::target::Target;
+use crate::follow::suspects::Remark;
 use crate::gossip;
 use crate::id::CallId;
 use crate::id::Fingerprint;
+use crate::id::LifeDigest;
+use crate::logging::sample;
 use crate::logging::sample::Sampler;
-use crate::logging::sample::Verdict;
+use crate::platform::egress;
+use crate::suspicion::Case;
+use crate::suspicion::Told;
+use crate::suspicion::Verdict;
+use crate::upstream::Role;
 
-/// Exchanges without an answer that are logged in a second; the others are counted.
-const LOST_LINES: u32 = 20;
+/// Lines of one kind that are logged in a second; the others are counted.
+const MOST_LINES: u32 = 20;
+/// Longest wait for an upstream's answer to the question whether it lives; a few round trips.
+const PROBE_TIME: Duration = Duration::from_millis(200);
+/// Time after a loss in which an upstream's other answers may tell that it lives, before it is
+/// asked; most upstreams answer others many times in it.
+const PROBE_DELAY: Duration = Duration::from_millis(100);
+/// Lives from which an upstream is asked whatever kind the loss was of, and peers are told at once.
+const PROBED_LIVES: usize = 2;
+/// Upstreams that are asked for one request at a time.
+const MOST_PROBES: usize = 4;
+/// Time after its start within which a host waits for what was kept of suspects before it is ready.
+const START_TIME: Duration = Duration::from_secs(2);
 
-/// Bounds the lines that tell of exchanges without an answer.
+/// Why a suspect is refused.
+pub const REASON: &str = "suspected of ending upstreams";
+
+/// Lines about suspects, bounded.
 #[derive(Debug)]
-pub struct Lines(RefCell<Sampler>);
+pub struct Lines {
+    lost: RefCell<Sampler>,
+    settled: RefCell<Sampler>,
+    refused: RefCell<Sampler>,
+}
 
 impl Default for Lines {
     fn default() -> Self {
-        Lines(RefCell::new(Sampler::new(LOST_LINES)))
+        let sampler = || RefCell::new(Sampler::new(MOST_LINES));
+        Lines {
+            lost: sampler(),
+            settled: sampler(),
+            refused: sampler(),
+        }
+    }
+}
+
+fn kept(sampler: &RefCell<Sampler>, now: Instant) -> Option<u64> {
+    match sampler.borrow_mut().judge(now) {
+        sample::Verdict::Keep(left_out) => Some(left_out),
+        sample::Verdict::LeaveOut => None,
     }
 }
 
-/// Watches over one exchange until its answer is whole. One that is dropped before is lost: the
+/// Watches over one exchange until its answer is whole. One that is dropped before is a loss: the
 /// caller has left, and whether the upstream has ended is not known.
 #[derive(Debug)]
 pub struct Watch {
     gateway: Rc<Gateway>,
     request: CallId,
     fingerprint: Fingerprint,
-    body: usize,
     target: Rc<Target>,
     work: &'static str,
+    is_run: bool,
     is_over: bool,
 }
 
 impl Watch {
     /// Starts to watch a request that is about to be sent to `target`.
     pub fn new(gateway: &Rc<Gateway>, call: &Call, target: &Rc<Target>, work: Work<'_>) -> Self {
+        gateway.suspicion.borrow_mut().enter(call.fingerprint);
         Watch {
             gateway: Rc::clone(gateway),
             request: call.ask.id.clone(),
-            fingerprint: call.fingerprint(),
-            body: call.body.len(),
+            fingerprint: call.fingerprint,
             target: Rc::clone(target),
             work: work.name(),
+            is_run: !matches!(work, Work::Read),
             is_over: false,
         }
     }
 
-    /// Notes that the exchange failed.
-    pub fn fail(&mut self, failure: &Failure, now: Instant) {
-        self.is_over = true;
-        match failure {
-            Failure::Broken(_) | Failure::Silent => self.lose(failure, now),
-            _ => (),
-        }
-    }
-
     /// Notes how the exchange ended.
     pub fn note<T>(&mut self, ended: &Result<T, Failure>) {
         match ended {
             Ok(_) => self.succeed(),
-            Err(failure) => self.fail(failure, Instant::now()),
+            Err(failure) => self.fail(failure),
+        }
+    }
+
+    /// Notes that the exchange failed.
+    pub fn fail(&mut self, failure: &Failure) {
+        self.is_over = true;
+        let (Failure::Broken(_) | Failure::Silent) = failure else {
+            return;
+        };
+        let lives = self.lose(failure);
+        if matches!(failure, Failure::Broken(_)) || lives >= PROBED_LIVES {
+            let life = self.target.life();
+            task::spawn_local(ask_later(Rc::clone(&self.gateway), life));
         }
     }
 
     /// Notes that the upstream's answer was whole.
     pub fn succeed(&mut self) {
         self.is_over = true;
+        if self.is_run {
+            let mut suspicion = self.gateway.suspicion.borrow_mut();
+            suspicion.note_well(self.fingerprint, Instant::now());
+        }
     }
 
-    fn lose<E>(&self, cause: &E, now: Instant)
+    /// Notes a loss; returns how many lives may have ended under the request.
+    fn lose<E>(&self, cause: &E) -> usize
     where
         E: std::fmt::Display,
     {
-        self.gateway.counters.add("exchanges_lost");
-        let verdict = self.gateway.suspect_lines.0.borrow_mut().judge(now);
-        if let Verdict::Keep(left_out) = verdict {
+        let now = Instant::now();
+        let gateway = &self.gateway;
+        gateway.counters.add("exchanges_lost");
+        let life = self.target.life();
+        let lives = gateway
+            .suspicion
+            .borrow_mut()
+            .note_loss(self.fingerprint, life, now);
+        if lives >= PROBED_LIVES {
+            gateway.urgent.notify_one();
+        }
+        if let Some(left_out) = kept(&gateway.suspect_lines.lost, now) {
             info!(
                 request:% = self.request,
                 fingerprint:% = format_args!("{:016x}", self.fingerprint),
                 upstream:% = self.target.row.id,
                 born = self.target.row.born,
+                life:% = format_args!("{life:08x}"),
                 work = self.work,
-                body = self.body,
+                upstreams = lives,
                 cause:% = cause,
                 left_out = left_out,
                 outcome = "lost";
                 "exchange ended without an answer"
             );
         }
+        lives
     }
 }
 
 impl Drop for Watch {
     fn drop(&mut self) {
         if !self.is_over {
-            self.lose(&"the caller left", Instant::now());
+            self.lose(&"the caller left");
         }
+        self.gateway.suspicion.borrow_mut().leave(self.fingerprint);
     }
 }
 
-/// Notes that a request may have crashed the upstream that ran it.
-pub fn note_crash(gateway: &Gateway, call: &Call, failure: &Failure, now: Instant) {
-    if matches!(failure, Failure::Broken(_)) && !call.body.is_empty() {
-        let suspect = gateway.quarantine.note_crash(call.fingerprint(), now);
-        gateway.news.borrow_mut().suspects.push(gossip::Suspect {
-            fingerprint: suspect.fingerprint,
-            crashes: u32::from(suspect.crashes),
+/// Returns when a request that must not be sent now may come back; nothing if it may be sent.
+///
+/// Upstreams whose fate decides are asked first, so that no request is held for a suspect by
+/// upstreams that live.
+pub async fn refusal(gateway: &Rc<Gateway>, call: &Call) -> Option<Duration> {
+    let verdict = |now| {
+        let suspicion = gateway.suspicion.borrow();
+        suspicion.verdict(call.fingerprint, now)
+    };
+    if let Verdict::Unsettled(_) = verdict(Instant::now()) {
+        let lives = gateway.suspicion.borrow().unknown_lives(call.fingerprint);
+        let asked = lives.into_iter().take(MOST_PROBES).map(|life| {
+            let gateway = Rc::clone(gateway);
+            task::spawn_local(async move { ask(&gateway, life).await })
         });
+        for asked in asked.collect::<Vec<_>>() {
+            if let Err(cause) = asked.await {
+                log::error!(cause:% = cause; "question to an upstream ended early");
+            }
+        }
+    }
+    let now = Instant::now();
+    let (case, is_settled) = match verdict(now) {
+        Verdict::Clear => return None,
+        Verdict::Unsettled(case) => (case, false),
+        Verdict::Refused(case) => (case, true),
+    };
+    log_refusal(gateway, call, &case, is_settled, now);
+    Some(case.retry_after)
+}
+
+/// Returns whether a request may be sent on as it stands, without asking anybody.
+pub fn is_clear(gateway: &Gateway, call: &Call) -> bool {
+    let suspicion = gateway.suspicion.borrow();
+    suspicion.verdict(call.fingerprint, Instant::now()) == Verdict::Clear
+}
+
+fn log_refusal(gateway: &Gateway, call: &Call, case: &Case, is_settled: bool, now: Instant) {
+    gateway.counters.add("suspects_refused");
+    if let Some(left_out) = kept(&gateway.suspect_lines.refused, now) {
+        info!(
+            request:% = call.ask.id,
+            fingerprint:% = format_args!("{:016x}", call.fingerprint),
+            upstreams = case.lives,
+            ended = case.ended,
+            hosts = case.hosts,
+            oldest_ms = case.oldest.as_millis() as u64,
+            settled = is_settled,
+            left_out = left_out,
+            outcome = "refused";
+            "suspect refused"
+        );
+    }
+}
+
+async fn ask_later(gateway: Rc<Gateway>, life: LifeDigest) {
+    time::sleep(PROBE_DELAY).await;
+    if gateway.suspicion.borrow().is_unknown(life) {
+        ask(&gateway, life).await;
+    }
+}
+
+/// Asks an upstream whether the life of a loss goes on; silence tells nothing.
+async fn ask(gateway: &Gateway, life: LifeDigest) {
+    let Some(target) = gateway.target_of(life) else {
+        return;
+    };
+    let path = match target.row.role {
+        Role::Mixed => {
+            let catalog = gateway.catalog();
+            let service = catalog
+                .as_ref()
+                .and_then(|catalog| catalog.service(&target.row.service));
+            service.and_then(|service| service.health_path.clone())
+        }
+        Role::Prefill | Role::Decode => Some(egress::REPORT_PATH.into()),
+    };
+    let Some(path) = path else {
+        return;
+    };
+    let sent = Instant::now();
+    let until = sent + PROBE_TIME;
+    let answer = exchange::call_own(gateway, &target, Method::GET, &path, until).await;
+    let mut suspicion = gateway.suspicion.borrow_mut();
+    let outcome = match &answer {
+        Err(_) => "no-answer",
+        Ok(answer) if answer.head.status == StatusCode::MISDIRECTED_REQUEST => {
+            suspicion.note_ended(life);
+            "ended"
+        }
+        Ok(answer) => match egress::born(&answer.body) {
+            Some(born) if born == target.row.born => {
+                suspicion.note_alive(life, sent);
+                "alive"
+            }
+            Some(_) => {
+                suspicion.note_ended(life);
+                "ended"
+            }
+            None => {
+                suspicion.note_answer(life, sent);
+                "answered"
+            }
+        },
+    };
+    gateway.counters.add("suspect_probes");
+    log::debug!(
+        upstream:% = target.row.id,
+        life:% = format_args!("{life:08x}"),
+        outcome = outcome;
+        "upstream asked whether it lives"
+    );
+}
+
+/// Settles losses by what the registry said at `read`; returns what must outlast this process.
+pub fn settle(gateway: &Gateway, read: Option<Instant>, now: Instant) -> Vec<Told> {
+    let lives: HashSet<LifeDigest> = match gateway.suspicion.borrow().has_unknown() {
+        true => {
+            let view = gateway.view();
+            let rows = view.rows.iter();
+            rows.map(|row| gossip::life(&row.id, row.born)).collect()
+        }
+        false => HashSet::new(),
+    };
+    let mut suspicion = gateway.suspicion.borrow_mut();
+    for settled in suspicion.settle(&lives, read, now) {
+        if let Some(left_out) = kept(&gateway.suspect_lines.settled, now) {
+            info!(
+                fingerprint:% = format_args!("{:016x}", settled.fingerprint),
+                life:% = format_args!("{:08x}", settled.life),
+                fate:? = settled.fate,
+                age_ms = settled.age.as_millis() as u64,
+                left_out = left_out,
+                outcome = "settled";
+                "fate of an upstream settled"
+            );
+        }
+    }
+    let (suspects, refused) = suspicion.count(now);
+    gateway.counters.set("suspects", suspects as i64);
+    gateway.counters.set("suspects_held", refused as i64);
+    suspicion.lasting(now)
+}
+
+/// Takes in what hosts have kept in the store, and says when that is known for the first time.
+pub async fn follow(gateway: Rc<Gateway>, mut remarks: mpsc::Receiver<Remark>) {
+    let begun = time::sleep(START_TIME);
+    tokio::pin!(begun);
+    loop {
+        tokio::select! {
+            () = &mut begun, if !gateway.knows_suspects.get() => {
+                gateway.knows_suspects.set(true);
+            }
+            remark = remarks.recv() => match remark {
+                None => return,
+                Some(Remark::Kept { host, suspects }) => {
+                    let origin = gossip::digest(&host);
+                    let now = Instant::now();
+                    gateway.suspicion.borrow_mut().hear(origin, &suspects, now);
+                }
+                Some(Remark::Read) => gateway.knows_suspects.set(true),
+            },
+        }
     }
 }
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -21,6 +21,8 @@
 use crate::availability::Lives;
 use crate::fleet::Row;
 use crate::fleet::State;
+use crate::gossip;
+use crate::id::LifeDigest;
 use crate::platform::egress;
 
 /// An upstream in use.
@@ -72,6 +74,11 @@
         target
     }
 
+    /// Returns the digest of the upstream's life.
+    pub fn life(&self) -> LifeDigest {
+        gossip::life(&self.row.id, self.row.born)
+    }
+
     /// Returns whether both are the same life of the same upstream.
     pub fn is_same_life(&self, other: &Target) -> bool {
         is_same_life(&self.row, &other.row)
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -1,7 +1,8 @@
 //! What gateways tell one another, many times a second, in datagrams.
 //!
 //! Loads are states: each datagram holds all of its sender's, so that a lost one does no harm.
-//! Readings and suspects are events: a lost one costs precision only.
+//! Readings are events: a lost one costs precision only. Suspects are told again and again, since a
+//! promise rests on them that must also hold at hosts that start later or lost a datagram.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -12,6 +13,10 @@
 use crate::id::DomainId;
 use crate::id::Fingerprint;
 use crate::id::HostId;
+use crate::id::LifeDigest;
+use crate::suspicion::Fate;
+use crate::suspicion::Told;
+use crate::suspicion::ToldLoss;
 
 /// Silence after which a peer's loads no longer count and it is only told of this host at times.
 pub const SILENCE: Duration = Duration::from_secs(2);
@@ -56,15 +61,75 @@
     pub tokens: Vec<u32>,
 }
 
-/// A request that may crash upstreams.
+/// A loss of a suspect at one life of an upstream.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Loss {
+    /// Digest of the upstream's name and start.
+    #[prost(fixed32, tag = "1")]
+    pub life: LifeDigest,
+    /// Time since the loss, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// What became of the life: 0 if that is not known, 1 if it ended, 2 if it went on.
+    #[prost(uint32, tag = "3")]
+    pub fate: u32,
+}
+
+/// A request that may end upstreams, with the sender's own losses.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Suspect {
     /// Digest of the request.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: Fingerprint,
-    /// Upstreams lost while they ran it, as the sender knows.
-    #[prost(uint32, tag = "2")]
-    pub crashes: u32,
+    /// The sender's losses.
+    #[prost(message, repeated, tag = "3")]
+    pub losses: Vec<Loss>,
+    /// Time since the request last ran to its end at the sender, in milliseconds.
+    #[prost(uint64, optional, tag = "4")]
+    pub well_ms: Option<u64>,
+}
+
+/// Number of a life that ended.
+const FATE_ENDED: u32 = 1;
+/// Number of a life that went on.
+const FATE_ALIVE: u32 = 2;
+
+impl From<&Told> for Suspect {
+    fn from(told: &Told) -> Self {
+        let losses = told.losses.iter().map(|loss| Loss {
+            life: loss.life,
+            age_ms: loss.age.as_millis() as u64,
+            fate: match loss.fate {
+                Fate::Unknown => 0,
+                Fate::Ended => FATE_ENDED,
+                Fate::Alive => FATE_ALIVE,
+            },
+        });
+        Suspect {
+            fingerprint: told.fingerprint,
+            losses: losses.collect(),
+            well_ms: told.well.map(|age| age.as_millis() as u64),
+        }
+    }
+}
+
+impl From<&Suspect> for Told {
+    fn from(suspect: &Suspect) -> Self {
+        let losses = suspect.losses.iter().map(|loss| ToldLoss {
+            life: loss.life,
+            age: Duration::from_millis(loss.age_ms),
+            fate: match loss.fate {
+                FATE_ENDED => Fate::Ended,
+                FATE_ALIVE => Fate::Alive,
+                _ => Fate::Unknown,
+            },
+        });
+        Told {
+            fingerprint: suspect.fingerprint,
+            losses: losses.collect(),
+            well: suspect.well_ms.map(Duration::from_millis),
+        }
+    }
 }
 
 /// A record of the store.
@@ -183,7 +248,7 @@
     /// Upstreams that the sender cannot reach, by the digests of their names.
     #[prost(fixed32, repeated, tag = "10")]
     pub unreachable: Vec<u32>,
-    /// Suspects found since the last datagram.
+    /// Some of the suspects, by turns.
     #[prost(message, repeated, tag = "6")]
     pub suspects: Vec<Suspect>,
 }
@@ -300,6 +365,15 @@
         due
     }
 
+    /// Returns where the peers are that were heard of late.
+    pub fn addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| is_recent(peer.heard, now));
+        heard.map(|peer| peer.address).collect()
+    }
+
     /// Returns the place of `own` among the hosts that were heard of late, in the order of names.
     pub fn rank(&self, own: &HostId, now: Instant) -> usize {
         let heard = self
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -21,8 +21,12 @@
 pub type RequestId = Uuid;
 /// Identifier of one life of an entry process.
 pub type Incarnation = Uuid;
-/// Digest of a request's content.
+/// Digest of a request's content and caller, equal for all its tries.
 pub type Fingerprint = u64;
+/// Digest of an upstream's name and start.
+pub type LifeDigest = u32;
+/// Digest of a host's name.
+pub type HostDigest = u32;
 /// Name of a route.
 pub type RouteId = CompactString;
 /// Identifier that a caller gave one request, as it came.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,5 +45,6 @@
 pub mod snapshot;
 pub mod standin;
 pub mod status;
+pub mod suspicion;
 pub mod upstream;
 pub mod wire;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -74,6 +74,9 @@
     max_connections: usize,
     #[serde(default)]
     engine: Option<EngineText>,
+    /// Path at which an upstream says that it is sound.
+    #[serde(default)]
+    health_path: Option<CompactString>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -192,6 +195,7 @@
     Service {
         name: text.name,
         most_connections: text.max_connections,
+        health_path: text.health_path,
         engine: text.engine.map(|engine| Engine {
             slots: engine.slots,
             memory_tokens: engine.kv_capacity_tokens,
--- a/src/platform/egress.rs
+++ b/src/platform/egress.rs
@@ -17,6 +17,7 @@
 use crate::gateway::exchange::Handle;
 use crate::gateway::exchange::Mark;
 use crate::gateway::exchange::Work;
+use crate::id::Birth;
 use crate::id::Offset;
 use crate::id::UpstreamId;
 use crate::reassign::duty::Report;
@@ -210,6 +211,24 @@
     fields
 }
 
+#[derive(Deserialize)]
+struct BornText {
+    /// Unix milliseconds of the upstream's start.
+    born: Birth,
+}
+
+/// Returns the start that an upstream names in what it says of itself, if it names one.
+///
+/// ```
+/// use pistachiohall::platform::egress;
+/// assert_eq!(egress::born(br#"{"busy": false, "born": 7}"#), Some(7));
+/// assert_eq!(egress::born(b"sound"), None);
+/// ```
+pub fn born(body: &[u8]) -> Option<Birth> {
+    let text: Result<BornText, serde_json::Error> = serde_json::from_slice(body);
+    text.map(|text| text.born).ok()
+}
+
 /// Path at which engines report on themselves.
 pub const REPORT_PATH: &str = "/v1/report";
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -33,6 +33,8 @@
 pub const UPSTREAM_TOPIC: &str = "keyed.servers";
 /// Topic in which each entry host keeps its own entry.
 pub const HOST_TOPIC: &str = "keyed.hosts";
+/// Topic in which each entry host keeps its losses of requests that may end upstreams.
+pub const SUSPECT_TOPIC: &str = "keyed.suspects";
 /// Topic whose newest record under [`LEASE_KEY`] names the host that may give orders.
 pub const LEASE_TOPIC: &str = "keyed.lease";
 /// Key of the lease.
--- /dev/null
+++ b/src/suspicion/mod.rs
@@ -0,0 +1,630 @@
+//! Requests that may end the upstreams that run them.
+//!
+//! An exchange that ends without an answer is a loss: of a request, at one life of an upstream. What
+//! became of that life tells whether the request may be to blame. A life that answers later, or
+//! whose entry is still written when a lapse would have shown, accuses nobody; lives that ended, or
+//! may have, are counted as a set over all hosts. A request that also runs to its end is innocent.
+//!
+//! Times are passed in; nothing here reads a clock or a socket.
+
+pub mod recent;
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use self::recent::Recent;
+use crate::id::Fingerprint;
+use crate::id::HostDigest;
+use crate::id::LifeDigest;
+
+/// Lives that may have ended under a request from which it is sent to no further upstream. Users
+/// allow three; the third is for hosts that send it at the same time.
+const MOST_LIVES: usize = 2;
+/// The same for a request that has run to its end of late: upstreams that end by themselves take
+/// it with them.
+const MOST_LIVES_WELL: usize = 8;
+/// Shortest time from an upstream's end to its next life, which may have the same name.
+const RESTART_TIME: Duration = Duration::from_secs(1);
+/// Time after an upstream's end at which its entry has surely lapsed or names another start: three
+/// writings, one each 1.2 s, and the age of a reading.
+const LAPSE_TIME: Duration = Duration::from_secs(6);
+/// Time for which a life that ended is held against a request.
+const MEMORY: Duration = Duration::from_secs(600);
+/// Time for which peers are told that a suspect is cleared.
+const CLEARED_TIME: Duration = Duration::from_secs(10);
+/// Pause between two tellings of a suspect that has not changed.
+const RETELL_PAUSE: Duration = Duration::from_secs(1);
+/// Time that a single loss is not yet kept for good: most are cleared by the next try.
+const KEEP_DELAY: Duration = Duration::from_secs(1);
+/// Most suspects held at once.
+const MOST_SUSPECTS: usize = 4096;
+/// Most losses of one suspect that are told apart.
+const MOST_LOSSES: usize = 16;
+/// Time after which a refused caller may learn more, while it is not settled what became of lives.
+const UNSETTLED_PAUSE: Duration = Duration::from_secs(1);
+/// Time after which a caller whose request ended upstreams may come back.
+const REFUSED_PAUSE: Duration = Duration::from_secs(60);
+
+/// What became of a life after a loss.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It is not known.
+    Unknown,
+    /// It has ended.
+    Ended,
+    /// It went on.
+    Alive,
+}
+
+/// A loss as hosts tell one another of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldLoss {
+    /// Life of the upstream.
+    pub life: LifeDigest,
+    /// Time since the loss.
+    pub age: Duration,
+    /// What became of the life, as the teller knows.
+    pub fate: Fate,
+}
+
+/// A suspect as hosts tell one another of it: each tells its own losses alone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    /// Digest of the request.
+    pub fingerprint: Fingerprint,
+    /// The teller's own losses.
+    pub losses: Vec<ToldLoss>,
+    /// Time since the request last ran to its end at the teller, if it did.
+    pub well: Option<Duration>,
+}
+
+/// How a request may be run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// As any other.
+    Clear,
+    /// Not before it is settled what became of the upstreams that it was lost at.
+    Unsettled(Case),
+    /// Not at all.
+    Refused(Case),
+}
+
+/// What a verdict rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Case {
+    /// Lives that ended under the request or may have.
+    pub lives: usize,
+    /// Those that surely ended.
+    pub ended: usize,
+    /// Hosts that lost it.
+    pub hosts: usize,
+    /// Time since the first of the losses.
+    pub oldest: Duration,
+    /// Time after which the caller may come back.
+    pub retry_after: Duration,
+}
+
+/// A loss that was settled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settled {
+    /// Digest of the request.
+    pub fingerprint: Fingerprint,
+    /// Life of the upstream.
+    pub life: LifeDigest,
+    /// What became of it.
+    pub fate: Fate,
+    /// Time since the loss.
+    pub age: Duration,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Loss {
+    life: LifeDigest,
+    /// Host that lost the request.
+    origin: HostDigest,
+    at: Instant,
+    fate: Fate,
+}
+
+impl Loss {
+    fn counts(&self) -> bool {
+        self.fate != Fate::Alive
+    }
+}
+
+#[derive(Debug)]
+struct Suspect {
+    losses: Vec<Loss>,
+    /// When the request last ran to its end here.
+    well: Option<Instant>,
+    changed: Instant,
+    told: Option<Instant>,
+}
+
+impl Suspect {
+    fn new(now: Instant) -> Self {
+        Suspect {
+            losses: Vec::new(),
+            well: None,
+            changed: now,
+            told: None,
+        }
+    }
+
+    /// Returns the lives that ended under it or may have.
+    fn lives(&self) -> usize {
+        self.distinct(Loss::counts)
+    }
+
+    /// Returns how many lives the losses that `is_meant` tells are of.
+    fn distinct<F>(&self, is_meant: F) -> usize
+    where
+        F: Fn(&Loss) -> bool,
+    {
+        let is_first = |index: usize| {
+            let life = self.losses[index].life;
+            let mut before = self.losses[..index].iter();
+            !before.any(|loss| loss.life == life && is_meant(loss))
+        };
+        let meant = (0..self.losses.len()).filter(|index| is_meant(&self.losses[*index]));
+        meant.filter(|index| is_first(*index)).count()
+    }
+
+    fn is_untold(&self) -> bool {
+        self.told.is_none_or(|told| told < self.changed)
+    }
+
+    /// Notes a loss of `origin`; a later one at the same life takes the place of an earlier one.
+    fn note(&mut self, loss: Loss) {
+        let held = self
+            .losses
+            .iter_mut()
+            .find(|held| held.life == loss.life && held.origin == loss.origin);
+        if let Some(held) = held {
+            *held = loss;
+            return;
+        }
+        if self.losses.len() >= MOST_LOSSES {
+            // One that counts less makes room: those that accuse nobody, then the oldest.
+            let weakest = (0..self.losses.len())
+                .min_by_key(|index| (self.losses[*index].counts(), self.losses[*index].at));
+            if let Some(weakest) = weakest {
+                self.losses.swap_remove(weakest);
+            }
+        }
+        self.losses.push(loss);
+    }
+}
+
+/// Suspects, and where they were lost.
+#[derive(Debug)]
+pub struct Ledger {
+    own: HostDigest,
+    suspects: HashMap<Fingerprint, Suspect>,
+    /// Suspects by the lives whose fate is not known.
+    unknown: HashMap<LifeDigest, Vec<Fingerprint>>,
+    /// Exchanges in flight at this host.
+    in_flight: HashMap<Fingerprint, u32>,
+    well: Recent,
+}
+
+impl Ledger {
+    /// Returns an empty ledger of the host `own`.
+    pub fn new(own: HostDigest) -> Self {
+        Ledger {
+            own,
+            suspects: HashMap::new(),
+            unknown: HashMap::new(),
+            in_flight: HashMap::new(),
+            well: Recent::default(),
+        }
+    }
+
+    /// Returns how a request may be run.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::suspicion::{Ledger, Verdict};
+    /// let now = Instant::now();
+    /// let mut ledger = Ledger::new(1);
+    /// ledger.note_loss(7, 100, now);
+    /// assert_eq!(ledger.verdict(7, now), Verdict::Clear);
+    /// ledger.note_loss(7, 200, now);
+    /// assert!(matches!(ledger.verdict(7, now), Verdict::Unsettled(_)));
+    /// ledger.note_ended(100);
+    /// ledger.note_ended(200);
+    /// assert!(matches!(ledger.verdict(7, now), Verdict::Refused(_)));
+    /// assert_eq!(ledger.verdict(8, now), Verdict::Clear);
+    /// ```
+    pub fn verdict(&self, fingerprint: Fingerprint, now: Instant) -> Verdict {
+        let Some(suspect) = self.suspects.get(&fingerprint) else {
+            return Verdict::Clear;
+        };
+        let lives = suspect.lives();
+        if lives == 0 {
+            return Verdict::Clear;
+        }
+        let in_flight = self.in_flight.get(&fingerprint).copied().unwrap_or(0) as usize;
+        let (most, may_end) = match self.well.holds(fingerprint, now) {
+            true => (MOST_LIVES_WELL, lives),
+            // What is in flight may end further ones.
+            false => (MOST_LIVES, lives + in_flight),
+        };
+        if may_end < most {
+            return Verdict::Clear;
+        }
+        let counted = || suspect.losses.iter().filter(|loss| loss.counts());
+        let ended = suspect.distinct(|loss| loss.fate == Fate::Ended);
+        let hosts: HashSet<HostDigest> = counted().map(|loss| loss.origin).collect();
+        let first = counted().map(|loss| loss.at).min().unwrap_or(now);
+        let is_settled = ended >= most;
+        let case = Case {
+            lives,
+            ended,
+            hosts: hosts.len(),
+            oldest: now.saturating_duration_since(first),
+            retry_after: match is_settled {
+                true => REFUSED_PAUSE,
+                false => UNSETTLED_PAUSE,
+            },
+        };
+        match is_settled {
+            true => Verdict::Refused(case),
+            false => Verdict::Unsettled(case),
+        }
+    }
+
+    /// Notes that a request is about to be sent to an upstream.
+    pub fn enter(&mut self, fingerprint: Fingerprint) {
+        *self.in_flight.entry(fingerprint).or_default() += 1;
+    }
+
+    /// Notes that an exchange is over, however it ended.
+    pub fn leave(&mut self, fingerprint: Fingerprint) {
+        if let Some(count) = self.in_flight.get_mut(&fingerprint) {
+            *count -= 1;
+            if *count == 0 {
+                self.in_flight.remove(&fingerprint);
+            }
+        }
+    }
+
+    /// Notes that an exchange with a life ended without an answer; returns how many lives may have
+    /// ended under the request.
+    pub fn note_loss(&mut self, fingerprint: Fingerprint, life: LifeDigest, now: Instant) -> usize {
+        let loss = Loss {
+            life,
+            origin: self.own,
+            at: now,
+            fate: Fate::Unknown,
+        };
+        let suspect = self.suspect(fingerprint, now);
+        suspect.note(loss);
+        suspect.changed = now;
+        let lives = suspect.lives();
+        self.watch(life, fingerprint);
+        lives
+    }
+
+    /// Notes that a request ran to its end, which no request does that ends its upstreams.
+    pub fn note_well(&mut self, fingerprint: Fingerprint, now: Instant) {
+        self.well.note(fingerprint, now);
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.losses.clear();
+            suspect.well = Some(now);
+            suspect.changed = now;
+        }
+    }
+
+    /// Notes that a life answered a request that was sent at `sent`. Some time after a loss, the
+    /// answer may be that of a next life under the same name.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use pistachiohall::suspicion::{Ledger, Verdict};
+    /// let now = Instant::now();
+    /// let mut ledger = Ledger::new(1);
+    /// ledger.note_loss(7, 100, now);
+    /// ledger.note_loss(7, 200, now);
+    /// ledger.note_answer(200, now + Duration::from_millis(20));
+    /// assert_eq!(ledger.verdict(7, now), Verdict::Clear);
+    /// ```
+    pub fn note_answer(&mut self, life: LifeDigest, sent: Instant) {
+        if self.unknown.is_empty() {
+            return;
+        }
+        self.settle_life(life, Fate::Alive, |at| {
+            sent > at && sent < at + RESTART_TIME
+        });
+    }
+
+    /// Notes that a life surely lives: it was asked at `sent` and named its start.
+    pub fn note_alive(&mut self, life: LifeDigest, sent: Instant) {
+        self.settle_life(life, Fate::Alive, |at| sent > at);
+    }
+
+    /// Notes that a life has surely ended.
+    pub fn note_ended(&mut self, life: LifeDigest) {
+        self.settle_life(life, Fate::Ended, |_| true);
+    }
+
+    fn settle_life<F>(&mut self, life: LifeDigest, fate: Fate, settles: F)
+    where
+        F: Fn(Instant) -> bool,
+    {
+        let Some(fingerprints) = self.unknown.get_mut(&life) else {
+            return;
+        };
+        let suspects = &mut self.suspects;
+        fingerprints.retain(|fingerprint| {
+            let Some(suspect) = suspects.get_mut(fingerprint) else {
+                return false;
+            };
+            let mut is_open = false;
+            for loss in &mut suspect.losses {
+                if loss.life != life || loss.fate != Fate::Unknown {
+                    continue;
+                }
+                match settles(loss.at) {
+                    true => loss.fate = fate,
+                    false => is_open = true,
+                }
+            }
+            is_open
+        });
+        if fingerprints.is_empty() {
+            self.unknown.remove(&life);
+        }
+    }
+
+    /// Returns the lives whose fate decides on a request.
+    pub fn unknown_lives(&self, fingerprint: Fingerprint) -> Vec<LifeDigest> {
+        let Some(suspect) = self.suspects.get(&fingerprint) else {
+            return Vec::new();
+        };
+        let unknown = suspect
+            .losses
+            .iter()
+            .filter(|loss| loss.fate == Fate::Unknown);
+        let mut lives: Vec<LifeDigest> = unknown.map(|loss| loss.life).collect();
+        lives.sort_unstable();
+        lives.dedup();
+        lives
+    }
+
+    /// Returns whether it is open what became of a life.
+    pub fn is_unknown(&self, life: LifeDigest) -> bool {
+        self.unknown.contains_key(&life)
+    }
+
+    /// Returns whether it is open what became of any life.
+    pub fn has_unknown(&self) -> bool {
+        !self.unknown.is_empty()
+    }
+
+    /// Settles losses by the registry, which held `lives` when it was read at `read`, and forgets
+    /// what no longer counts; returns the losses that were settled.
+    pub fn settle(
+        &mut self,
+        lives: &HashSet<LifeDigest>,
+        read: Option<Instant>,
+        now: Instant,
+    ) -> Vec<Settled> {
+        let mut settled = Vec::new();
+        for (fingerprint, suspect) in &mut self.suspects {
+            for loss in &mut suspect.losses {
+                let Some(read) = read.filter(|read| *read > loss.at) else {
+                    continue;
+                };
+                if loss.fate != Fate::Unknown {
+                    continue;
+                }
+                loss.fate = match lives.contains(&loss.life) {
+                    false => Fate::Ended,
+                    true if read >= loss.at + LAPSE_TIME => Fate::Alive,
+                    true => continue,
+                };
+                suspect.changed = now;
+                settled.push(Settled {
+                    fingerprint: *fingerprint,
+                    life: loss.life,
+                    fate: loss.fate,
+                    age: now.saturating_duration_since(loss.at),
+                });
+            }
+        }
+        self.forget(now);
+        settled
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let is_within = |at: Instant, time| now.saturating_duration_since(at) < time;
+        self.suspects.retain(|_, suspect| {
+            suspect.losses.retain(|loss| match loss.fate {
+                Fate::Alive => is_within(loss.at, CLEARED_TIME),
+                Fate::Unknown | Fate::Ended => is_within(loss.at, MEMORY),
+            });
+            !suspect.losses.is_empty() || suspect.well.is_some_and(|at| is_within(at, CLEARED_TIME))
+        });
+        self.unknown.clear();
+        for (fingerprint, suspect) in &self.suspects {
+            for loss in &suspect.losses {
+                if loss.fate == Fate::Unknown {
+                    let held = self.unknown.entry(loss.life).or_default();
+                    held.push(*fingerprint);
+                }
+            }
+        }
+    }
+
+    /// Returns the suspects that peers are told of now, `most` at the most: news before what they
+    /// have been told, those of many lives first.
+    pub fn tell(&mut self, most: usize, now: Instant) -> Vec<Told> {
+        if self.suspects.is_empty() {
+            return Vec::new();
+        }
+        let own = self.own;
+        let is_due = |suspect: &Suspect| {
+            let is_own = suspect.losses.iter().any(|loss| loss.origin == own);
+            let told = suspect.told;
+            (is_own || suspect.well.is_some())
+                && (suspect.is_untold()
+                    || told.is_none_or(|at| now.saturating_duration_since(at) >= RETELL_PAUSE))
+        };
+        let mut due: Vec<(bool, std::cmp::Reverse<usize>, Option<Instant>, Fingerprint)> = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| is_due(suspect))
+            .map(|(fingerprint, suspect)| {
+                let lives = std::cmp::Reverse(suspect.lives());
+                (!suspect.is_untold(), lives, suspect.told, *fingerprint)
+            })
+            .collect();
+        due.sort_unstable();
+        due.truncate(most);
+        let fingerprints = due.into_iter().map(|(.., fingerprint)| fingerprint);
+        fingerprints
+            .filter_map(|fingerprint| {
+                let suspect = self.suspects.get_mut(&fingerprint)?;
+                suspect.told = Some(now);
+                Some(account(fingerprint, suspect, own, now))
+            })
+            .collect()
+    }
+
+    /// Takes in what the host `origin` tells of suspects.
+    pub fn hear(&mut self, origin: HostDigest, told: &[Told], now: Instant) {
+        for told in told {
+            if told.losses.is_empty() && !self.suspects.contains_key(&told.fingerprint) {
+                continue;
+            }
+            let suspect = self.suspect(told.fingerprint, now);
+            if let Some(well) = told.well.and_then(|age| now.checked_sub(age)) {
+                suspect.losses.retain(|loss| loss.at > well);
+            }
+            let mut unknown = Vec::new();
+            for told in &told.losses {
+                if told.age >= MEMORY {
+                    continue;
+                }
+                let at = now.checked_sub(told.age).unwrap_or(now);
+                let mut loss = Loss {
+                    life: told.life,
+                    origin,
+                    at,
+                    fate: told.fate,
+                };
+                let held = suspect
+                    .losses
+                    .iter()
+                    .find(|held| held.life == loss.life && held.origin == origin);
+                if let Some(held) = held {
+                    // The same loss told again, if a datagram's delay explains the difference.
+                    let is_same = loss.at < held.at + RESTART_TIME;
+                    loss.at = if is_same {
+                        held.at.min(loss.at)
+                    } else {
+                        loss.at
+                    };
+                    if is_same && loss.fate == Fate::Unknown {
+                        loss.fate = held.fate;
+                    }
+                }
+                if loss.fate == Fate::Unknown {
+                    unknown.push(loss.life);
+                }
+                suspect.note(loss);
+            }
+            for life in unknown {
+                self.watch(life, told.fingerprint);
+            }
+        }
+    }
+
+    /// Returns what must outlast this process: its own losses at lives that ended or, of requests
+    /// that are not run any more, may have.
+    pub fn lasting(&self, now: Instant) -> Vec<Told> {
+        let lasts = |suspect: &Suspect, loss: &Loss| {
+            let is_old = now.saturating_duration_since(loss.at) >= KEEP_DELAY;
+            loss.origin == self.own
+                && loss.counts()
+                && (suspect.lives() >= MOST_LIVES || (is_old && loss.fate == Fate::Ended))
+        };
+        let mut lasting: Vec<Told> = self
+            .suspects
+            .iter()
+            .map(|(fingerprint, suspect)| {
+                let own = Suspect {
+                    losses: suspect
+                        .losses
+                        .iter()
+                        .filter(|loss| lasts(suspect, loss))
+                        .copied()
+                        .collect(),
+                    well: None,
+                    ..Suspect::new(now)
+                };
+                account(*fingerprint, &own, self.own, now)
+            })
+            .filter(|told| !told.losses.is_empty())
+            .collect();
+        lasting
+            .sort_unstable_by_key(|told| (std::cmp::Reverse(told.losses.len()), told.fingerprint));
+        lasting
+    }
+
+    /// Returns how many requests are suspects, and how many of these are not run any more.
+    pub fn count(&self, now: Instant) -> (usize, usize) {
+        let suspects = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.lives() > 0);
+        suspects.fold((0, 0), |(all, refused), (fingerprint, _)| {
+            let is_refused = self.verdict(*fingerprint, now) != Verdict::Clear;
+            (all + 1, refused + usize::from(is_refused))
+        })
+    }
+
+    fn watch(&mut self, life: LifeDigest, fingerprint: Fingerprint) {
+        let held = self.unknown.entry(life).or_default();
+        if !held.contains(&fingerprint) {
+            held.push(fingerprint);
+        }
+    }
+
+    /// Returns a suspect, a new one in the place of the least suspect if there is no room.
+    fn suspect(&mut self, fingerprint: Fingerprint, now: Instant) -> &mut Suspect {
+        if self.suspects.len() >= MOST_SUSPECTS && !self.suspects.contains_key(&fingerprint) {
+            let least = self
+                .suspects
+                .iter()
+                .min_by_key(|(_, suspect)| (suspect.lives(), suspect.changed))
+                .map(|(fingerprint, _)| *fingerprint);
+            if let Some(least) = least {
+                self.suspects.remove(&least);
+            }
+        }
+        self.suspects
+            .entry(fingerprint)
+            .or_insert_with(|| Suspect::new(now))
+    }
+}
+
+/// Returns what `own` tells of a suspect.
+fn account(fingerprint: Fingerprint, suspect: &Suspect, own: HostDigest, now: Instant) -> Told {
+    let age = |at| now.saturating_duration_since(at);
+    let losses = suspect.losses.iter().filter(|loss| loss.origin == own);
+    Told {
+        fingerprint,
+        losses: losses
+            .map(|loss| ToldLoss {
+                life: loss.life,
+                age: age(loss.at),
+                fate: loss.fate,
+            })
+            .collect(),
+        well: suspect.well.map(age),
+    }
+}
--- a/tests/gateway/deadly.rs
+++ b/tests/gateway/deadly.rs
@@ -231,6 +231,25 @@
     ward.assert_others_are_served(kind);
 }
 
+/// A request that crashes each upstream that runs it is not sent to a third one.
+#[test]
+fn holds_back_a_request_that_crashes_upstreams() {
+    let mut ward = Ward::new(1, RESET_LATE);
+    let statuses: Vec<u16> = (0..5)
+        .map(|_| ward.send(0, ACT).map_or(0, |answer| answer.status))
+        .collect();
+    assert_eq!(statuses, [502, 502, 503, 503, 503]);
+    let ran = ward.mortals.iter().flat_map(Mortal::seen);
+    assert_eq!(ran.filter(|seen| seen.ran).count(), 2);
+    let another = Kind {
+        path: "/act/a",
+        body: b"another",
+        ..ACT
+    };
+    let answer = ward.send(0, another);
+    assert_eq!(answer.map_or(0, |answer| answer.status), 200);
+}
+
 /// Guards against a host that does not know what another one has seen: it is started later, or
 /// again.
 #[rstest]
--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -316,26 +316,3 @@
     assert!(repeats > 0);
     assert!(repeats as f64 <= 0.2 * requests as f64 + 10.0, "{repeats}");
 }
-
-/// A request that crashes each upstream that runs it is not sent to a third one.
-#[test]
-fn holds_back_a_request_that_crashes_upstreams() {
-    let site = Site::desks(&["c1", "c2", "c3"]);
-    site.replicas
-        .values()
-        .for_each(|replica| replica.set_manner(Manner::Reset));
-    let send = |number: u32, body: &[u8]| {
-        let mut client = site.gateway.client();
-        client
-            .send("POST", "/act/a", &format!("r{number}"), &[], body)
-            .unwrap();
-        client.receive().unwrap().status
-    };
-    let statuses: Vec<u16> = (0..5).map(|number| send(number, b"crash")).collect();
-    assert_eq!(statuses, [502, 502, 503, 503, 503]);
-    assert_eq!(site.runs(), 2);
-    site.replicas
-        .values()
-        .for_each(|replica| replica.set_manner(Manner::Sound));
-    assert_eq!(send(9, b"another"), 200);
-}
