--- a/src/suspicion/mod.rs
+++ b/src/suspicion/mod.rs
@@ -187,9 +187,16 @@
             return;
         }
         if self.losses.len() >= MOST_LOSSES {
-            // One that counts less makes room: those that accuse nobody, then the oldest.
-            let weakest = (0..self.losses.len())
-                .min_by_key(|index| (self.losses[*index].counts(), self.losses[*index].at));
+            // One that counts less makes room: those that accuse nobody, those at a life that
+            // another one is at, then the oldest.
+            let is_only = |one: &Loss| {
+                let same = self.losses.iter().filter(|loss| loss.life == one.life);
+                same.count() == 1
+            };
+            let weakest = (0..self.losses.len()).min_by_key(|index| {
+                let one = &self.losses[*index];
+                (one.counts(), is_only(one), one.at)
+            });
             if let Some(weakest) = weakest {
                 self.losses.swap_remove(weakest);
             }
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod reassign;
 mod share;
+mod suspicion;
 mod target;
 mod term;
 
