Play a request that ends its upstreams in the soak

From seed 3000 on four more upstreams end under a marked request, by reset or silence, and come back as a new life, while it returns at any gateway among the other faults. Some seconds after the third end it may reach them in three retries; gateways serve others there again.

--- a/src/standin/fleet/mod.rs
+++ b/src/standin/fleet/mod.rs
@@ -16,10 +16,10 @@
 /// Host name of all routes of [`config`].
 pub const HOST: &str = "lm.example";
 
-/// Returns a configuration with a plain service `desk` and a model service `lm`.
+/// Returns a configuration with the plain services `desk` and `frail` and a model service `lm`.
 ///
 /// Routes: `/read/` safe, `/act/` unsafe, `/ask/` a stream that may be resumed, `/draft/` one that
-/// may not.
+/// may not, `/risky/` unsafe at `frail`.
 ///
 /// ```
 /// use pistachiohall::platform::config;
@@ -40,8 +40,9 @@
         route("/act/", "unsafe", "desk", 2),
         route("/ask/", "stream", "lm", 2),
         route("/draft/", "stream", "lm", 2),
+        route("/risky/", "unsafe", "frail", 2),
     ];
-    for stream in &mut routes[2..] {
+    for stream in &mut routes[2..4] {
         stream["sticky"] = json!(true);
         stream["target_gap_ms"] = json!(200);
     }
@@ -51,6 +52,7 @@
         "routes": routes,
         "services": [
             {"name": "desk", "health_path": "/healthz", "max_connections": 100, "protocol": "h1"},
+            {"name": "frail", "health_path": "/healthz", "max_connections": 100, "protocol": "h1"},
             {"name": "lm", "health_path": "/healthz", "max_connections": 300, "protocol": "h1",
              "engine": {"slots": 8, "kv_capacity_tokens": 685_000, "handle_ttl_s": 5.0, "switch_s": 3.0}},
         ],
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -16,6 +16,8 @@
 
 /// Time that a caller gives each request.
 pub const PATIENCE: Duration = Duration::from_millis(1500);
+/// Pause between two sends of a request that ends its upstreams.
+const DEADLY_PAUSE: Duration = Duration::from_millis(100);
 /// Pause of a caller that reaches no gateway.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Tokens of a generated answer.
@@ -133,6 +135,26 @@
     calls
 }
 
+/// Sends a request that ends its upstreams to one gateway after the other until `stop`.
+pub fn run_deadly(seed: u64, gateways: &[Mutex<Option<SocketAddr>>], stop: &AtomicBool) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut number = 0;
+    while !stop.load(Ordering::SeqCst) {
+        thread::sleep(DEADLY_PAUSE);
+        let gateway = random.random_range(0..gateways.len());
+        let address = *gateways[gateway].lock().unwrap();
+        let Some(mut client) = address.and_then(|address| Client::connect(address).ok()) else {
+            continue;
+        };
+        number += 1;
+        let id = format!("deadly{seed}-{number}");
+        let fields = [("Pistachiohall-Deadline-Ms", "400")];
+        let sent = client.send("POST", "/risky/deadly", &id, &fields, b"deadly");
+        // What comes back is no matter: only what the upstreams see counts.
+        let _answer = sent.and_then(|()| client.receive());
+    }
+}
+
 fn ask(client: &mut Client, kind: Kind, id: &str) -> Option<Answer> {
     let (method, path, prompt) = kind.parts();
     let patience = PATIENCE.as_millis().to_string();
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use pistachiohall::standin::fleet::mortal;
+use pistachiohall::standin::fleet::mortal::Mortal;
 use pistachiohall::standin::fleet::replica::Seen;
 use serde_json::Value;
 
@@ -25,6 +27,10 @@
 /// Time after the question for a pause from which requests count, and how many may come then.
 const PAUSE_START: Duration = Duration::from_millis(500);
 const PAUSE_REQUESTS: usize = 2;
+/// Time after the third end from which retries of a request that ends its upstreams count, and how
+/// many may come then.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+const DEADLY_RETRIES: usize = 3;
 /// Body of a plain answer.
 const PLAIN: &str = "the whole answer";
 /// Statuses that say that a request has not run and will not.
@@ -102,6 +108,23 @@
     .collect()
 }
 
+/// Checks what became of upstreams that a request ends: some seconds after the third has ended, the
+/// request reaches them in three retries at the most. Returns the promises that were broken.
+pub fn deadly(frail: &[Mortal]) -> Vec<String> {
+    let mut ends: Vec<Instant> = frail.iter().flat_map(Mortal::ends).collect();
+    ends.sort_unstable();
+    let Some(third) = ends.get(2) else {
+        return Vec::new();
+    };
+    let seen = frail.iter().flat_map(Mortal::seen);
+    let late =
+        seen.filter(|seen| seen.path.ends_with(mortal::DEADLY) && seen.at > *third + STABLE_WINDOW);
+    let late = late.count();
+    let is_broken = late > DEADLY_RETRIES;
+    let text = format!("{late} retries of a request that has ended {}", ends.len());
+    is_broken.then_some(text).into_iter().collect()
+}
+
 /// What an upstream said of itself in its answers, and which requests it got.
 pub struct Said<'a> {
     /// Name of the upstream.
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use pistachiohall::standin::fleet::mortal::Death;
+use pistachiohall::standin::fleet::mortal::Nature;
 use pistachiohall::standin::fleet::replica::Manner;
 use pistachiohall::standin::fleet::store::Trouble;
 use rand::RngExt;
@@ -18,10 +20,14 @@
 const FIRST_LEAVING: u64 = 1000;
 /// Seeds from which on upstreams speak of themselves in their answers.
 const FIRST_NOTICE: u64 = 2000;
+/// Seeds from which on a request ends the upstreams that run it.
+const FIRST_DEADLY: u64 = 3000;
 /// Sets the draw of these apart from that of the other faults.
 const NOTICE_SEED: u64 = 0x5a1d;
 /// Sets the draw of leaving upstreams apart from that of the other faults.
 const LEAVE_SEED: u64 = 0x1ea7e;
+/// Sets the draw of how upstreams end apart from that of the other faults.
+const DEADLY_SEED: u64 = 0xdead;
 /// Fewest and most faults of a run.
 const FAULTS: std::ops::Range<usize> = 5..12;
 
@@ -152,6 +158,20 @@
     })
 }
 
+/// Draws how upstreams end under a request that ends them, in runs that have one.
+pub fn deadly(seed: u64) -> Option<Nature> {
+    let mut random = StdRng::seed_from_u64(seed ^ DEADLY_SEED);
+    (seed >= FIRST_DEADLY).then(|| Nature {
+        death: match random.random_range(0..2) {
+            0 => Death::Reset,
+            _ => Death::Dark,
+        },
+        back_after: Duration::from_millis(random.random_range(300..2000)),
+        keeps_name: random.random_range(0..2) == 0,
+        spares_readers: false,
+    })
+}
+
 fn link(random: &mut StdRng) -> Link {
     match random.random_range(0..5) {
         0 => Link::Slow(Duration::from_millis(random.random_range(5..120))),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -41,6 +41,7 @@
 #[case::upstream_drained(1045)]
 #[case::says_that_it_leaves(2004)]
 #[case::asks_for_a_pause(2009)]
+#[case::a_request_ends_upstreams(3001)]
 fn promises_hold_under_faults(#[case] seed: u64) {
     let report = play(seed);
     assert!(report.answers > 0, "no request was answered");
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -11,6 +11,8 @@
 
 use pistachiohall::platform::store;
 use pistachiohall::standin::fleet;
+use pistachiohall::standin::fleet::mortal;
+use pistachiohall::standin::fleet::mortal::Mortal;
 use pistachiohall::standin::fleet::replica::Manner;
 use pistachiohall::standin::fleet::replica::Replica;
 use pistachiohall::standin::fleet::replica::Seen;
@@ -44,6 +46,8 @@
 ];
 /// Callers, each with one request at a time.
 const CALLERS: u64 = 8;
+/// Upstreams that a request ends.
+const FRAIL: [&str; 4] = ["f1", "f2", "f3", "f4"];
 /// Pause between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which callers go on after the last fault.
@@ -98,6 +102,8 @@
 }
 
 struct World {
+    /// Upstreams that a request ends, in runs that have one.
+    frail: Vec<Mortal>,
     store: Store,
     store_links: Vec<Proxy>,
     upstreams: Vec<Upstream>,
@@ -131,12 +137,14 @@
                 scope.spawn(move || caller::run(&name, seed * CALLERS + number, addresses, stop))
             })
             .collect();
+        if !world.frail.is_empty() {
+            let (addresses, stop) = (&addresses, &stop);
+            scope.spawn(move || caller::run_deadly(seed, addresses, stop));
+        }
         world.suffer(&entries, &addresses);
         world.calm = Instant::now();
-        thread::sleep(match world.left.or(world.says_leaving) {
-            Some(_) => LONG_AFTERMATH,
-            None => AFTERMATH,
-        });
+        let is_long = world.left.or(world.says_leaving).is_some() || !world.frail.is_empty();
+        thread::sleep(if is_long { LONG_AFTERMATH } else { AFTERMATH });
         drop(ends);
         let calls = callers.into_iter();
         calls.flat_map(|caller| caller.join().unwrap()).collect()
@@ -160,6 +168,18 @@
                 upstream
             })
             .collect();
+        let frail: Vec<Mortal> = fault::deadly(seed)
+            .into_iter()
+            .flat_map(|nature| FRAIL.map(|name| (name, nature)))
+            .map(|(name, nature)| {
+                let role = mortal::Role {
+                    name,
+                    service: "frail",
+                    stage: None,
+                };
+                Mortal::start(store.registry(), role, nature).unwrap()
+            })
+            .collect();
         let store_links: Vec<Proxy> = (0..GATEWAYS)
             .map(|_| Proxy::start(store.address()).unwrap())
             .collect();
@@ -182,6 +202,7 @@
             .map(|gateway| Mutex::new(Some(gateway.callers())))
             .collect();
         World {
+            frail,
             store,
             store_links,
             upstreams,
@@ -381,6 +402,11 @@
                         .push(format!("gateway {index} does not serve {path} again"));
                 }
             }
+            if !self.frail.is_empty() && !serves(gateway, index, "POST", "/risky/sound", &[]) {
+                self.broken.push(format!(
+                    "gateway {index} does not serve frail upstreams again"
+                ));
+            }
             for (path, sizes) in [("/ask/a", "9000,6"), ("/draft/a", "200,6")] {
                 let fields = [
                     ("Pistachiohall-Token-Count", sizes),
@@ -422,6 +448,7 @@
             };
             self.broken.extend(said.broken());
         }
+        self.broken.extend(check::deadly(&self.frail));
         for (index, gateway) in self.gateways.iter_mut().enumerate() {
             gateway.signal("-TERM");
             let code = gateway.wait();
