Grant a host its share of the slack once a window, whatever happens to its process

Callers would see nothing; upstreams got more repeats than users allow.

The share is there once a whole window has passed since the process began, and new bounds keep what was counted. Repeats that requests earn are not touched. Tests set a ratio that does not bind, since a slack does at first.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -99,6 +99,7 @@
     pub urgent: Notify,
     /// Whether many of the known hosts are not heard.
     pub hears_part: Arc<AtomicBool>,
+    begun: Instant,
     hosts: Cell<usize>,
     away: RefCell<HashMap<u32, Instant>>,
     doubts: RefCell<Doubts>,
@@ -116,6 +117,7 @@
     pub fn new(settings: Settings, counters: Arc<Counters>, lives: Arc<Lives>) -> Self {
         let suspicion = RefCell::new(Ledger::new(gossip::digest(&settings.name)));
         Gateway {
+            begun: Instant::now(),
             hosts: Cell::new(settings.hosts_expected),
             repeats: Cell::new(settings.repeats),
             settings,
@@ -360,10 +362,11 @@
         self.lives.forget(&self.view.borrow().rows, now);
     }
 
-    /// Changes the bounds on repeats; requests and repeats counted so far are forgotten.
+    /// Changes the bounds on repeats; requests and repeats counted so far still count.
     pub fn set_repeats(&self, repeats: window::Bounds) {
-        if self.repeats.replace(repeats) != repeats {
-            self.budgets.borrow_mut().clear();
+        self.repeats.set(repeats);
+        for budget in self.budgets.borrow_mut().values_mut() {
+            budget.set_bounds(repeats);
         }
     }
 
@@ -404,7 +407,7 @@
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(service.clone())
-            .or_insert_with(|| window::Window::new(self.repeats.get()));
+            .or_insert_with(|| window::Window::new(self.repeats.get(), self.begun));
         act(budget)
     }
 }
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -32,14 +32,20 @@
 #[derive(Debug)]
 pub struct Window {
     bounds: Bounds,
+    /// Start of the process; what an earlier one spent is not known.
+    begun: Instant,
     steps: VecDeque<Step>,
 }
 
 impl Window {
-    /// Returns an empty window.
-    pub fn new(bounds: Bounds) -> Self {
+    /// Returns an empty window of a process that began at `begun`.
+    ///
+    /// The host's share of the slack is there once a whole window has passed since then: a process
+    /// before this one may have spent it.
+    pub fn new(bounds: Bounds, begun: Instant) -> Self {
         Window {
             bounds,
+            begun,
             steps: VecDeque::new(),
         }
     }
@@ -50,8 +56,9 @@
     /// use std::time::{Duration, Instant};
     /// use pistachiohall::retry::window::{Bounds, Window};
     /// let bounds = Bounds { ratio: 0.2, slack: 10.0, window: Duration::from_secs(10) };
-    /// let mut window = Window::new(bounds);
-    /// let now = Instant::now();
+    /// let begun = Instant::now();
+    /// let mut window = Window::new(bounds, begun);
+    /// let now = begun + bounds.window;
     /// let spent = (0..99).filter(|_| window.try_spend(1, 2, now)).count();
     /// assert_eq!(spent, 4);
     /// (0..100).for_each(|_| window.note_request(now));
@@ -62,6 +69,11 @@
         self.step(now).requests += 1;
     }
 
+    /// Changes the bounds; what was counted stays.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Counts `count` repeats if they are left to this host, being one of `hosts`.
     pub fn try_spend(&mut self, count: u32, hosts: usize, now: Instant) -> bool {
         let is_left = self.left(hosts, now) >= f64::from(count);
@@ -82,7 +94,9 @@
         let (requests, repeats) = self.steps.iter().fold((0, 0), |(requests, repeats), step| {
             (requests + step.requests, repeats + step.repeats)
         });
-        let share = self.bounds.slack / hosts.max(1) as f64;
+        let has_slack = now.saturating_duration_since(self.begun) >= self.bounds.window;
+        let slack = if has_slack { self.bounds.slack } else { 0.0 };
+        let share = slack / hosts.max(1) as f64;
         let allowed = (self.bounds.ratio * requests as f64 + share) * SPENT_SHARE;
         allowed - repeats as f64
     }
--- a/tests/decisions/budget.rs
+++ b/tests/decisions/budget.rs
@@ -22,7 +22,7 @@
 fn a_storm_on_all_hosts_stays_within_the_shared_budget(#[case] hosts: usize, #[case] rate: u64) {
     let start = Instant::now();
     let step = Duration::from_millis(100);
-    let mut windows: Vec<Window> = (0..hosts).map(|_| Window::new(BOUNDS)).collect();
+    let mut windows: Vec<Window> = (0..hosts).map(|_| Window::new(BOUNDS, start)).collect();
     let mut repeats = Vec::new();
     for tick in 0..600_u32 {
         let now = start + step * tick;
@@ -46,16 +46,46 @@
 /// A service that nobody asks for earns nothing: only the host's share of the slack is there.
 #[test]
 fn without_requests_only_the_slack_is_spent() {
-    let mut window = Window::new(BOUNDS);
-    let now = Instant::now();
+    let begun = Instant::now();
+    let mut window = Window::new(BOUNDS, begun);
+    let now = begun + BOUNDS.window;
     let spent = (0..1000).filter(|_| window.try_spend(1, 8, now)).count();
     assert!((1..=7).contains(&spent), "{spent}");
 }
 
 #[test]
 fn repeats_that_were_not_foreseen_count_as_well() {
-    let mut window = Window::new(BOUNDS);
-    let now = Instant::now();
+    let begun = Instant::now();
+    let mut window = Window::new(BOUNDS, begun);
+    let now = begun + BOUNDS.window;
     (0..100).for_each(|_| window.note_repeat(now));
     assert!(!window.try_spend(1, 1, now));
 }
+
+/// Guards against a share of the slack that is spent once by each of a host's processes: all hosts
+/// start again in turn, again and again, while every request fails.
+#[test]
+fn restarts_grant_no_slack_anew() {
+    const HOSTS: usize = 8;
+    let start = Instant::now();
+    let step = Duration::from_millis(100);
+    let before = start - 2 * BOUNDS.window;
+    let mut windows: Vec<Window> = (0..HOSTS).map(|_| Window::new(BOUNDS, before)).collect();
+    let mut repeats = Vec::new();
+    for tick in 0..600_u32 {
+        let now = start + step * tick;
+        if tick % 5 == 4 {
+            windows[tick as usize / 5 % HOSTS] = Window::new(BOUNDS, now);
+        }
+        let spent = |window: &mut Window| {
+            window.note_request(now);
+            (0..20).filter(|_| window.try_spend(1, HOSTS, now)).count()
+        };
+        repeats.push(windows.iter_mut().map(spent).sum::<usize>());
+    }
+    let allowed = 0.2 * (HOSTS * 100) as f64 + 56.0;
+    for span in repeats.windows(100) {
+        let sum: usize = span.iter().sum();
+        assert!(sum as f64 <= allowed, "{sum} repeats, {allowed} allowed");
+    }
+}
--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -316,3 +316,42 @@
     assert!(repeats > 0);
     assert!(repeats as f64 <= 0.2 * requests as f64 + 10.0, "{repeats}");
 }
+
+/// Guards against slack that is granted anew to a host that starts again, or reads its settings
+/// again, within the window in which it has spent its share.
+#[rstest]
+#[case::restart(true)]
+#[case::reload(false)]
+fn a_host_spends_its_slack_once_a_window(#[case] restarts: bool) {
+    let bounds = |slack: u32| {
+        format!(
+            "[orders]\nread_share = 0\n[repeats]\nratio = 0.2\nslack = {slack}\nwindow = 30s\n\
+             hosts_expected = 1\n"
+        )
+    };
+    let mut site = Site::start(&["c1", "c2"], &[], &bounds(10));
+    site.replicas
+        .values()
+        .for_each(|replica| replica.set_manner(Manner::Fail));
+    let mut requests = 0;
+    for round in 1..=4 {
+        for _ in 0..20 {
+            requests += 1;
+            let id = format!("r{requests}");
+            site.gateway.call("GET", "/read/a", &id, &[]);
+        }
+        if restarts {
+            site.gateway.restart();
+            site.gateway.wait_ready();
+        } else {
+            let store = site.store.address();
+            let slack = 10 - round;
+            site.gateway.rewrite("h1", store, &bounds(slack));
+            site.gateway.signal("-HUP");
+            let told = format!("slack: {slack}.0");
+            site.gateway.wait_line(&["outcome=reloaded", &told]);
+        }
+    }
+    let repeats = site.arrivals() - requests;
+    assert!(repeats as f64 <= 0.2 * requests as f64 + 10.0, "{repeats}");
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -264,7 +264,7 @@
 }
 
 /// Settings for tests of the rules on requests: no orders, and a budget that does not bind.
-pub const NO_ORDERS: &str = "[orders]\nread_share = 0\n[repeats]\nslack = 1000\n";
+pub const NO_ORDERS: &str = "[orders]\nread_share = 0\n[repeats]\nratio = 1000\n";
 
 impl Site {
     /// Starts plain services named `desks` and engines named `engines` with their stages.
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -55,7 +55,7 @@
 /// The same where an upstream has left; longer than it may get new work.
 const LONG_AFTERMATH: Duration = Duration::from_secs(6);
 /// Settings; short times to leave, so that several fit into a run.
-const SETTINGS: &str = "[orders]\nread_share = 0\n[repeats]\nslack = 1000\n[shutdown]\nbalancer_lag = 100ms\nlimit = 4s\n";
+const SETTINGS: &str = "[orders]\nread_share = 0\n[repeats]\nratio = 1000\n[shutdown]\nbalancer_lag = 100ms\nlimit = 4s\n";
 
 /// What a run showed.
 #[derive(Debug, Default)]
@@ -263,7 +263,7 @@
             Fault::Reload(index) => {
                 let link = self.store_links[index].address();
                 let name = &self.names[index];
-                let settings = SETTINGS.replace("slack = 1000", "slack = 900");
+                let settings = SETTINGS.replace("ratio = 1000", "ratio = 900");
                 self.gateways[index].rewrite(name, link, &settings);
                 self.gateways[index].signal("-HUP");
             }
