Explain a request by what happened to others with its content, and hold none long for that

explain ID shows every loss and refusal of tries with the same digest, on all hosts, below the request's own ends.

--- a/src/explain/account.rs
+++ b/src/explain/account.rs
@@ -12,6 +12,8 @@
 const NEARBY: Duration = Duration::from_secs(5);
 /// Fields by which a line tells what a belief is about.
 const SUBJECTS: [&str; 5] = ["config", "dependency", "upstream", "peers", "lease"];
+/// Field that names a request's content.
+const FINGERPRINT: &str = "fingerprint";
 /// Event of the line that each request leaves when it ends.
 const ENDED: &str = "request ended";
 /// Event of the line that tells how many requests left no line.
@@ -44,6 +46,8 @@
     pub id: String,
     /// Its ends, one for each try of its caller, in order of time.
     pub endings: Vec<Ending>,
+    /// Lines of all hosts on tries with the same content that may have ended upstreams.
+    pub suspicion: Vec<Line>,
     /// Lines that were read.
     pub read: usize,
     /// Requests that left no line, because many others were delivered in the same second.
@@ -77,6 +81,7 @@
         };
         let mut requests = Vec::new();
         let mut changes = Vec::new();
+        let mut suspicions = Vec::new();
         for line in lines {
             account.read += 1;
             let Some(line) = Line::parse(line.as_ref()) else {
@@ -88,6 +93,10 @@
                     None => account.uncounted += 1,
                 }
             }
+            if line.fields.contains_key(FINGERPRINT) {
+                suspicions.push(line);
+                continue;
+            }
             match line.text("request") {
                 Some(request) if request == id => requests.push(line),
                 Some(_) => (),
@@ -101,6 +110,17 @@
             .into_iter()
             .map(|line| Ending::new(line, &changes))
             .collect();
+        let own: Vec<String> = suspicions
+            .iter()
+            .filter(|line| line.text("request").as_deref() == Some(id))
+            .filter_map(|line| line.text(FINGERPRINT))
+            .collect();
+        suspicions.retain(|line| {
+            line.text(FINGERPRINT)
+                .is_some_and(|fingerprint| own.contains(&fingerprint))
+        });
+        suspicions.sort_by_key(|line| line.time);
+        account.suspicion = suspicions;
         account
     }
 }
@@ -250,6 +270,20 @@
         for ending in &self.endings {
             ending.write(formatter)?;
         }
+        if self.suspicion.is_empty() {
+            return Ok(());
+        }
+        writeln!(formatter, "lost or refused with the same content:")?;
+        for line in &self.suspicion {
+            writeln!(
+                formatter,
+                "  {} on {}: {} ({})",
+                humantime::format_rfc3339_millis(line.time),
+                line.host,
+                line.event,
+                line.describe(&[])
+            )?;
+        }
         Ok(())
     }
 }
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -42,6 +42,8 @@
 const PROBE_DELAY: Duration = Duration::from_millis(100);
 /// Lives from which an upstream is asked whatever kind the loss was of, and peers are told at once.
 const PROBED_LIVES: usize = 2;
+/// Share of the time left that a request waits for such answers.
+const PROBE_SHARE: f64 = 0.25;
 /// Upstreams that are asked for one request at a time.
 const MOST_PROBES: usize = 4;
 /// Time after its start within which a host waits for what was kept of suspects before it is ready.
@@ -188,10 +190,12 @@
         suspicion.verdict(call.fingerprint, now)
     };
     if let Verdict::Unsettled(_) = verdict(Instant::now()) {
+        let left = call.left(Instant::now());
+        let wait = PROBE_TIME.min(left.mul_f64(PROBE_SHARE));
         let lives = gateway.suspicion.borrow().unknown_lives(call.fingerprint);
         let asked = lives.into_iter().take(MOST_PROBES).map(|life| {
             let gateway = Rc::clone(gateway);
-            task::spawn_local(async move { ask(&gateway, life).await })
+            task::spawn_local(async move { ask(&gateway, life, wait).await })
         });
         for asked in asked.collect::<Vec<_>>() {
             if let Err(cause) = asked.await {
@@ -236,12 +240,13 @@
 async fn ask_later(gateway: Rc<Gateway>, life: LifeDigest) {
     time::sleep(PROBE_DELAY).await;
     if gateway.suspicion.borrow().is_unknown(life) {
-        ask(&gateway, life).await;
+        ask(&gateway, life, PROBE_TIME).await;
     }
 }
 
-/// Asks an upstream whether the life of a loss goes on; silence tells nothing.
-async fn ask(gateway: &Gateway, life: LifeDigest) {
+/// Asks an upstream whether the life of a loss goes on, and waits for up to `wait`; silence tells
+/// nothing.
+async fn ask(gateway: &Gateway, life: LifeDigest, wait: Duration) {
     let Some(target) = gateway.target_of(life) else {
         return;
     };
@@ -259,7 +264,7 @@
         return;
     };
     let sent = Instant::now();
-    let until = sent + PROBE_TIME;
+    let until = sent + wait;
     let answer = exchange::call_own(gateway, &target, Method::GET, &path, until).await;
     let mut suspicion = gateway.suspicion.borrow_mut();
     let outcome = match &answer {
@@ -294,13 +299,13 @@
 
 /// Settles losses by what the registry said at `read`; returns what must outlast this process.
 pub fn settle(gateway: &Gateway, read: Option<Instant>, now: Instant) -> Vec<Told> {
-    let lives: HashSet<LifeDigest> = match gateway.suspicion.borrow().has_unknown() {
-        true => {
+    let lives: HashSet<LifeDigest> = match gateway.suspicion.borrow().is_empty() {
+        true => HashSet::new(),
+        false => {
             let view = gateway.view();
             let rows = view.rows.iter();
             rows.map(|row| gossip::life(&row.id, row.born)).collect()
         }
-        false => HashSet::new(),
     };
     let mut suspicion = gateway.suspicion.borrow_mut();
     for settled in suspicion.settle(&lives, read, now) {
--- a/tests/gateway/deadly.rs
+++ b/tests/gateway/deadly.rs
@@ -5,6 +5,10 @@
 
 use rstest::rstest;
 
+use pistachiohall::explain::Account;
+use pistachiohall::gateway::call;
+use pistachiohall::gateway::suspect;
+use pistachiohall::platform::ingress;
 use pistachiohall::standin::fleet;
 use pistachiohall::standin::fleet::client::Answer;
 use pistachiohall::standin::fleet::client::Client;
@@ -136,7 +140,7 @@
     fn send(&mut self, host: usize, kind: Kind) -> Option<Answer> {
         self.sent += 1;
         let id = format!("r{}", self.sent);
-        call(&self.gateways[host], &id, kind)
+        send(&self.gateways[host], &id, kind)
     }
 
     fn ended(&self) -> usize {
@@ -169,7 +173,7 @@
     }
 }
 
-fn call(gateway: &Gateway, id: &str, kind: Kind) -> Option<Answer> {
+fn send(gateway: &Gateway, id: &str, kind: Kind) -> Option<Answer> {
     let mut fields = kind.prompt.to_vec();
     fields.push(DEADLINE);
     let mut client = Client::connect(gateway.callers()).ok()?;
@@ -332,7 +336,7 @@
         for replica in site.replicas.values() {
             replica.set_manner(if is_wrong { manner } else { Manner::Sound });
         }
-        let answer = call(&site.gateway, &format!("r{round}"), kind);
+        let answer = send(&site.gateway, &format!("r{round}"), kind);
         let status = answer.map_or(0, |answer| answer.status);
         assert_ne!(status, 503, "round {round}");
         if !is_wrong {
@@ -365,7 +369,7 @@
                     scope.spawn(move || {
                         let answers = (0..12).map(|number| {
                             let id = format!("p{round}-{caller}-{number}");
-                            let answer = call(&ward.gateways[caller % 2], &id, kind);
+                            let answer = send(&ward.gateways[caller % 2], &id, kind);
                             answer.map_or(0, |answer| answer.status)
                         });
                         answers.collect::<Vec<u16>>()
@@ -409,4 +413,51 @@
         "oldest_ms=",
     ]);
     wait_for("the gauge", || gateway.gauge("suspects") > 0);
+    let refused = format!("r{}", ward.sent);
+    gateway.wait_line(&["request ended", &format!("request={refused}")]);
+    let account = Account::gather(&refused, gateway.log().lines()).to_string();
+    assert!(account.contains(suspect::REASON), "{account}");
+    let lost = account.matches("exchange ended without an answer").count();
+    assert_eq!(lost, 2, "{account}");
+}
+
+/// Tries of one request are told by what is asked and by whom, and by nothing that changes with
+/// each try.
+#[rstest]
+#[case::identifier("pistachiohall-request-id", "r2", true)]
+#[case::deadline("pistachiohall-deadline-ms", "300", true)]
+#[case::agent("user-agent", "another", true)]
+#[case::caller("authorization", "another", false)]
+#[case::host("host", "another.example", false)]
+#[case::prompt("pistachiohall-prompt-prefix", "a1:50,b2:31", false)]
+fn tries_of_one_request_have_one_digest(
+    #[case] field: &'static str,
+    #[case] value: &'static str,
+    #[case] is_same: bool,
+) {
+    let head = |field: &'static str, value: &'static str| {
+        let mut request = http::Request::post("/act/a?x=1").body(()).unwrap();
+        let fields = [
+            ("host", "a.example"),
+            ("pistachiohall-request-id", "r1"),
+            ("pistachiohall-deadline-ms", "700"),
+            ("pistachiohall-token-count", "81,4"),
+            ("pistachiohall-prompt-prefix", "a1:50,b2:30"),
+            ("user-agent", "one"),
+            ("authorization", "one"),
+            (field, value),
+        ];
+        for (name, value) in fields {
+            let value = http::HeaderValue::from_static(value);
+            request.headers_mut().insert(name, value);
+        }
+        ingress::ask(&request.into_parts().0).unwrap()
+    };
+    let (one, other) = (head("host", "a.example"), head(field, value));
+    let is_equal = call::fingerprint(&one, b"") == call::fingerprint(&other, b"");
+    assert_eq!(is_equal, is_same);
+    assert_ne!(
+        call::fingerprint(&one, b"a body"),
+        call::fingerprint(&one, b"another")
+    );
 }
