Count an upstream that ends soon after it answered others

An upstream may hold a request whose caller has left, answer others, and end under it seconds later. Its answer had cleared the request for good.

--- a/src/suspicion/mod.rs
+++ b/src/suspicion/mod.rs
@@ -1,9 +1,9 @@
 //! Requests that may end the upstreams that run them.
 //!
 //! An exchange that ends without an answer is a loss: of a request, at one life of an upstream. What
-//! became of that life tells whether the request may be to blame. A life that answers later, or
-//! whose entry is still written when a lapse would have shown, accuses nobody; lives that ended, or
-//! may have, are counted as a set over all hosts. A request that also runs to its end is innocent.
+//! became of that life tells whether the request may be to blame. A life that answers later and does
+//! not end soon after, or whose entry is still written when a lapse would have shown, accuses nobody;
+//! lives that ended, or may have, are counted as a set over all hosts. A request that also runs to its end is innocent.
 //!
 //! Times are passed in; nothing here reads a clock or a socket.
 
@@ -406,13 +406,13 @@
         self.unknown.contains_key(&life)
     }
 
-    /// Returns whether it is open what became of any life.
-    pub fn has_unknown(&self) -> bool {
-        !self.unknown.is_empty()
+    /// Returns whether no request is suspected or was of late.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
     }
 
     /// Settles losses by the registry, which held `lives` when it was read at `read`, and forgets
-    /// what no longer counts; returns the losses that were settled.
+    /// what no longer counts; returns this host's own losses that were settled.
     pub fn settle(
         &mut self,
         lives: &HashSet<LifeDigest>,
@@ -425,14 +425,15 @@
                 let Some(read) = read.filter(|read| *read > loss.at) else {
                     continue;
                 };
-                if loss.fate != Fate::Unknown {
+                loss.fate = match (loss.fate, lives.contains(&loss.life)) {
+                    // One that has answered may still have held the request, and end under it.
+                    (Fate::Unknown | Fate::Alive, false) => Fate::Ended,
+                    (Fate::Unknown, true) if read >= loss.at + LAPSE_TIME => Fate::Alive,
+                    _ => continue,
+                };
+                if loss.origin != self.own {
                     continue;
                 }
-                loss.fate = match lives.contains(&loss.life) {
-                    false => Fate::Ended,
-                    true if read >= loss.at + LAPSE_TIME => Fate::Alive,
-                    true => continue,
-                };
                 suspect.changed = now;
                 settled.push(Settled {
                     fingerprint: *fingerprint,
@@ -535,7 +536,7 @@
                     } else {
                         loss.at
                     };
-                    if is_same && loss.fate == Fate::Unknown {
+                    if is_same && (loss.fate == Fate::Unknown || held.fate == Fate::Ended) {
                         loss.fate = held.fate;
                     }
                 }
--- a/tests/decisions/suspicion.rs
+++ b/tests/decisions/suspicion.rs
@@ -90,6 +90,30 @@
     assert_eq!(is_held(&ledger, now + ms(2000)), stays_held);
 }
 
+/// A request may wait at an upstream when its caller has left, and end it seconds later: answers in
+/// between clear nothing if the life then ends.
+#[test]
+fn a_life_that_ends_soon_after_it_answered_counts() {
+    let now = Instant::now();
+    let mut ledger = suspecting(now);
+    ledger.note_answer(100, now + ms(100));
+    assert!(!is_held(&ledger, now + ms(100)));
+    let later = now + ms(4500);
+    ledger.settle(&HashSet::from([200]), Some(later), later);
+    assert!(is_held(&ledger, later));
+    let told = Told {
+        fingerprint: REQUEST,
+        losses: vec![ToldLoss {
+            life: 100,
+            age: ms(4500),
+            fate: Fate::Alive,
+        }],
+        well: None,
+    };
+    ledger.hear(1, &[told], later);
+    assert!(is_held(&ledger, later), "told late by one who did not know");
+}
+
 #[test]
 fn an_upstream_that_names_its_start_is_believed_at_any_time() {
     let now = Instant::now();
