--- a/tests/gateway/deadly.rs
+++ b/tests/gateway/deadly.rs
@@ -9,6 +9,7 @@
 use pistachiohall::gateway::call;
 use pistachiohall::gateway::suspect;
 use pistachiohall::platform::ingress;
+use pistachiohall::platform::store;
 use pistachiohall::standin::fleet;
 use pistachiohall::standin::fleet::client::Answer;
 use pistachiohall::standin::fleet::client::Client;
@@ -281,6 +282,31 @@
     ward.assert_others_are_served(kind);
 }
 
+/// Guards against a host that reaches the store and no peers: it does not hear what they have seen.
+#[test]
+fn a_host_that_hears_no_peer_learns_of_suspects_from_the_store() {
+    let mut ward = Ward::new(1, RESET);
+    // It has looked for peers once, and does so again much later.
+    std::thread::sleep(Duration::from_secs(2));
+    let nowhere = br#"{"peer": "127.0.0.1:9", "domain": "derby"}"#;
+    ward.store.put(store::HOST_TOPIC, "h1", nowhere);
+    let second = Gateway::start("h2", ward.store.address(), NO_ORDERS);
+    second.wait_ready();
+    ward.gateways.push(second);
+    // It looks for peers a while after its start, and finds one that it does not reach.
+    std::thread::sleep(Duration::from_secs(3));
+    for _ in 0..3 {
+        ward.send(0, ACT);
+    }
+    std::thread::sleep(Duration::from_secs(5));
+    for _ in 0..3 {
+        ward.send(1, ACT);
+    }
+    ward.assert_few_ended();
+    assert!(ward.gateways[1].line(&["peers=1"]).is_none());
+    ward.assert_others_are_served(ACT);
+}
+
 /// Guards against a fleet that forgets suspects when all its hosts start again.
 #[rstest]
 #[case::reset(ACT, RESET)]
