--- a/tests/gateway/deadly.rs
+++ b/tests/gateway/deadly.rs
@@ -236,6 +236,25 @@
     ward.assert_others_are_served(kind);
 }
 
+/// Guards against losses that nobody notes since the caller leaves before the upstream is given up.
+#[test]
+fn callers_that_leave_early_do_not_hide_what_their_request_ends() {
+    let mut ward = Ward::new(1, DARK);
+    for _ in 0..8 {
+        ward.sent += 1;
+        let mut client = ward.gateways[0].client();
+        let id = format!("r{}", ward.sent);
+        client
+            .send(ACT.method, ACT.path, &id, &[DEADLINE], ACT.body)
+            .unwrap();
+        std::thread::sleep(Duration::from_millis(200));
+        drop(client);
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    ward.assert_few_ended();
+    ward.assert_others_are_served(ACT);
+}
+
 /// A request that crashes each upstream that runs it is not sent to a third one.
 #[test]
 fn holds_back_a_request_that_crashes_upstreams() {
