Ask an upstream once for all requests that it took with it

Each request whose exchange broke asked by itself whether its upstream lives: 16 questions to four upstreams in the test, which failed before.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -87,6 +88,8 @@
     pub suspicion: RefCell<Ledger>,
     /// Bounds the lines that tell of these.
     pub suspect_lines: suspect::Lines,
+    /// Lives of upstreams that are being asked whether they go on.
+    pub asked_lives: RefCell<HashSet<LifeDigest>>,
     /// Whether it is known what hosts have kept of suspects, or cannot be waited for.
     pub knows_suspects: Cell<bool>,
     /// Loads and caches of engines.
@@ -125,6 +128,7 @@
             counters,
             lives,
             suspicion,
+            asked_lives: RefCell::default(),
             suspect_lines: suspect::Lines::default(),
             knows_suspects: Cell::default(),
             board: RefCell::default(),
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -238,10 +238,15 @@
 }
 
 async fn ask_later(gateway: Rc<Gateway>, life: LifeDigest) {
+    // An upstream that ends takes many requests with it; one question answers for all.
+    if !gateway.asked_lives.borrow_mut().insert(life) {
+        return;
+    }
     time::sleep(PROBE_DELAY).await;
     if gateway.suspicion.borrow().is_unknown(life) {
         ask(&gateway, life, PROBE_TIME).await;
     }
+    gateway.asked_lives.borrow_mut().remove(&life);
 }
 
 /// Asks an upstream whether the life of a loss goes on, and waits for up to `wait`; silence tells
--- a/tests/gateway/deadly.rs
+++ b/tests/gateway/deadly.rs
@@ -441,6 +441,37 @@
     ward.assert_others_are_served(kind);
 }
 
+/// Guards against a question for each request that an upstream took with it.
+#[test]
+fn an_upstream_that_ended_is_asked_once_for_all_it_took_with_it() {
+    let ward = Ward::new(1, DARK_LATE);
+    for mortal in &ward.mortals {
+        mortal.with(|life| life.set_pause(Duration::from_millis(300)));
+    }
+    std::thread::scope(|scope| {
+        for number in 0..16 {
+            let gateway = &ward.gateways[0];
+            scope.spawn(move || {
+                let kind = Kind {
+                    path: "/act/a",
+                    ..ACT
+                };
+                send(gateway, &format!("r{number}"), kind)
+            });
+        }
+        std::thread::sleep(Duration::from_millis(150));
+        for mortal in &ward.mortals {
+            mortal.with(|life| life.cut_connections());
+        }
+    });
+    std::thread::sleep(Duration::from_secs(1));
+    let asked = ward.gateways[0].gauge("suspect_probes_total");
+    assert!(
+        (1..=4).contains(&asked),
+        "{asked} questions to four upstreams"
+    );
+}
+
 /// The log, the metrics and `explain` tell what is known of a suspect and how old that is.
 #[test]
 fn tells_why_a_suspect_is_refused() {
