--- a/src/suspicion/mod.rs
+++ b/src/suspicion/mod.rs
@@ -8,6 +8,15 @@
 //! Times are passed in; nothing here reads a clock or a socket.
 
 pub mod recent;
+mod suspect;
+mod told;
+mod verdict;
+
+pub use self::told::Fate;
+pub use self::told::Told;
+pub use self::told::ToldLoss;
+pub use self::verdict::Case;
+pub use self::verdict::Verdict;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -15,6 +24,8 @@
 use std::time::Instant;
 
 use self::recent::Recent;
+use self::suspect::Loss;
+use self::suspect::Suspect;
 use crate::id::Fingerprint;
 use crate::id::HostDigest;
 use crate::id::LifeDigest;
@@ -40,72 +51,11 @@
 const KEEP_DELAY: Duration = Duration::from_secs(1);
 /// Most suspects held at once.
 const MOST_SUSPECTS: usize = 4096;
-/// Most losses of one suspect that are told apart.
-const MOST_LOSSES: usize = 16;
 /// Time after which a refused caller may learn more, while it is not settled what became of lives.
 const UNSETTLED_PAUSE: Duration = Duration::from_secs(1);
 /// Time after which a caller whose request ended upstreams may come back.
 const REFUSED_PAUSE: Duration = Duration::from_secs(60);
 
-/// What became of a life after a loss.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fate {
-    /// It is not known.
-    Unknown,
-    /// It has ended.
-    Ended,
-    /// It went on.
-    Alive,
-}
-
-/// A loss as hosts tell one another of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ToldLoss {
-    /// Life of the upstream.
-    pub life: LifeDigest,
-    /// Time since the loss.
-    pub age: Duration,
-    /// What became of the life, as the teller knows.
-    pub fate: Fate,
-}
-
-/// A suspect as hosts tell one another of it: each tells its own losses alone.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Told {
-    /// Digest of the request.
-    pub fingerprint: Fingerprint,
-    /// The teller's own losses.
-    pub losses: Vec<ToldLoss>,
-    /// Time since the request last ran to its end at the teller, if it did.
-    pub well: Option<Duration>,
-}
-
-/// How a request may be run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// As any other.
-    Clear,
-    /// Not before it is settled what became of the upstreams that it was lost at.
-    Unsettled(Case),
-    /// Not at all.
-    Refused(Case),
-}
-
-/// What a verdict rests on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Case {
-    /// Lives that ended under the request or may have.
-    pub lives: usize,
-    /// Those that surely ended.
-    pub ended: usize,
-    /// Hosts that lost it.
-    pub hosts: usize,
-    /// Time since the first of the losses.
-    pub oldest: Duration,
-    /// Time after which the caller may come back.
-    pub retry_after: Duration,
-}
-
 /// A loss that was settled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settled {
@@ -119,92 +69,6 @@
     pub age: Duration,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Loss {
-    life: LifeDigest,
-    /// Host that lost the request.
-    origin: HostDigest,
-    at: Instant,
-    fate: Fate,
-}
-
-impl Loss {
-    fn counts(&self) -> bool {
-        self.fate != Fate::Alive
-    }
-}
-
-#[derive(Debug)]
-struct Suspect {
-    losses: Vec<Loss>,
-    /// When the request last ran to its end here.
-    well: Option<Instant>,
-    changed: Instant,
-    told: Option<Instant>,
-}
-
-impl Suspect {
-    fn new(now: Instant) -> Self {
-        Suspect {
-            losses: Vec::new(),
-            well: None,
-            changed: now,
-            told: None,
-        }
-    }
-
-    /// Returns the lives that ended under it or may have.
-    fn lives(&self) -> usize {
-        self.distinct(Loss::counts)
-    }
-
-    /// Returns how many lives the losses that `is_meant` tells are of.
-    fn distinct<F>(&self, is_meant: F) -> usize
-    where
-        F: Fn(&Loss) -> bool,
-    {
-        let is_first = |index: usize| {
-            let life = self.losses[index].life;
-            let mut before = self.losses[..index].iter();
-            !before.any(|loss| loss.life == life && is_meant(loss))
-        };
-        let meant = (0..self.losses.len()).filter(|index| is_meant(&self.losses[*index]));
-        meant.filter(|index| is_first(*index)).count()
-    }
-
-    fn is_untold(&self) -> bool {
-        self.told.is_none_or(|told| told < self.changed)
-    }
-
-    /// Notes a loss of `origin`; a later one at the same life takes the place of an earlier one.
-    fn note(&mut self, loss: Loss) {
-        let held = self
-            .losses
-            .iter_mut()
-            .find(|held| held.life == loss.life && held.origin == loss.origin);
-        if let Some(held) = held {
-            *held = loss;
-            return;
-        }
-        if self.losses.len() >= MOST_LOSSES {
-            // One that counts less makes room: those that accuse nobody, those at a life that
-            // another one is at, then the oldest.
-            let is_only = |one: &Loss| {
-                let same = self.losses.iter().filter(|loss| loss.life == one.life);
-                same.count() == 1
-            };
-            let weakest = (0..self.losses.len()).min_by_key(|index| {
-                let one = &self.losses[*index];
-                (one.counts(), is_only(one), one.at)
-            });
-            if let Some(weakest) = weakest {
-                self.losses.swap_remove(weakest);
-            }
-        }
-        self.losses.push(loss);
-    }
-}
-
 /// Suspects, and where they were lost.
 #[derive(Debug)]
 pub struct Ledger {
@@ -497,7 +361,7 @@
             .filter_map(|fingerprint| {
                 let suspect = self.suspects.get_mut(&fingerprint)?;
                 suspect.told = Some(now);
-                Some(account(fingerprint, suspect, own, now))
+                Some(suspect.account(fingerprint, own, now))
             })
             .collect()
     }
@@ -574,7 +438,7 @@
                     well: None,
                     ..Suspect::new(now)
                 };
-                account(*fingerprint, &own, self.own, now)
+                own.account(*fingerprint, self.own, now)
             })
             .filter(|told| !told.losses.is_empty())
             .collect();
@@ -619,20 +483,3 @@
             .or_insert_with(|| Suspect::new(now))
     }
 }
-
-/// Returns what `own` tells of a suspect.
-fn account(fingerprint: Fingerprint, suspect: &Suspect, own: HostDigest, now: Instant) -> Told {
-    let age = |at| now.saturating_duration_since(at);
-    let losses = suspect.losses.iter().filter(|loss| loss.origin == own);
-    Told {
-        fingerprint,
-        losses: losses
-            .map(|loss| ToldLoss {
-                life: loss.life,
-                age: age(loss.at),
-                fate: loss.fate,
-            })
-            .collect(),
-        well: suspect.well.map(age),
-    }
-}
--- /dev/null
+++ b/src/suspicion/told.rs
@@ -0,0 +1,39 @@
+//! What hosts tell one another of suspects, and keep in the store.
+
+use std::time::Duration;
+
+use crate::id::Fingerprint;
+use crate::id::LifeDigest;
+
+/// What became of a life after a loss.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It is not known.
+    Unknown,
+    /// It has ended.
+    Ended,
+    /// It went on.
+    Alive,
+}
+
+/// A loss as hosts tell one another of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldLoss {
+    /// Life of the upstream.
+    pub life: LifeDigest,
+    /// Time since the loss.
+    pub age: Duration,
+    /// What became of the life, as the teller knows.
+    pub fate: Fate,
+}
+
+/// A suspect as hosts tell one another of it: each tells its own losses alone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    /// Digest of the request.
+    pub fingerprint: Fingerprint,
+    /// The teller's own losses.
+    pub losses: Vec<ToldLoss>,
+    /// Time since the request last ran to its end at the teller, if it did.
+    pub well: Option<Duration>,
+}
--- /dev/null
+++ b/src/suspicion/verdict.rs
@@ -0,0 +1,29 @@
+//! How a request may be run, and what that rests on.
+
+use std::time::Duration;
+
+/// How a request may be run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// As any other.
+    Clear,
+    /// Not before it is settled what became of the upstreams that it was lost at.
+    Unsettled(Case),
+    /// Not at all.
+    Refused(Case),
+}
+
+/// What a verdict rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Case {
+    /// Lives that ended under the request or may have.
+    pub lives: usize,
+    /// Those that surely ended.
+    pub ended: usize,
+    /// Hosts that lost it.
+    pub hosts: usize,
+    /// Time since the first of the losses.
+    pub oldest: Duration,
+    /// Time after which the caller may come back.
+    pub retry_after: Duration,
+}
