--- a/src/standin/fleet/mortal.rs
+++ b/src/standin/fleet/mortal.rs
@@ -201,12 +201,12 @@
                 self.registry.remove("keyed.servers", &name);
                 name = format!("{}-{born}", self.role.name);
             }
-            self.be_born(&name, born);
+            self.start_life(&name, born);
             beaten = Instant::now();
         }
     }
 
-    fn be_born(&self, name: &str, born: u64) {
+    fn start_life(&self, name: &str, born: u64) {
         let role = self.role;
         let begun = Instant::now();
         let life = loop {
--- a/src/standin/fleet/replica/answer.rs
+++ b/src/standin/fleet/replica/answer.rs
@@ -38,7 +38,7 @@
     };
     if shared.lock().expect("replica lock").is_ended {
         let index = note(shared, &request, false);
-        return die(shared, index, stream);
+        return end(shared, index, stream);
     }
     match request.path.as_str() {
         "/v1/report" if let Some(answer) = endless::Answer::of(manner, "") => {
@@ -95,7 +95,7 @@
     if ends(shared, &request, reads) {
         let index = note(shared, &request, !reads);
         shared.lock().expect("replica lock").is_ended = true;
-        return die(shared, index, stream);
+        return end(shared, index, stream);
     }
     if let Some(answer) = endless::Answer::of(manner, &own_id) {
         let index = note(shared, &request, manner != Manner::EndlessRefusal);
@@ -134,7 +134,7 @@
 }
 
 /// Ends a connection the way in which the upstream ends.
-fn die(shared: &Mutex<State>, index: usize, stream: &mut TcpStream) -> io::Result<Next> {
+fn end(shared: &Mutex<State>, index: usize, stream: &mut TcpStream) -> io::Result<Next> {
     let nature = shared.lock().expect("replica lock").nature;
     match nature.map(|nature| nature.death) {
         Some(Death::Dark) => hang(shared, index, stream),
--- a/src/suspicion/mod.rs
+++ b/src/suspicion/mod.rs
@@ -3,7 +3,8 @@
 //! An exchange that ends without an answer is a loss: of a request, at one life of an upstream. What
 //! became of that life tells whether the request may be to blame. A life that answers later and does
 //! not end soon after, or whose entry is still written when a lapse would have shown, accuses nobody;
-//! lives that ended, or may have, are counted as a set over all hosts. A request that also runs to its end is innocent.
+//! lives that ended, or may have, are counted as a set over all hosts. A request that also runs to its
+//! end is innocent.
 //!
 //! Times are passed in; nothing here reads a clock or a socket.
 
--- a/tests/gateway/deadly.rs
+++ b/tests/gateway/deadly.rs
@@ -12,23 +12,23 @@
 use pistachiohall::standin::fleet::mortal::Mortal;
 use pistachiohall::standin::fleet::mortal::Nature;
 
+use super::deployment::ACT;
+use super::deployment::ACT_EMPTY;
+use super::deployment::DARK;
+use super::deployment::DARK_LATE;
+use super::deployment::DEADLINE;
+use super::deployment::DRAFT;
+use super::deployment::Deployment;
+use super::deployment::Kind;
+use super::deployment::LONG_ASK;
+use super::deployment::READ;
+use super::deployment::RESET;
+use super::deployment::RESET_LATE;
+use super::deployment::send;
 use super::site::Gateway;
 use super::site::LONG_PROMPT;
 use super::site::NO_ORDERS;
 use super::site::wait_for;
-use super::ward::ACT;
-use super::ward::ACT_EMPTY;
-use super::ward::DARK;
-use super::ward::DARK_LATE;
-use super::ward::DEADLINE;
-use super::ward::DRAFT;
-use super::ward::Kind;
-use super::ward::LONG_ASK;
-use super::ward::READ;
-use super::ward::RESET;
-use super::ward::RESET_LATE;
-use super::ward::Ward;
-use super::ward::send;
 
 /// Guards against a request that ends upstreams, returns under new identifiers, and is sent on for
 /// as long as it comes.
@@ -49,27 +49,27 @@
     #[case] kind: Kind,
     #[case] nature: Nature,
 ) {
-    let mut ward = Ward::new(1, nature);
+    let mut deployment = Deployment::new(1, nature);
     for _ in 0..8 {
-        ward.send(0, kind);
+        deployment.send(0, kind);
         std::thread::sleep(Duration::from_millis(250));
     }
-    ward.wait_whole();
+    deployment.wait_whole();
     for _ in 0..2 {
-        ward.send(0, kind);
+        deployment.send(0, kind);
     }
-    ward.assert_few_ended();
-    ward.assert_others_are_served(kind);
+    deployment.assert_few_ended();
+    deployment.assert_others_are_served(kind);
 }
 
 /// Guards against losses that nobody notes since the caller leaves before the upstream is given up.
 #[test]
 fn callers_that_leave_early_do_not_hide_what_their_request_ends() {
-    let mut ward = Ward::new(1, DARK);
+    let mut deployment = Deployment::new(1, DARK);
     for _ in 0..8 {
-        ward.sent += 1;
-        let mut client = ward.gateways[0].client();
-        let id = format!("r{}", ward.sent);
+        deployment.sent += 1;
+        let mut client = deployment.gateways[0].client();
+        let id = format!("r{}", deployment.sent);
         client
             .send(ACT.method, ACT.path, &id, &[DEADLINE], ACT.body)
             .unwrap();
@@ -77,26 +77,26 @@
         drop(client);
         std::thread::sleep(Duration::from_millis(300));
     }
-    ward.assert_few_ended();
-    ward.assert_others_are_served(ACT);
+    deployment.assert_few_ended();
+    deployment.assert_others_are_served(ACT);
 }
 
 /// A request that crashes each upstream that runs it is not sent to a third one.
 #[test]
 fn holds_back_a_request_that_crashes_upstreams() {
-    let mut ward = Ward::new(1, RESET_LATE);
+    let mut deployment = Deployment::new(1, RESET_LATE);
     let statuses: Vec<u16> = (0..5)
-        .map(|_| ward.send(0, ACT).map_or(0, |answer| answer.status))
+        .map(|_| deployment.send(0, ACT).map_or(0, |answer| answer.status))
         .collect();
     assert_eq!(statuses, [502, 502, 503, 503, 503]);
-    let ran = ward.mortals.iter().flat_map(Mortal::seen);
+    let ran = deployment.mortals.iter().flat_map(Mortal::seen);
     assert_eq!(ran.filter(|seen| seen.ran).count(), 2);
     let another = Kind {
         path: "/act/a",
         body: b"another",
         ..ACT
     };
-    let answer = ward.send(0, another);
+    let answer = deployment.send(0, another);
     assert_eq!(answer.map_or(0, |answer| answer.status), 200);
 }
 
@@ -107,64 +107,67 @@
 #[case::dark(ACT, DARK)]
 #[case::readers(LONG_ASK, RESET)]
 fn a_host_that_starts_learns_of_suspects(#[case] kind: Kind, #[case] nature: Nature) {
-    let mut ward = Ward::new(2, nature);
+    let mut deployment = Deployment::new(2, nature);
     for _ in 0..3 {
-        ward.send(0, kind);
+        deployment.send(0, kind);
     }
-    ward.wait_whole();
+    deployment.wait_whole();
     for _ in 0..2 {
-        ward.restart(1);
+        deployment.restart(1);
         for _ in 0..3 {
-            ward.send(1, kind);
+            deployment.send(1, kind);
         }
-        ward.wait_whole();
+        deployment.wait_whole();
     }
-    ward.add_host();
+    deployment.add_host();
     for _ in 0..3 {
-        ward.send(2, kind);
+        deployment.send(2, kind);
     }
-    ward.assert_few_ended();
-    ward.assert_others_are_served(kind);
+    deployment.assert_few_ended();
+    deployment.assert_others_are_served(kind);
 }
 
 /// Guards against a host that reaches the store and no peers: it does not hear what they have seen.
 #[test]
 fn a_host_that_hears_no_peer_learns_of_suspects_from_the_store() {
-    let mut ward = Ward::new(1, RESET);
+    let mut deployment = Deployment::new(1, RESET);
     // It has looked for peers once, and does so again much later.
     std::thread::sleep(Duration::from_secs(2));
     let nowhere = br#"{"peer": "127.0.0.1:9", "domain": "derby"}"#;
-    ward.store.put(store::HOST_TOPIC, "h1", nowhere);
-    let second = Gateway::start("h2", ward.store.address(), NO_ORDERS);
+    deployment.store.put(store::HOST_TOPIC, "h1", nowhere);
+    let second = Gateway::start("h2", deployment.store.address(), NO_ORDERS);
     second.wait_ready();
-    ward.gateways.push(second);
+    deployment.gateways.push(second);
     // It looks for peers a while after its start, and finds one that it does not reach.
     std::thread::sleep(Duration::from_secs(3));
     for _ in 0..3 {
-        ward.send(0, ACT);
+        deployment.send(0, ACT);
     }
     std::thread::sleep(Duration::from_secs(5));
     for _ in 0..3 {
-        ward.send(1, ACT);
+        deployment.send(1, ACT);
     }
-    ward.assert_few_ended();
-    assert!(ward.gateways[1].line(&["peers=1"]).is_none());
-    ward.assert_others_are_served(ACT);
+    deployment.assert_few_ended();
+    assert!(deployment.gateways[1].line(&["peers=1"]).is_none());
+    deployment.assert_others_are_served(ACT);
 }
 
 /// Guards against a second stage that is started although the request became a suspect while its
 /// prompt was read.
 #[test]
 fn a_request_that_becomes_a_suspect_while_it_is_read_is_not_generated() {
-    let mut ward = Ward::new(
+    let mut deployment = Deployment::new(
         2,
         Nature {
             spares_readers: true,
             ..RESET_LATE
         },
     );
-    let set_reading = |ward: &Ward, time| {
-        let readers = ward.mortals.iter().filter(|mortal| mortal.is_reader());
+    let set_reading = |deployment: &Deployment, time| {
+        let readers = deployment
+            .mortals
+            .iter()
+            .filter(|mortal| mortal.is_reader());
         readers.for_each(|reader| reader.with(|life| life.set_pause(time)));
     };
     let patient = |gateway: &Gateway, id: &str| {
@@ -172,26 +175,29 @@
         let sent = client.send("POST", LONG_ASK.path, id, &LONG_PROMPT, LONG_ASK.body);
         sent.and_then(|()| client.receive()).unwrap().status
     };
-    set_reading(&ward, Duration::from_millis(700));
+    set_reading(&deployment, Duration::from_millis(700));
     std::thread::scope(|scope| {
-        let first = scope.spawn(|| patient(&ward.gateways[0], "slow"));
+        let first = scope.spawn(|| patient(&deployment.gateways[0], "slow"));
         wait_for("the reading", || {
-            ward.mortals.iter().any(|mortal| !mortal.seen().is_empty())
+            deployment
+                .mortals
+                .iter()
+                .any(|mortal| !mortal.seen().is_empty())
         });
-        set_reading(&ward, Duration::ZERO);
-        assert_eq!(patient(&ward.gateways[1], "quick"), 502);
-        wait_for("two ends", || ward.ended() == 2);
+        set_reading(&deployment, Duration::ZERO);
+        assert_eq!(patient(&deployment.gateways[1], "quick"), 502);
+        wait_for("two ends", || deployment.ended() == 2);
         assert_eq!(first.join().unwrap(), 503);
     });
-    assert_eq!(ward.ended(), 2);
-    let gateway = &ward.gateways[0];
+    assert_eq!(deployment.ended(), 2);
+    let gateway = &deployment.gateways[0];
     gateway.wait_line(&["request ended", "request=slow"]);
     let line = gateway.line(&["request ended", "request=slow"]).unwrap();
     assert!(
         !line.contains(r#""step":"d"#),
         "a generator was asked: {line}"
     );
-    ward.assert_others_are_served(LONG_ASK);
+    deployment.assert_others_are_served(LONG_ASK);
 }
 
 /// Guards against a fleet that forgets suspects when all its hosts start again.
@@ -199,48 +205,48 @@
 #[case::reset(ACT, RESET)]
 #[case::dark(DRAFT, DARK_LATE)]
 fn suspects_outlast_a_restart_of_all_hosts(#[case] kind: Kind, #[case] nature: Nature) {
-    let mut ward = Ward::new(2, nature);
+    let mut deployment = Deployment::new(2, nature);
     for _ in 0..3 {
         for host in 0..2 {
-            ward.send(host, kind);
-            ward.send(host, kind);
+            deployment.send(host, kind);
+            deployment.send(host, kind);
         }
-        ward.wait_whole();
+        deployment.wait_whole();
         for host in 0..2 {
-            ward.gateways[host].restart();
+            deployment.gateways[host].restart();
         }
-        ward.wait_ready(0);
-        ward.wait_ready(1);
+        deployment.wait_ready(0);
+        deployment.wait_ready(1);
     }
-    ward.assert_few_ended();
+    deployment.assert_few_ended();
 }
 
 /// Guards against counts of which the greater is believed: two hosts that see one end each.
 #[test]
 fn what_two_hosts_have_seen_adds_up() {
-    let mut ward = Ward::new(3, RESET);
-    ward.send(0, ACT);
-    ward.wait_whole();
-    ward.send(1, ACT);
-    ward.wait_whole();
-    ward.send(2, ACT);
-    ward.wait_whole();
+    let mut deployment = Deployment::new(3, RESET);
+    deployment.send(0, ACT);
+    deployment.wait_whole();
+    deployment.send(1, ACT);
+    deployment.wait_whole();
+    deployment.send(2, ACT);
+    deployment.wait_whole();
     for host in [0, 1, 2, 0] {
-        ward.send(host, ACT);
+        deployment.send(host, ACT);
     }
-    ward.assert_few_ended();
+    deployment.assert_few_ended();
 }
 
 /// Guards against a question for each request that an upstream took with it.
 #[test]
 fn an_upstream_that_ended_is_asked_once_for_all_it_took_with_it() {
-    let ward = Ward::new(1, DARK_LATE);
-    for mortal in &ward.mortals {
+    let deployment = Deployment::new(1, DARK_LATE);
+    for mortal in &deployment.mortals {
         mortal.with(|life| life.set_pause(Duration::from_millis(300)));
     }
     std::thread::scope(|scope| {
         for number in 0..16 {
-            let gateway = &ward.gateways[0];
+            let gateway = &deployment.gateways[0];
             scope.spawn(move || {
                 let kind = Kind {
                     path: "/act/a",
@@ -250,12 +256,12 @@
             });
         }
         std::thread::sleep(Duration::from_millis(150));
-        for mortal in &ward.mortals {
+        for mortal in &deployment.mortals {
             mortal.with(|life| life.cut_connections());
         }
     });
     std::thread::sleep(Duration::from_secs(1));
-    let asked = ward.gateways[0].gauge("suspect_probes_total");
+    let asked = deployment.gateways[0].gauge("suspect_probes_total");
     assert!(
         (1..=4).contains(&asked),
         "{asked} questions to four upstreams"
@@ -265,12 +271,12 @@
 /// The log, the metrics and `explain` tell what is known of a suspect and how old that is.
 #[test]
 fn tells_why_a_suspect_is_refused() {
-    let mut ward = Ward::new(1, RESET);
+    let mut deployment = Deployment::new(1, RESET);
     wait_for("a refusal", || {
-        let answer = ward.send(0, ACT);
+        let answer = deployment.send(0, ACT);
         answer.is_some_and(|answer| answer.status == 503)
     });
-    let gateway = &ward.gateways[0];
+    let gateway = &deployment.gateways[0];
     gateway.wait_line(&["exchange ended without an answer", "work=whole"]);
     gateway.wait_line(&[
         "suspect refused",
@@ -279,7 +285,7 @@
         "oldest_ms=",
     ]);
     wait_for("the gauge", || gateway.gauge("suspects") > 0);
-    let refused = format!("r{}", ward.sent);
+    let refused = format!("r{}", deployment.sent);
     gateway.wait_line(&["request ended", &format!("request={refused}")]);
     let account = Account::gather(&refused, gateway.log().lines()).to_string();
     assert!(account.contains(suspect::REASON), "{account}");
--- a/tests/gateway/ward.rs
+++ b/tests/gateway/deployment.rs
@@ -61,14 +61,14 @@
 };
 
 /// Upstreams that can end, a store, and hosts.
-pub struct Ward {
+pub struct Deployment {
     pub gateways: Vec<Gateway>,
     pub mortals: Vec<Mortal>,
     pub store: Store,
     pub sent: usize,
 }
 
-impl Ward {
+impl Deployment {
     pub fn new(hosts: usize, nature: Nature) -> Self {
         let store = Store::start().unwrap();
         store.put_config(&fleet::config(3));
@@ -93,16 +93,16 @@
         ];
         let start = |role| Mortal::start(store.registry(), role, nature).unwrap();
         let mortals: Vec<Mortal> = roles.into_iter().map(start).collect();
-        let mut ward = Ward {
+        let mut deployment = Deployment {
             gateways: Vec::new(),
             mortals,
             store,
             sent: 0,
         };
         for _ in 0..hosts {
-            ward.add_host();
+            deployment.add_host();
         }
-        ward
+        deployment
     }
 
     pub fn add_host(&mut self) {
--- a/tests/gateway/innocent.rs
+++ b/tests/gateway/innocent.rs
@@ -8,16 +8,16 @@
 use pistachiohall::standin::fleet::mortal::Nature;
 use pistachiohall::standin::fleet::replica::Manner;
 
+use super::deployment::ACT;
+use super::deployment::BACK_LATE;
+use super::deployment::DARK_LATE;
+use super::deployment::Deployment;
+use super::deployment::Kind;
+use super::deployment::READ;
+use super::deployment::RESET;
+use super::deployment::send;
 use super::site::Gateway;
 use super::site::Site;
-use super::ward::ACT;
-use super::ward::BACK_LATE;
-use super::ward::DARK_LATE;
-use super::ward::Kind;
-use super::ward::READ;
-use super::ward::RESET;
-use super::ward::Ward;
-use super::ward::send;
 
 /// A cut answer of an upstream that goes on living accuses nobody.
 #[rstest]
@@ -51,12 +51,12 @@
 #[case::reset(RESET)]
 #[case::dark(DARK_LATE)]
 fn a_popular_request_outlives_upstreams_that_end_by_themselves(#[case] nature: Nature) {
-    let mut ward = Ward::new(2, nature);
+    let mut deployment = Deployment::new(2, nature);
     let kind = Kind {
         path: "/read/popular",
         ..READ
     };
-    for mortal in &ward.mortals {
+    for mortal in &deployment.mortals {
         mortal.with(|life| life.set_pause(Duration::from_millis(30)));
     }
     let begun = Instant::now();
@@ -64,13 +64,13 @@
     let mut served = 0;
     for round in 0..6 {
         std::thread::scope(|scope| {
-            let ward = &ward;
+            let deployment = &deployment;
             let callers: Vec<_> = (0..8)
                 .map(|caller| {
                     scope.spawn(move || {
                         let answers = (0..12).map(|number| {
                             let id = format!("p{round}-{caller}-{number}");
-                            let answer = send(&ward.gateways[caller % 2], &id, kind);
+                            let answer = send(&deployment.gateways[caller % 2], &id, kind);
                             answer.map_or(0, |answer| answer.status)
                         });
                         answers.collect::<Vec<u16>>()
@@ -80,7 +80,7 @@
             std::thread::sleep(Duration::from_millis(60));
             // Two of four end at once.
             for desk in [round % 4, (round + 1) % 4] {
-                ward.mortals[desk].with(|life| life.end());
+                deployment.mortals[desk].with(|life| life.end());
             }
             for caller in callers {
                 let statuses = caller.join().unwrap();
@@ -91,8 +91,8 @@
         std::thread::sleep(BACK_LATE);
     }
     assert!(served > 0, "{:?}", begun.elapsed());
-    let log: String = ward.gateways.iter().map(Gateway::log).collect();
+    let log: String = deployment.gateways.iter().map(Gateway::log).collect();
     assert!(!log.contains("suspect refused"), "{refused} refused");
-    ward.sent += 1;
-    ward.assert_others_are_served(kind);
+    deployment.sent += 1;
+    deployment.assert_others_are_served(kind);
 }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -12,5 +12,5 @@
 mod notice;
 mod plain;
 
+mod deployment;
 mod site;
-mod ward;
