--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -49,8 +49,20 @@
     /// assert_eq!(Prompt { blocks, ..Prompt::default() }.shared_tokens(), 30);
     /// ```
     pub fn shared_tokens(&self) -> u64 {
-        let shared = self.blocks.len().saturating_sub(1);
-        self.blocks[..shared].iter().map(|block| block.tokens).sum()
+        self.shared_blocks().iter().map(|block| block.tokens).sum()
+    }
+
+    /// Returns the blocks that other requests may share: all but the last.
+    ///
+    /// ```
+    /// use pistachiohall::gateway::call::{Block, Prompt};
+    /// let block = |id| Block { id, tokens: 10 };
+    /// let prompt = Prompt { blocks: vec![block(1), block(2)], ..Prompt::default() };
+    /// assert_eq!(prompt.shared_blocks(), [block(1)]);
+    /// assert!(Prompt::default().shared_blocks().is_empty());
+    /// ```
+    pub fn shared_blocks(&self) -> &[Block] {
+        &self.blocks[..self.blocks.len().saturating_sub(1)]
     }
 
     /// Returns the last block that other requests may share, by which requests are kept together.
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashSet;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +23,7 @@
 use super::target::Target;
 use crate::follow::suspects::Message;
 use crate::gossip;
+use crate::id::BlockId;
 use crate::id::CallId;
 use crate::id::Fingerprint;
 use crate::id::IncarnationDigest;
@@ -35,6 +37,8 @@
 
 /// Maximum lines of one kind logged per second; the others are counted.
 const MAX_LINES_PER_S: u32 = 20;
+/// Maximum prompt blocks in one log line; the others are left out.
+const MAX_LOGGED_BLOCKS: usize = 8;
 /// Maximum wait for the response to a liveness probe; a few round trips.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time from a loss to the probe. Most upstreams respond to many other requests in it, which shows
@@ -86,8 +90,11 @@
     gateway: Rc<Gateway>,
     request: CallId,
     fingerprint: Fingerprint,
+    /// Prompt blocks that other requests may share.
+    blocks: Vec<BlockId>,
     target: Rc<Target>,
     stage: &'static str,
+    started_at: Instant,
     /// `true` if the stage completes the request, which a prefill does not.
     completes_request: bool,
     is_finished: bool,
@@ -104,8 +111,10 @@
             gateway: Rc::clone(gateway),
             request: call.request.id.clone(),
             fingerprint: call.fingerprint,
+            blocks: shared_blocks(call),
             target: Rc::clone(target),
             stage: stage.name(),
+            started_at: Instant::now(),
             completes_request: !matches!(stage, Stage::Prefill),
             is_finished: false,
         }
@@ -166,6 +175,8 @@
                 born = self.target.entry.started_at,
                 life:% = format_args!("{incarnation:08x}"),
                 work = self.stage,
+                blocks:% = BlockList(&self.blocks),
+                age_ms = now.saturating_duration_since(self.started_at).as_millis() as u64,
                 upstreams = incarnations,
                 cause:% = cause,
                 left_out = left_out,
@@ -177,6 +188,28 @@
     }
 }
 
+/// Returns the prompt blocks of a request that other requests may share.
+fn shared_blocks(call: &Call) -> Vec<BlockId> {
+    let prompt = call.request.prompt.as_ref();
+    prompt.map_or_else(Vec::new, |prompt| {
+        let blocks = prompt.shared_blocks().iter();
+        blocks.map(|block| block.id).collect()
+    })
+}
+
+/// Displays the first blocks of a prompt, separated by commas.
+struct BlockList<'a>(&'a [BlockId]);
+
+impl fmt::Display for BlockList<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, block) in self.0.iter().take(MAX_LOGGED_BLOCKS).enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(formatter, "{separator}{block:x}")?;
+        }
+        Ok(())
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
         if !self.is_finished {
