Reproduce a prompt block that crashes each upstream that generates on it

The stand-in upstream now also crashes when it generates on a marked block that is not the last of its prompt. Requests share nothing else but their first block.

--- a/src/standin/fleet/mortal.rs
+++ b/src/standin/fleet/mortal.rs
@@ -17,6 +17,8 @@
 
 /// End of the path of requests that end their upstreams.
 pub const DEADLY: &str = "/deadly";
+/// Prompt block that ends the upstreams that generate on it, unless it is the last of its prompt.
+pub const DEADLY_BLOCK: &str = "dead";
 /// Pause between two writings of an entry.
 const BEAT: Duration = Duration::from_millis(300);
 /// Writings that an entry is kept without.
--- a/src/standin/fleet/replica/answer.rs
+++ b/src/standin/fleet/replica/answer.rs
@@ -129,10 +129,19 @@
 fn ends(shared: &Mutex<State>, request: &Request, reads: bool) -> bool {
     let nature = shared.lock().expect("replica lock").nature;
     nature.is_some_and(|nature| {
-        request.path.ends_with(mortal::DEADLY) && !(reads && nature.spares_prefill_engines)
+        let is_deadly = request.path.ends_with(mortal::DEADLY);
+        (is_deadly && !(reads && nature.spares_prefill_engines))
+            || (!reads && has_deadly_block(request))
     })
 }
 
+fn has_deadly_block(request: &Request) -> bool {
+    let prefix = request.fields.get("pistachiohall-prompt-prefix");
+    let mut blocks = prefix.into_iter().flat_map(|prefix| prefix.rsplit(','));
+    let _last = blocks.next();
+    blocks.any(|block| block.split(':').next() == Some(mortal::DEADLY_BLOCK))
+}
+
 /// Ends a connection the way in which the upstream ends.
 fn end(shared: &Mutex<State>, index: usize, stream: &mut TcpStream) -> io::Result<Next> {
     let nature = shared.lock().expect("replica lock").nature;
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod belief;
 mod deadly;
+mod deadly_blocks;
 mod endless;
 mod explain;
 mod field_reports;
