--- a/src/suspicion/mod.rs
+++ b/src/suspicion/mod.rs
@@ -10,6 +10,7 @@
 //! Times are passed in; nothing here reads a clock or a socket.
 
 pub mod recent;
+mod reports;
 mod suspect;
 mod told;
 mod verdict;
@@ -47,10 +48,6 @@
 const LOSS_RETENTION: Duration = Duration::from_secs(600);
 /// Time for which a cleared suspect is kept, to report to peers that it is cleared.
 const CLEARED_RETENTION: Duration = Duration::from_secs(10);
-/// Interval between two reports of a suspect that has not changed.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-/// Time before a single loss is persisted: most are cleared by the next attempt.
-const PERSIST_DELAY: Duration = Duration::from_secs(1);
 /// Maximum suspects held at once.
 const MAX_SUSPECTS: usize = 4096;
 /// Time after which a refused caller may retry while the fate of incarnations is unresolved.
@@ -352,130 +349,6 @@
         }
     }
 
-    /// Returns at most `max` suspects that are due to be reported to peers: changed ones before
-    /// unchanged ones, then those with more incarnations first.
-    pub fn due_reports(&mut self, max: usize, now: Instant) -> Vec<Report> {
-        if self.suspects.is_empty() {
-            return Vec::new();
-        }
-        let own = self.own;
-        let is_due = |suspect: &Suspect| {
-            let is_own = suspect.losses.iter().any(|loss| loss.origin == own);
-            let reported_at = suspect.reported_at;
-            (is_own || suspect.completed_at.is_some())
-                && (suspect.is_unreported()
-                    || reported_at
-                        .is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL))
-        };
-        let mut due: Vec<(bool, std::cmp::Reverse<usize>, Option<Instant>, Fingerprint)> = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| is_due(suspect))
-            .map(|(fingerprint, suspect)| {
-                let incarnations = std::cmp::Reverse(suspect.counted_incarnations());
-                (
-                    !suspect.is_unreported(),
-                    incarnations,
-                    suspect.reported_at,
-                    *fingerprint,
-                )
-            })
-            .collect();
-        due.sort_unstable();
-        due.truncate(max);
-        let fingerprints = due.into_iter().map(|(.., fingerprint)| fingerprint);
-        fingerprints
-            .filter_map(|fingerprint| {
-                let suspect = self.suspects.get_mut(&fingerprint)?;
-                suspect.reported_at = Some(now);
-                Some(suspect.report(fingerprint, own, now))
-            })
-            .collect()
-    }
-
-    /// Merges the suspects that the host `origin` reports.
-    pub fn merge(&mut self, origin: HostDigest, reports: &[Report], now: Instant) {
-        for report in reports {
-            if report.losses.is_empty() && !self.suspects.contains_key(&report.fingerprint) {
-                continue;
-            }
-            let suspect = self.suspect(report.fingerprint, now);
-            if let Some(completed) = report.completed.and_then(|age| now.checked_sub(age)) {
-                suspect.losses.retain(|loss| loss.at > completed);
-            }
-            let mut unknown = Vec::new();
-            for reported in &report.losses {
-                if reported.age >= LOSS_RETENTION {
-                    continue;
-                }
-                let at = now.checked_sub(reported.age).unwrap_or(now);
-                let mut loss = Loss {
-                    incarnation: reported.incarnation,
-                    origin,
-                    at,
-                    fate: reported.fate,
-                };
-                let held = suspect
-                    .losses
-                    .iter()
-                    .find(|held| held.incarnation == loss.incarnation && held.origin == origin);
-                if let Some(held) = held {
-                    // The same loss reported again if a datagram's delay explains the difference.
-                    let is_same = loss.at < held.at + MIN_RESTART_DURATION;
-                    loss.at = if is_same {
-                        held.at.min(loss.at)
-                    } else {
-                        loss.at
-                    };
-                    if is_same && (loss.fate == Fate::Unknown || held.fate == Fate::Ended) {
-                        loss.fate = held.fate;
-                    }
-                }
-                if loss.fate == Fate::Unknown {
-                    unknown.push(loss.incarnation);
-                }
-                suspect.record(loss);
-            }
-            for incarnation in unknown {
-                self.index_unknown(incarnation, report.fingerprint);
-            }
-        }
-    }
-
-    /// Returns the reports to persist beyond this process: this host's own losses at incarnations
-    /// that ended and, for requests that are not sent any more, also at those that may have ended.
-    pub fn persistent_reports(&self, now: Instant) -> Vec<Report> {
-        let is_persistent = |suspect: &Suspect, loss: &Loss| {
-            let is_old = now.saturating_duration_since(loss.at) >= PERSIST_DELAY;
-            loss.origin == self.own
-                && loss.is_counted()
-                && (suspect.counted_incarnations() >= MAX_INCARNATIONS
-                    || (is_old && loss.fate == Fate::Ended))
-        };
-        let mut persistent: Vec<Report> = self
-            .suspects
-            .iter()
-            .map(|(fingerprint, suspect)| {
-                let own = Suspect {
-                    losses: suspect
-                        .losses
-                        .iter()
-                        .filter(|loss| is_persistent(suspect, loss))
-                        .copied()
-                        .collect(),
-                    completed_at: None,
-                    ..Suspect::new(now)
-                };
-                own.report(*fingerprint, self.own, now)
-            })
-            .filter(|report| !report.losses.is_empty())
-            .collect();
-        persistent.sort_unstable_by_key(|report| {
-            (std::cmp::Reverse(report.losses.len()), report.fingerprint)
-        });
-        persistent
-    }
-
     /// Returns the number of suspects and how many of these are not sent any more.
     pub fn count(&self, now: Instant) -> (usize, usize) {
         let suspects = self
