Refuse prompt blocks that crash each upstream that generates on them

Cause: losses were counted by a digest of the whole request. Requests that share a block and nothing else never met, so that no count exceeded one.

Now each shared block of a prompt is a suspect of its own, kept, told to peers and stored as requests are. What tells the block at fault from those beside it: the others complete, at this host or at one that says so, or are lost with one request only, at upstreams that end at the same moment, or seconds after they began to stream. What a prefill engine does says nothing. A block that was lost by chance as often as the one at fault is refused with it, until one request of one host has tried it.

--- a/src/follow/suspects.rs
+++ b/src/follow/suspects.rs
@@ -25,6 +25,7 @@
 use crate::id::Fingerprint;
 use crate::id::HostId;
 use crate::id::IncarnationDigest;
+use crate::id::RequestDigest;
 use crate::log::keyed::Keyed;
 use crate::log::keyed::Pair;
 use crate::log::keyed::Record;
@@ -32,6 +33,7 @@
 use crate::suspicion::Fate;
 use crate::suspicion::LossReport;
 use crate::suspicion::Report;
+use crate::suspicion::Subject;
 
 /// Interval between reads while datagrams arrive from all known hosts.
 const READ_INTERVAL: Duration = Duration::from_secs(300);
@@ -69,6 +71,17 @@
     at_ms: u64,
     /// `true` if the incarnation has definitely ended.
     is_ended: bool,
+    /// Loss of a block; `None` for a request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    block: Option<StoredBlockLoss>,
+}
+
+/// Requests with a block that were lost, as stored.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct StoredBlockLoss {
+    request: RequestDigest,
+    requests: u32,
+    uncertainty_ms: u64,
 }
 
 /// The thread's ends of its channels.
@@ -165,12 +178,18 @@
             .take(MAX_STORED_SUSPECTS)
             .flat_map(|report| {
                 let fingerprint = report.fingerprint;
+                let is_block = report.subject == Subject::Block;
                 let losses = report.losses.into_iter();
                 losses.map(move |loss| StoredLoss {
                     fingerprint,
                     incarnation: loss.incarnation,
                     at_ms: now_ms.saturating_sub(loss.age.as_millis() as u64),
                     is_ended: loss.fate == Fate::Ended,
+                    block: is_block.then_some(StoredBlockLoss {
+                        request: loss.request,
+                        requests: loss.requests,
+                        uncertainty_ms: loss.uncertainty.as_millis() as u64,
+                    }),
                 })
             })
             .collect();
@@ -248,6 +267,10 @@
             self.written = summary(&entries);
         }
         let suspects = entries.into_iter().map(|entry| Report {
+            subject: match entry.block {
+                Some(_) => Subject::Block,
+                None => Subject::Request,
+            },
             fingerprint: entry.fingerprint,
             losses: vec![LossReport {
                 incarnation: entry.incarnation,
@@ -256,6 +279,11 @@
                     true => Fate::Ended,
                     false => Fate::Unknown,
                 },
+                uncertainty: entry.block.map_or(Duration::ZERO, |block| {
+                    Duration::from_millis(block.uncertainty_ms)
+                }),
+                request: entry.block.map_or(0, |block| block.request),
+                requests: entry.block.map_or(0, |block| block.requests),
             }],
             completed: None,
         });
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -35,6 +35,8 @@
     pub tokens: u64,
     /// Maximum number of generated tokens.
     pub max_generated: u64,
+    /// Name of the model; empty if the request names none.
+    pub model: CompactString,
     /// Blocks in order; the last one belongs to this request alone.
     pub blocks: Vec<Block>,
 }
@@ -126,6 +128,27 @@
     hasher.finish()
 }
 
+/// Returns digests of the prompt's blocks that other requests may share, which are equal in all
+/// prompts for the same model.
+///
+/// ```
+/// use pistachiohall::gateway::call;
+/// use pistachiohall::gateway::call::{Block, Prompt};
+/// let block = |id, tokens| Block { id, tokens };
+/// let prompt = |blocks| Prompt { blocks, ..Prompt::default() };
+/// let one = call::block_fingerprints(&prompt(vec![block(1, 10), block(2, 20)]));
+/// let other = call::block_fingerprints(&prompt(vec![block(5, 10), block(1, 10), block(6, 20)]));
+/// assert_eq!(one, other[1..]);
+/// ```
+pub fn block_fingerprints(prompt: &Prompt) -> Vec<Fingerprint> {
+    let fingerprint = |block: &Block| {
+        let mut hasher = std::hash::DefaultHasher::new();
+        (&prompt.model, block.id).hash(&mut hasher);
+        hasher.finish()
+    };
+    prompt.shared_blocks().iter().map(fingerprint).collect()
+}
+
 /// A request that has a route.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -145,6 +168,8 @@
     pub deadline: Instant,
     /// Digest that is equal for all attempts of one request.
     pub fingerprint: Fingerprint,
+    /// Digests of the prompt's blocks that other requests may share.
+    pub blocks: Arc<[Fingerprint]>,
 }
 
 impl Call {
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -358,7 +358,10 @@
         let (first, is_ended) = first_events(&mut body, &mut splitter).await?;
         slot.end_prefill();
         let target = Rc::clone(&target);
-        let guard = guard.take().expect("an exchange starts one stream");
+        let mut guard = guard.take().expect("an exchange starts one stream");
+        if !first.is_empty() {
+            guard.record_first_events();
+        }
         Ok(Start::Stream(Box::new(OpenStream {
             head,
             body,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -91,6 +91,11 @@
         route: route.clone(),
         version: catalog.version(),
         fingerprint: call::fingerprint(&request, &body),
+        blocks: request
+            .prompt
+            .as_ref()
+            .map_or_else(Vec::new, call::block_fingerprints)
+            .into(),
         request,
         body,
         arrived,
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -1,10 +1,11 @@
-//! Requests that may crash the upstreams that run them: the request loop records their losses,
+//! Requests and prompt blocks that may crash the upstreams that run them: the request loop records their losses,
 //! probes upstreams, exchanges reports with peers and the store, and refuses suspects.
 
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::fmt;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -31,6 +32,7 @@
 use crate::logging::sample::Sampler;
 use crate::platform::egress;
 use crate::suspicion::Evidence;
+use crate::suspicion::LostExchange;
 use crate::suspicion::Report;
 use crate::suspicion::Verdict;
 use crate::upstream::Role;
@@ -46,6 +48,8 @@
 const PROBE_DELAY: Duration = Duration::from_millis(100);
 /// Number of incarnations from which a loss of any kind is probed and reported to peers at once.
 const MIN_PROBED_INCARNATIONS: usize = 2;
+/// Maximum time from an upstream's end until all hosts have seen its connections break.
+const MAX_RESET_DELAY: Duration = Duration::from_millis(50);
 /// Maximum share of a request's remaining time that it waits for probes.
 const MAX_PROBE_SHARE: f64 = 0.25;
 /// Maximum upstreams probed at once for one request.
@@ -90,11 +94,15 @@
     gateway: Rc<Gateway>,
     request: CallId,
     fingerprint: Fingerprint,
-    /// Prompt blocks that other requests may share.
-    blocks: Vec<BlockId>,
+    /// Prompt blocks that other requests may share, as the caller named them.
+    block_ids: Vec<BlockId>,
+    /// Digests of these blocks.
+    blocks: Arc<[Fingerprint]>,
     target: Rc<Target>,
     stage: &'static str,
     started_at: Instant,
+    /// Time of the first event of the response.
+    responding_since: Option<Instant>,
     /// `true` if the stage completes the request, which a prefill does not.
     completes_request: bool,
     is_finished: bool,
@@ -103,23 +111,31 @@
 impl Guard {
     /// Returns a guard for a request that is about to be sent to `target`.
     pub fn new(gateway: &Rc<Gateway>, call: &Call, target: &Rc<Target>, stage: Stage<'_>) -> Self {
-        gateway
-            .suspicion
-            .borrow_mut()
-            .begin_exchange(call.fingerprint);
+        let started_at = Instant::now();
+        let mut suspicion = gateway.suspicion.borrow_mut();
+        suspicion.begin_exchange(call.fingerprint);
+        suspicion.begin_trials(&call.blocks, call.fingerprint, started_at);
+        drop(suspicion);
         Guard {
             gateway: Rc::clone(gateway),
             request: call.request.id.clone(),
             fingerprint: call.fingerprint,
-            blocks: shared_blocks(call),
+            block_ids: shared_blocks(call),
+            blocks: Arc::clone(&call.blocks),
             target: Rc::clone(target),
             stage: stage.name(),
-            started_at: Instant::now(),
+            started_at,
+            responding_since: None,
             completes_request: !matches!(stage, Stage::Prefill),
             is_finished: false,
         }
     }
 
+    /// Records that the first events of the response have arrived.
+    pub fn record_first_events(&mut self) {
+        self.responding_since = Some(Instant::now());
+    }
+
     /// Records the outcome of the exchange.
     pub fn record<T>(&mut self, result: &Result<T, Failure>) {
         match result {
@@ -131,10 +147,14 @@
     /// Records that the exchange failed.
     pub fn fail(&mut self, failure: &Failure) {
         self.is_finished = true;
-        let (Failure::Broken(_) | Failure::Silent) = failure else {
-            return;
+        let earliest_end = match failure {
+            Failure::Broken(_) => Instant::now()
+                .checked_sub(MAX_RESET_DELAY)
+                .unwrap_or(self.started_at),
+            Failure::Silent => self.started_at,
+            _ => return,
         };
-        let incarnations = self.record_loss(failure);
+        let incarnations = self.record_loss(failure, earliest_end.max(self.started_at));
         if matches!(failure, Failure::Broken(_)) || incarnations >= MIN_PROBED_INCARNATIONS {
             let incarnation = self.target.incarnation_digest();
             task::spawn_local(probe_later(Rc::clone(&self.gateway), incarnation));
@@ -146,12 +166,20 @@
         self.is_finished = true;
         if self.completes_request {
             let mut suspicion = self.gateway.suspicion.borrow_mut();
-            suspicion.record_completion(self.fingerprint, Instant::now());
+            let now = Instant::now();
+            suspicion.record_completion(self.fingerprint, now);
+            // A response without an event does not show that the upstream generated.
+            if self.responding_since.is_some() {
+                suspicion.record_block_completions(&self.blocks, now);
+            }
         }
     }
 
-    /// Records a loss; returns the number of incarnations that ended under the request or may have.
-    fn record_loss<E>(&self, cause: &E) -> usize
+    /// Records a loss; returns the maximum number of incarnations that ended, or may have, under the
+    /// request or a block of its prompt.
+    ///
+    /// The upstream may have ended at any time from `earliest_end` on.
+    fn record_loss<E>(&self, cause: &E, earliest_end: Instant) -> usize
     where
         E: std::fmt::Display,
     {
@@ -159,11 +187,20 @@
         let gateway = &self.gateway;
         gateway.metrics.add("exchanges_lost");
         let incarnation = self.target.incarnation_digest();
-        let incarnations =
-            gateway
-                .suspicion
-                .borrow_mut()
-                .record_loss(self.fingerprint, incarnation, now);
+        let mut suspicion = gateway.suspicion.borrow_mut();
+        let mut incarnations = suspicion.record_loss(self.fingerprint, incarnation, now);
+        // A prefill engine does not generate, so what it loses says nothing about blocks.
+        if self.completes_request {
+            let lost = LostExchange {
+                request: self.fingerprint,
+                incarnation,
+                earliest_end,
+                responding_since: self.responding_since,
+            };
+            let of_blocks = suspicion.record_block_losses(&self.blocks, &lost, now);
+            incarnations = incarnations.max(of_blocks);
+        }
+        drop(suspicion);
         if incarnations >= MIN_PROBED_INCARNATIONS {
             gateway.urgent_suspects.notify_one();
         }
@@ -175,7 +212,7 @@
                 born = self.target.entry.started_at,
                 life:% = format_args!("{incarnation:08x}"),
                 work = self.stage,
-                blocks:% = BlockList(&self.blocks),
+                blocks:% = BlockList(&self.block_ids),
                 age_ms = now.saturating_duration_since(self.started_at).as_millis() as u64,
                 upstreams = incarnations,
                 cause:% = cause,
@@ -213,7 +250,7 @@
 impl Drop for Guard {
     fn drop(&mut self) {
         if !self.is_finished {
-            self.record_loss(&"the caller left");
+            self.record_loss(&"the caller left", self.started_at);
         }
         self.gateway
             .suspicion
@@ -228,17 +265,11 @@
 /// Probes the upstreams whose fate is unknown first, so that no request is refused for losses at
 /// upstreams that are alive.
 pub async fn refusal(gateway: &Rc<Gateway>, call: &Call) -> Option<Duration> {
-    let verdict = |now| {
-        let suspicion = gateway.suspicion.borrow();
-        suspicion.verdict(call.fingerprint, now)
-    };
-    if let Verdict::Unresolved(_) = verdict(Instant::now()) {
+    let verdict = |now| verdict(gateway, call, now);
+    if let (Verdict::Unresolved(_), suspect) = verdict(Instant::now()) {
         let left = call.remaining(Instant::now());
         let wait = PROBE_TIMEOUT.min(left.mul_f64(MAX_PROBE_SHARE));
-        let incarnations = gateway
-            .suspicion
-            .borrow()
-            .unknown_incarnations(call.fingerprint);
+        let incarnations = gateway.suspicion.borrow().unknown_incarnations(suspect);
         let probes = incarnations
             .into_iter()
             .take(MAX_PROBES)
@@ -253,24 +284,44 @@
         }
     }
     let now = Instant::now();
-    let (evidence, is_resolved) = match verdict(now) {
+    let (verdict, suspect) = verdict(now);
+    let (evidence, is_resolved) = match verdict {
         Verdict::Clear => return None,
         Verdict::Unresolved(evidence) => (evidence, false),
         Verdict::Refused(evidence) => (evidence, true),
     };
-    log_refusal(gateway, call, &evidence, is_resolved, now);
+    log_refusal(gateway, call, suspect, &evidence, is_resolved, now);
     Some(evidence.retry_after)
 }
 
 /// Returns `true` if a request may be sent by what is known, without probing upstreams.
 pub fn is_clear(gateway: &Gateway, call: &Call) -> bool {
+    let (verdict, _) = verdict(gateway, call, Instant::now());
+    verdict == Verdict::Clear
+}
+
+/// Returns the first verdict on a request and the blocks of its prompt that is not clear, and the
+/// suspect that it is about.
+fn verdict(gateway: &Gateway, call: &Call, now: Instant) -> (Verdict, Fingerprint) {
     let suspicion = gateway.suspicion.borrow();
-    suspicion.verdict(call.fingerprint, Instant::now()) == Verdict::Clear
+    let blocks = call.blocks.iter();
+    let of_blocks = blocks.map(|block| {
+        (
+            suspicion.block_verdict(*block, call.fingerprint, now),
+            *block,
+        )
+    });
+    let of_request = || (suspicion.verdict(call.fingerprint, now), call.fingerprint);
+    of_blocks
+        .chain(std::iter::once_with(of_request))
+        .find(|(verdict, _)| *verdict != Verdict::Clear)
+        .unwrap_or((Verdict::Clear, call.fingerprint))
 }
 
 fn log_refusal(
     gateway: &Gateway,
     call: &Call,
+    suspect: Fingerprint,
     evidence: &Evidence,
     is_resolved: bool,
     now: Instant,
@@ -279,7 +330,8 @@
     if let Some(left_out) = sample_line(&gateway.suspect_log_limiter.refused, now) {
         info!(
             request:% = call.request.id,
-            fingerprint:% = format_args!("{:016x}", call.fingerprint),
+            fingerprint:% = format_args!("{suspect:016x}"),
+            subject = if suspect == call.fingerprint { "request" } else { "block" },
             upstreams = evidence.incarnations,
             ended = evidence.ended,
             hosts = evidence.hosts,
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -14,9 +14,11 @@
 use crate::id::Fingerprint;
 use crate::id::HostId;
 use crate::id::IncarnationDigest;
+use crate::id::RequestDigest;
 use crate::suspicion::Fate;
 use crate::suspicion::LossReport;
 use crate::suspicion::Report;
+use crate::suspicion::Subject;
 
 /// Time without datagrams from a peer after which its loads no longer count and it is sent
 /// datagrams only occasionally.
@@ -75,20 +77,32 @@
     /// Fate of the incarnation: 0 if unknown, 1 if it ended, 2 if it is alive.
     #[prost(uint32, tag = "3")]
     pub fate: u32,
+    /// Time before the loss within which the incarnation may have ended, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub uncertainty_ms: u64,
+    /// Digest of the last request with the block that was lost there.
+    #[prost(uint32, tag = "5")]
+    pub request: RequestDigest,
+    /// Number of requests with the block that were lost there.
+    #[prost(uint32, tag = "6")]
+    pub requests: u32,
 }
 
-/// A request that may crash upstreams, with the losses that the sender saw itself.
+/// A request or a prompt block that may crash upstreams, with the losses that the sender saw itself.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Suspect {
-    /// Digest of the request.
+    /// Digest of the request or of the block.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: Fingerprint,
     /// The sender's losses.
     #[prost(message, repeated, tag = "3")]
     pub losses: Vec<Loss>,
-    /// Time since the request last completed at the sender, in milliseconds.
+    /// Time since it last completed at the sender, in milliseconds.
     #[prost(uint64, optional, tag = "4")]
     pub completed_ms: Option<u64>,
+    /// `true` if it is a block.
+    #[prost(bool, tag = "5")]
+    pub is_block: bool,
 }
 
 /// Value of `Loss::fate` for an incarnation that ended.
@@ -106,8 +120,12 @@
                 Fate::Ended => FATE_ENDED,
                 Fate::Alive => FATE_ALIVE,
             },
+            uncertainty_ms: loss.uncertainty.as_millis() as u64,
+            request: loss.request,
+            requests: loss.requests,
         });
         Suspect {
+            is_block: report.subject == Subject::Block,
             fingerprint: report.fingerprint,
             losses: losses.collect(),
             completed_ms: report.completed.map(|age| age.as_millis() as u64),
@@ -125,8 +143,15 @@
                 FATE_ALIVE => Fate::Alive,
                 _ => Fate::Unknown,
             },
+            uncertainty: Duration::from_millis(loss.uncertainty_ms),
+            request: loss.request,
+            requests: loss.requests,
         });
         Report {
+            subject: match suspect.is_block {
+                true => Subject::Block,
+                false => Subject::Request,
+            },
             fingerprint: suspect.fingerprint,
             losses: losses.collect(),
             completed: suspect.completed_ms.map(Duration::from_millis),
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -21,8 +21,11 @@
 pub type RequestId = Uuid;
 /// Identifier of one incarnation of an entry process.
 pub type Incarnation = Uuid;
-/// Digest of a request's content and caller, the same for all its attempts.
+/// Digest of a request's content and caller, the same for all its attempts; or of a prompt block and
+/// the model that it is for.
 pub type Fingerprint = u64;
+/// Short digest of a request's content and caller.
+pub type RequestDigest = u32;
 /// Digest of an upstream's name and start time.
 pub type IncarnationDigest = u32;
 /// Digest of a host's name.
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -157,9 +157,12 @@
         Some(list) => parse_blocks(list).ok_or(Malformed::Unreadable(header::PROMPT_PREFIX))?,
         None => Vec::new(),
     };
+    let model = headers.get(&header::MODEL);
+    let model = model.and_then(|name| name.to_str().ok()).unwrap_or("");
     Ok(Some(Prompt {
         tokens,
         max_generated,
+        model: model.into(),
         blocks,
     }))
 }
--- a/src/suspicion/mod.rs
+++ b/src/suspicion/mod.rs
@@ -1,4 +1,4 @@
-//! Requests that may crash the upstreams that run them.
+//! Requests, and blocks of prompts, that may crash the upstreams that run them.
 //!
 //! An exchange that ends without a response is a loss of a request at one incarnation of an
 //! upstream. The fate of that incarnation shows whether the request may have caused the loss. An
@@ -7,8 +7,13 @@
 //! that ended, or may have, are counted as one set over all hosts. A request that completes
 //! anywhere is cleared.
 //!
+//! A block of a prompt is a suspect of its own: requests no two of which are alike may share one.
+//! Harmless blocks are lost along with it; `blame` tells them apart.
+//!
 //! Times are passed in; nothing here reads a clock or a socket.
 
+mod blame;
+mod blocks;
 pub mod recent;
 mod reports;
 mod suspect;
@@ -18,6 +23,7 @@
 pub use self::told::Fate;
 pub use self::told::LossReport;
 pub use self::told::Report;
+pub use self::told::Subject;
 pub use self::verdict::Evidence;
 pub use self::verdict::Verdict;
 
@@ -26,6 +32,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use self::blame::Blame;
 use self::recent::Recent;
 use self::suspect::Loss;
 use self::suspect::Suspect;
@@ -50,10 +57,19 @@
 const CLEARED_RETENTION: Duration = Duration::from_secs(10);
 /// Maximum suspects held at once.
 const MAX_SUSPECTS: usize = 4096;
-/// Time after which a refused caller may retry while the fate of incarnations is unresolved.
-const UNRESOLVED_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Time after which a caller may retry a request that ended upstreams.
-const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(60);
+
+/// An exchange that ended without a full response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LostExchange {
+    /// Digest of the request.
+    pub request: Fingerprint,
+    /// Incarnation of the upstream.
+    pub incarnation: IncarnationDigest,
+    /// Earliest time at which the incarnation may have ended.
+    pub earliest_end: Instant,
+    /// Time of the first event of the response, if there was one.
+    pub responding_since: Option<Instant>,
+}
 
 /// A loss whose fate was resolved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -78,6 +94,10 @@
     /// Exchanges in flight at this host.
     in_flight: HashMap<Fingerprint, u32>,
     completed: Recent,
+    completed_blocks: Recent,
+    /// Blocks with losses at more than one incarnation.
+    blame_candidates: HashSet<Fingerprint>,
+    blame: Blame,
 }
 
 impl Tracker {
@@ -89,6 +109,9 @@
             unknown: HashMap::new(),
             in_flight: HashMap::new(),
             completed: Recent::default(),
+            completed_blocks: Recent::default(),
+            blame_candidates: HashSet::new(),
+            blame: Blame::default(),
         }
     }
 
@@ -112,7 +135,10 @@
         let Some(suspect) = self.suspects.get(&fingerprint) else {
             return Verdict::Clear;
         };
-        let incarnations = suspect.counted_incarnations();
+        // The ends that a block explains do not count against requests without it.
+        let is_counted =
+            |loss: &Loss| loss.is_counted() && !self.blame.explains_end(loss.incarnation);
+        let incarnations = suspect.count_incarnations(is_counted);
         if incarnations == 0 {
             return Verdict::Clear;
         }
@@ -125,25 +151,9 @@
         if may_end < max {
             return Verdict::Clear;
         }
-        let counted = || suspect.losses.iter().filter(|loss| loss.is_counted());
-        let ended = suspect.count_incarnations(|loss| loss.fate == Fate::Ended);
-        let hosts: HashSet<HostDigest> = counted().map(|loss| loss.origin).collect();
-        let first = counted().map(|loss| loss.at).min().unwrap_or(now);
-        let is_resolved = ended >= max;
-        let evidence = Evidence {
-            incarnations,
-            ended,
-            hosts: hosts.len(),
-            first_loss_age: now.saturating_duration_since(first),
-            retry_after: match is_resolved {
-                true => REFUSED_RETRY_AFTER,
-                false => UNRESOLVED_RETRY_AFTER,
-            },
-        };
-        match is_resolved {
-            true => Verdict::Refused(evidence),
-            false => Verdict::Unresolved(evidence),
-        }
+        let ended = |loss: &Loss| is_counted(loss) && loss.fate == Fate::Ended;
+        let is_resolved = suspect.count_incarnations(ended) >= max;
+        suspect.refuse(is_counted, is_resolved, now)
     }
 
     /// Records that a request is about to be sent to an upstream.
@@ -174,8 +184,11 @@
             origin: self.own,
             at: now,
             fate: Fate::Unknown,
+            earliest_end: now,
+            request: 0,
+            requests: 0,
         };
-        let suspect = self.suspect(fingerprint, now);
+        let suspect = self.suspect(Subject::Request, fingerprint, now);
         suspect.record(loss);
         suspect.changed_at = now;
         let incarnations = suspect.counted_incarnations();
@@ -187,9 +200,7 @@
     pub fn record_completion(&mut self, fingerprint: Fingerprint, now: Instant) {
         self.completed.record(fingerprint, now);
         if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-            suspect.losses.clear();
-            suspect.completed_at = Some(now);
-            suspect.changed_at = now;
+            suspect.complete(now);
         }
     }
 
@@ -240,6 +251,8 @@
             return;
         };
         let suspects = &mut self.suspects;
+        let candidates = &self.blame_candidates;
+        let mut is_blame_stale = false;
         fingerprints.retain(|fingerprint| {
             let Some(suspect) = suspects.get_mut(fingerprint) else {
                 return false;
@@ -250,7 +263,10 @@
                     continue;
                 }
                 match is_resolved_at(loss.at) {
-                    true => loss.fate = fate,
+                    true => {
+                        loss.fate = fate;
+                        is_blame_stale |= candidates.contains(fingerprint);
+                    }
                     false => is_unresolved = true,
                 }
             }
@@ -259,6 +275,9 @@
         if fingerprints.is_empty() {
             self.unknown.remove(&incarnation);
         }
+        if is_blame_stale {
+            self.update_blame();
+        }
     }
 
     /// Returns the incarnations at which a request was lost and whose fate is unknown.
@@ -347,6 +366,10 @@
                 }
             }
         }
+        let suspects = &self.suspects;
+        self.blame_candidates
+            .retain(|block| suspects.contains_key(block));
+        self.update_blame();
     }
 
     /// Returns the number of suspects and how many of these are not sent any more.
@@ -355,8 +378,11 @@
             .suspects
             .iter()
             .filter(|(_, suspect)| suspect.counted_incarnations() > 0);
-        suspects.fold((0, 0), |(all, refused), (fingerprint, _)| {
-            let is_refused = self.verdict(*fingerprint, now) != Verdict::Clear;
+        suspects.fold((0, 0), |(all, refused), (fingerprint, suspect)| {
+            let is_refused = match suspect.subject {
+                Subject::Request => self.verdict(*fingerprint, now) != Verdict::Clear,
+                Subject::Block => self.blame.trial_delay(*fingerprint).is_some(),
+            };
             (all + 1, refused + usize::from(is_refused))
         })
     }
@@ -368,9 +394,14 @@
         }
     }
 
-    /// Returns the suspect of a request, adding it if needed. A full table drops the suspect with
-    /// the fewest incarnations; among equals, the one that changed least recently.
-    fn suspect(&mut self, fingerprint: Fingerprint, now: Instant) -> &mut Suspect {
+    /// Returns a suspect, adding it if needed. A full table drops the suspect with the fewest
+    /// incarnations; among equals, the one that changed least recently.
+    fn suspect(
+        &mut self,
+        subject: Subject,
+        fingerprint: Fingerprint,
+        now: Instant,
+    ) -> &mut Suspect {
         if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&fingerprint) {
             let weakest = self
                 .suspects
@@ -383,6 +414,6 @@
         }
         self.suspects
             .entry(fingerprint)
-            .or_insert_with(|| Suspect::new(now))
+            .or_insert_with(|| Suspect::new(subject, now))
     }
 }
--- a/src/suspicion/recent.rs
+++ b/src/suspicion/recent.rs
@@ -1,6 +1,6 @@
 //! Requests that completed recently.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,11 +11,11 @@
 /// Maximum requests in one generation.
 const MAX_REQUESTS: usize = 2048;
 
-/// Two generations of requests: the older one is dropped when the newer one is full or old.
+/// Two generations of requests with their last completions: the older one is dropped when the newer one is full or old.
 #[derive(Debug, Default)]
 pub struct Recent {
-    newer: HashSet<Fingerprint>,
-    older: HashSet<Fingerprint>,
+    newer: HashMap<Fingerprint, Instant>,
+    older: HashMap<Fingerprint, Instant>,
     newer_since: Option<Instant>,
 }
 
@@ -28,7 +28,7 @@
             self.older = std::mem::take(&mut self.newer);
             self.newer_since = Some(now);
         }
-        self.newer.insert(fingerprint);
+        self.newer.insert(fingerprint, now);
     }
 
     /// Returns `true` if a request completed recently.
@@ -43,9 +43,16 @@
     /// assert!(!recent.contains(7, now + Duration::from_secs(200)));
     /// ```
     pub fn contains(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.last(fingerprint, now).is_some()
+    }
+
+    /// Returns the time when a request last completed, if it did recently.
+    pub fn last(&self, fingerprint: Fingerprint, now: Instant) -> Option<Instant> {
         let is_recent = self.newer_since.is_some_and(|newer_since| {
             now.saturating_duration_since(newer_since) < 2 * GENERATION_DURATION
         });
-        is_recent && (self.newer.contains(&fingerprint) || self.older.contains(&fingerprint))
+        let newest = self.newer.get(&fingerprint);
+        let last = newest.or_else(|| self.older.get(&fingerprint)).copied();
+        last.filter(|_| is_recent)
     }
 }
--- a/src/suspicion/reports.rs
+++ b/src/suspicion/reports.rs
@@ -1,8 +1,10 @@
 //! Reports of suspects: sent to peers, kept in the store, and merged from both.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 use std::time::Instant;
 
+use super::CLEARED_RETENTION;
 use super::LOSS_RETENTION;
 use super::MAX_INCARNATIONS;
 use super::MIN_RESTART_DURATION;
@@ -11,6 +13,7 @@
 use super::suspect::Suspect;
 use super::told::Fate;
 use super::told::Report;
+use super::told::Subject;
 use crate::id::Fingerprint;
 use crate::id::HostDigest;
 
@@ -19,39 +22,54 @@
 /// Time before a single loss is persisted: most are cleared by the next attempt.
 const PERSIST_DELAY: Duration = Duration::from_secs(1);
 
+/// Order in which suspects are reported.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    is_unchanged: bool,
+    is_common_block: bool,
+    incarnations: Reverse<usize>,
+    reported_at: Option<Instant>,
+}
+
+impl Rank {
+    fn of(suspect: &Suspect) -> Self {
+        Rank {
+            is_unchanged: !suspect.is_unreported(),
+            is_common_block: suspect.is_common_block(),
+            incarnations: Reverse(suspect.counted_incarnations()),
+            reported_at: suspect.reported_at,
+        }
+    }
+}
+
 impl Tracker {
     /// Returns at most `max` suspects that are due to be reported to peers: changed ones before
-    /// unchanged ones, then those with more incarnations first.
+    /// unchanged ones, then blocks that have completed last, then those with more incarnations first.
     pub fn due_reports(&mut self, max: usize, now: Instant) -> Vec<Report> {
         if self.suspects.is_empty() {
             return Vec::new();
         }
         let own = self.own;
+        let is_within =
+            |at: Option<Instant>, limit| at.is_some_and(|at| now.duration_since(at) < limit);
         let is_due = |suspect: &Suspect| {
             let is_own = suspect.losses.iter().any(|loss| loss.origin == own);
-            let reported_at = suspect.reported_at;
-            (is_own || suspect.completed_at.is_some())
-                && (suspect.is_unreported()
-                    || reported_at
-                        .is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL))
+            let is_new = suspect.is_unreported();
+            if is_own || is_within(suspect.completed_at, CLEARED_RETENTION) {
+                return is_new || !is_within(suspect.reported_at, REPORT_INTERVAL);
+            }
+            // One host's word that a block completed before is enough.
+            suspect.completed_at.is_some() && is_new && !suspect.is_completion_reported
         };
-        let mut due: Vec<(bool, std::cmp::Reverse<usize>, Option<Instant>, Fingerprint)> = self
+        let mut due: Vec<(Rank, Fingerprint)> = self
             .suspects
             .iter()
             .filter(|(_, suspect)| is_due(suspect))
-            .map(|(fingerprint, suspect)| {
-                let incarnations = std::cmp::Reverse(suspect.counted_incarnations());
-                (
-                    !suspect.is_unreported(),
-                    incarnations,
-                    suspect.reported_at,
-                    *fingerprint,
-                )
-            })
+            .map(|(fingerprint, suspect)| (Rank::of(suspect), *fingerprint))
             .collect();
         due.sort_unstable();
         due.truncate(max);
-        let fingerprints = due.into_iter().map(|(.., fingerprint)| fingerprint);
+        let fingerprints = due.into_iter().map(|(_, fingerprint)| fingerprint);
         fingerprints
             .filter_map(|fingerprint| {
                 let suspect = self.suspects.get_mut(&fingerprint)?;
@@ -63,13 +81,22 @@
 
     /// Merges the suspects that the host `origin` reports.
     pub fn merge(&mut self, origin: HostDigest, reports: &[Report], now: Instant) {
+        let mut is_blame_stale = false;
         for report in reports {
             if report.losses.is_empty() && !self.suspects.contains_key(&report.fingerprint) {
                 continue;
             }
-            let suspect = self.suspect(report.fingerprint, now);
+            let suspect = match report.subject {
+                Subject::Request => self.suspect(report.subject, report.fingerprint, now),
+                Subject::Block => self.block_suspect(report.fingerprint, now),
+            };
+            let mut is_changed = report.completed.is_some() && !suspect.has_completed;
+            suspect.has_completed |= report.completed.is_some();
+            suspect.is_completion_reported |= report.completed.is_some();
             if let Some(completed) = report.completed.and_then(|age| now.checked_sub(age)) {
+                let losses = suspect.losses.len();
                 suspect.losses.retain(|loss| loss.at > completed);
+                is_changed |= suspect.losses.len() != losses;
             }
             let mut unknown = Vec::new();
             for reported in &report.losses {
@@ -82,6 +109,9 @@
                     origin,
                     at,
                     fate: reported.fate,
+                    earliest_end: at.checked_sub(reported.uncertainty).unwrap_or(at),
+                    request: reported.request,
+                    requests: reported.requests,
                 };
                 let held = suspect
                     .losses
@@ -102,11 +132,16 @@
                 if loss.fate == Fate::Unknown {
                     unknown.push(loss.incarnation);
                 }
-                suspect.record(loss);
+                is_changed |= suspect.record(loss);
             }
+            is_blame_stale |= is_changed && report.subject == Subject::Block;
             for incarnation in unknown {
                 self.index_unknown(incarnation, report.fingerprint);
             }
+            self.index_candidate(report.fingerprint);
+        }
+        if is_blame_stale {
+            self.update_blame();
         }
     }
 
@@ -117,6 +152,7 @@
             let is_old = now.saturating_duration_since(loss.at) >= PERSIST_DELAY;
             loss.origin == self.own
                 && loss.is_counted()
+                && !suspect.is_common_block()
                 && (suspect.counted_incarnations() >= MAX_INCARNATIONS
                     || (is_old && loss.fate == Fate::Ended))
         };
@@ -132,15 +168,14 @@
                         .copied()
                         .collect(),
                     completed_at: None,
-                    ..Suspect::new(now)
+                    ..Suspect::new(suspect.subject, now)
                 };
                 own.report(*fingerprint, self.own, now)
             })
             .filter(|report| !report.losses.is_empty())
             .collect();
-        persistent.sort_unstable_by_key(|report| {
-            (std::cmp::Reverse(report.losses.len()), report.fingerprint)
-        });
+        persistent
+            .sort_unstable_by_key(|report| (Reverse(report.losses.len()), report.fingerprint));
         persistent
     }
 }
--- a/src/suspicion/told.rs
+++ b/src/suspicion/told.rs
@@ -4,11 +4,23 @@
 
 use crate::id::Fingerprint;
 use crate::id::IncarnationDigest;
+use crate::id::RequestDigest;
+
+/// What a suspect is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Subject {
+    /// A request, by its content and caller.
+    #[default]
+    Request,
+    /// A block of prompts, whatever else these prompts hold.
+    Block,
+}
 
 /// Fate of an incarnation after a loss.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Fate {
     /// Not known yet.
+    #[default]
     Unknown,
     /// The incarnation ended.
     Ended,
@@ -17,7 +29,7 @@
 }
 
 /// A loss as reported between hosts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LossReport {
     /// Incarnation of the upstream.
     pub incarnation: IncarnationDigest,
@@ -25,15 +37,23 @@
     pub age: Duration,
     /// Fate of the incarnation as known to the reporting host.
     pub fate: Fate,
+    /// Time before the loss within which the incarnation may have ended.
+    pub uncertainty: Duration,
+    /// Digest of the last request with a block that was lost there; 0 for a request.
+    pub request: RequestDigest,
+    /// Number of requests with a block that were lost there; 0 for a request.
+    pub requests: u32,
 }
 
 /// A suspect as reported between hosts; each host reports only its own losses.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Report {
-    /// Digest of the request.
+    /// What is reported.
+    pub subject: Subject,
+    /// Digest of the request or of the block.
     pub fingerprint: Fingerprint,
     /// Losses of the reporting host.
     pub losses: Vec<LossReport>,
-    /// Time since the request last completed at the reporting host, if it did.
+    /// Time since it last completed at the reporting host, if it did.
     pub completed: Option<Duration>,
 }
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -55,6 +55,7 @@
                 tokens: 2890,
             },
         ],
+        ..Prompt::default()
     }
 }
 
@@ -63,6 +64,7 @@
         tokens: 220,
         max_generated: 89,
         blocks: vec![Block { id: 7, tokens: 47 }, Block { id: 8, tokens: 173 }],
+        ..Prompt::default()
     }
 }
 
--- a/tests/decisions/suspicion.rs
+++ b/tests/decisions/suspicion.rs
@@ -110,8 +110,9 @@
             incarnation: 100,
             age: ms(4500),
             fate: Fate::Alive,
+            ..LossReport::default()
         }],
-        completed: None,
+        ..Report::default()
     };
     tracker.merge(1, &[report], later);
     assert!(
@@ -227,8 +228,9 @@
             incarnation: 100,
             age: ms(age_ms),
             fate,
+            ..LossReport::default()
         }],
-        completed: None,
+        ..Report::default()
     };
     tracker.record_loss(REQUEST, 200, now);
     tracker.merge(1, &[report(Fate::Unknown, 0)], now);
