Test answers that have neither a length nor chunks

Plain answers and streams that end with the upstream's connection are passed on whole with a framing of their own, and the caller's connection goes on; one that is reset, or ends within an event, is broken off, resumed where that is allowed and never looks complete. All pass on the present code: the gateway had this right and no test of its own said so.

The two tests of resumed streams keep their checks and now run with both framings.

--- a/src/standin/fleet/replica/answer.rs
+++ b/src/standin/fleet/replica/answer.rs
@@ -313,6 +313,16 @@
             stream.write_all(&whole[..whole.len() - 4])?;
             return Ok(Next::Close);
         }
+        Behavior::Unframed | Behavior::UnframedBreak(_) => {
+            let fields = signed.map(|(name, value)| format!("{name}: {value}\r\n"));
+            write!(stream, "HTTP/1.1 200 OK\r\n{}\r\n", fields.concat())?;
+            if manner == Behavior::Unframed {
+                stream.write_all(body)?;
+                return Ok(Next::Close);
+            }
+            stream.write_all(&body[..body.len() - 4])?;
+            return Ok(Next::Reset);
+        }
         Behavior::Extra => {
             say(shared, stream, 200, &signed, body)?;
             say(shared, stream, 200, &signed, b"not asked for")?;
@@ -379,8 +389,14 @@
     let sizes = request.fields.get("pistachiohall-token-count");
     let count = number(sizes.and_then(|sizes| sizes.split(',').nth(1))).unwrap_or(3);
     let after = number(request.fields.get("last-event-id").map(String::as_str)).unwrap_or(0);
+    let is_framed = !matches!(manner, Behavior::Unframed | Behavior::UnframedBreak(_));
+    let framing = if is_framed {
+        "Transfer-Encoding: chunked\r\n"
+    } else {
+        ""
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\
          Pistachiohall-Request-Id: {id}\r\nPistachiohall-Server-Stamp: {STAMP}\r\n"
     );
     stream.write_all(head.as_bytes())?;
@@ -390,14 +406,24 @@
     stream.write_all(b"\r\n")?;
     for number in after + 1..=count {
         let event = format!("id: {number}\ndata: token {number}\n\n");
-        if manner == Behavior::Break(number) {
-            let part = &event[..event.len() / 2];
-            write!(stream, "{:x}\r\n{part}\r\n", part.len())?;
+        let is_last = [Behavior::Break(number), Behavior::UnframedBreak(number)].contains(&manner);
+        let part = if is_last {
+            &event[..event.len() / 2]
+        } else {
+            &event
+        };
+        match is_framed {
+            true => write!(stream, "{:x}\r\n{part}\r\n", part.len())?,
+            false => write!(stream, "{part}")?,
+        }
+        if is_last {
             return Ok(Next::Close);
         }
-        write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
         thread::sleep(pause);
     }
+    if !is_framed {
+        return Ok(Next::Close);
+    }
     stream.write_all(b"0\r\n\r\n")?;
     Ok(Next::Keep)
 }
--- a/src/standin/fleet/replica/mod.rs
+++ b/src/standin/fleet/replica/mod.rs
@@ -49,6 +49,11 @@
     Late,
     /// It breaks a stream off within the event of this number.
     Break(u64),
+    /// Its answer has neither a length nor chunks and ends with the connection.
+    Unframed,
+    /// The same, but it breaks off: a plain answer by a reset, a stream within the event of this
+    /// number.
+    UnframedBreak(u64),
     /// It sends fields without end in place of an answer's head.
     EndlessHead,
     /// It sends a signed answer whose body has no end.
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
+
 use pistachiohall::standin::fleet::client::Answer;
 use pistachiohall::standin::fleet::replica::Behavior;
 use pistachiohall::standin::fleet::replica::Replica;
@@ -66,6 +68,20 @@
     assert_eq!(used.count(), 1);
 }
 
+/// A stream without a length or chunks is complete if it ends with an event.
+#[test]
+fn delivers_a_stream_that_ends_with_its_connection() {
+    let site = Site::start(&[], &[("d1", "decode")], NO_ORDERS);
+    site.replicas["d1"].set_behavior(Behavior::Unframed);
+    let mut client = site.gateway.client();
+    for id in ["r1", "r2"] {
+        client
+            .send("POST", "/draft/a", id, &SHORT_PROMPT, b"")
+            .unwrap();
+        assert_complete(&client.receive().unwrap());
+    }
+}
+
 #[test]
 fn resumes_a_broken_stream_at_an_event_boundary() {
     let site = Site::start(&[], &[("d1", "decode"), ("d2", "decode")], NO_ORDERS);
@@ -94,10 +110,12 @@
     assert!(site.replicas.values().any(resumed));
 }
 
-#[test]
-fn delivers_a_resumed_stream_completely() {
+#[rstest]
+#[case::chunks(Behavior::Break(3))]
+#[case::no_framing(Behavior::UnframedBreak(3))]
+fn delivers_a_resumed_stream_completely(#[case] behavior: Behavior) {
     let site = Site::start(&[], &[("d1", "decode"), ("d2", "decode")], NO_ORDERS);
-    site.replicas["d1"].set_behavior(Behavior::Break(3));
+    site.replicas["d1"].set_behavior(behavior);
     for number in 0..6 {
         assert_complete(
             &site
@@ -111,12 +129,14 @@
     );
 }
 
-#[test]
-fn does_not_resume_a_stream_that_must_run_once() {
+#[rstest]
+#[case::chunks(Behavior::Break(3))]
+#[case::no_framing(Behavior::UnframedBreak(3))]
+fn does_not_resume_a_stream_that_must_run_once(#[case] behavior: Behavior) {
     let site = Site::start(&[], &[("d1", "decode"), ("d2", "decode")], NO_ORDERS);
     site.replicas
         .values()
-        .for_each(|replica| replica.set_behavior(Behavior::Break(3)));
+        .for_each(|replica| replica.set_behavior(behavior));
     let answer = site.gateway.call("POST", "/draft/a", "r1", &SHORT_PROMPT);
     assert_eq!(answer.body, events(1..=2));
     assert!(!answer.is_complete);
--- a/tests/gateway/plain.rs
+++ b/tests/gateway/plain.rs
@@ -59,12 +59,31 @@
     }
 }
 
+/// Guards against passing on the end of the upstream's connection as the end of the caller's.
+#[test]
+fn forwards_a_response_that_ends_with_its_connection() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_behavior(Behavior::Unframed);
+    let mut client = site.gateway.client();
+    for id in ["r1", "r2"] {
+        client.send("POST", "/act/a", id, &[], b"").unwrap();
+        let answer = client.receive().unwrap();
+        assert_eq!(
+            (answer.status, answer.body.as_str()),
+            (200, "the whole answer")
+        );
+        assert!(answer.fields.contains_key("content-length"));
+    }
+    assert_eq!(site.runs(), 2);
+}
+
 /// Guards against passing an incomplete or foreign response to a caller as a success.
 #[rstest]
 #[case(Behavior::Reset)]
 #[case(Behavior::Foreign)]
 #[case(Behavior::Unsigned)]
 #[case(Behavior::Short)]
+#[case(Behavior::UnframedBreak(0))]
 #[case(Behavior::Encoded)]
 fn fails_an_unsafe_request_whose_response_is_not_trusted(#[case] behavior: Behavior) {
     let site = Site::desks(&["c1", "c2"]);
