--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -360,7 +360,7 @@
         let target = Rc::clone(&target);
         let mut guard = guard.take().expect("an exchange starts one stream");
         if !first.is_empty() {
-            guard.record_first_events();
+            guard.record_output();
         }
         Ok(Start::Stream(Box::new(OpenStream {
             head,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -145,7 +145,12 @@
         let response =
             exchange::finish(gateway, target, response, exchange::MAX_RESPONSE_BYTES).await?;
         match response.provenance {
-            Provenance::Signed => Ok(response),
+            Provenance::Signed => {
+                if response.head.status.is_success() {
+                    guard.record_output();
+                }
+                Ok(response)
+            }
             _ => Err(Failure::Broken("the answer is not signed".into())),
         }
     };
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -131,8 +131,8 @@
         }
     }
 
-    /// Records that the first events of the response have arrived.
-    pub fn record_first_events(&mut self) {
+    /// Records that the upstream has begun to send its output.
+    pub fn record_output(&mut self) {
         self.responding_since = Some(Instant::now());
     }
 
--- a/src/standin/fleet/mod.rs
+++ b/src/standin/fleet/mod.rs
@@ -16,10 +16,11 @@
 /// Host name of all routes of [`config`].
 pub const HOST: &str = "lm.example";
 
-/// Returns a configuration with the plain services `desk` and `frail` and a model service `lm`.
+/// Returns a configuration with the plain services `desk` and `frail` and the model services `lm`
+/// and `frail-lm`.
 ///
 /// Routes: `/read/` safe, `/act/` unsafe, `/ask/` a stream that may be resumed, `/draft/` one that
-/// may not, `/risky/` unsafe at `frail`.
+/// may not, `/risky/` unsafe at `frail`, `/chat/` a stream at `frail-lm`.
 ///
 /// ```
 /// use pistachiohall::platform::config;
@@ -40,21 +41,28 @@
         route("/act/", "unsafe", "desk", 2),
         route("/ask/", "stream", "lm", 2),
         route("/draft/", "stream", "lm", 2),
+        route("/chat/", "stream", "frail-lm", 2),
         route("/risky/", "unsafe", "frail", 2),
     ];
-    for stream in &mut routes[2..4] {
+    for stream in &mut routes[2..5] {
         stream["sticky"] = json!(true);
         stream["target_gap_ms"] = json!(200);
     }
     routes[2]["resumable"] = json!(true);
+    let model_service = |name: &str| {
+        json!({
+            "name": name, "health_path": "/healthz", "max_connections": 300, "protocol": "h1",
+            "engine": {"slots": 8, "kv_capacity_tokens": 685_000, "handle_ttl_s": 5.0, "switch_s": 3.0},
+        })
+    };
     json!({
         "version": version,
         "routes": routes,
         "services": [
             {"name": "desk", "health_path": "/healthz", "max_connections": 100, "protocol": "h1"},
             {"name": "frail", "health_path": "/healthz", "max_connections": 100, "protocol": "h1"},
-            {"name": "lm", "health_path": "/healthz", "max_connections": 300, "protocol": "h1",
-             "engine": {"slots": 8, "kv_capacity_tokens": 685_000, "handle_ttl_s": 5.0, "switch_s": 3.0}},
+            model_service("lm"),
+            model_service("frail-lm"),
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "idle_timeout_ms": 15000},
     })
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -10,10 +10,13 @@
 
 use pistachiohall::standin::fleet::client::Answer;
 use pistachiohall::standin::fleet::client::Client;
+use pistachiohall::standin::fleet::mortal;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use super::fault;
+
 /// Time that a caller gives each request.
 pub const PATIENCE: Duration = Duration::from_millis(1500);
 /// Pause between two sends of a request that ends its upstreams.
@@ -152,9 +155,30 @@
         let sent = client.send("POST", "/risky/deadly", &id, &fields, b"deadly");
         // What comes back is no matter: only what the upstreams see counts.
         let _answer = sent.and_then(|()| client.receive());
+        if fault::has_deadly_block(seed) {
+            for block in [mortal::DEADLY_BLOCK, "b1"] {
+                let _answer = chat(address, &format!("{block}{id}"), number, block);
+            }
+        }
     }
 }
 
+/// Sends a request that differs from all others, with `block` in its prompt.
+fn chat(address: Option<SocketAddr>, id: &str, number: u64, block: &str) -> Option<Answer> {
+    let mut client = Client::connect(address?).ok()?;
+    let blocks = format!("a1:50,{block}:50,{number:x}:50");
+    let fields = [
+        ("Pistachiohall-Deadline-Ms", "400"),
+        ("Pistachiohall-Token-Count", "150,6"),
+        ("Pistachiohall-Prompt-Prefix", blocks.as_str()),
+    ];
+    let path = format!("/chat/{id}");
+    client
+        .send("POST", &path, id, &fields, id.as_bytes())
+        .ok()?;
+    client.receive().ok()
+}
+
 fn ask(client: &mut Client, kind: Kind, id: &str) -> Option<Answer> {
     let (method, path, prompt) = kind.parts();
     let patience = PATIENCE.as_millis().to_string();
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -27,10 +27,13 @@
 /// Time after the question for a pause from which requests count, and how many may come then.
 const PAUSE_START: Duration = Duration::from_millis(500);
 const PAUSE_REQUESTS: usize = 2;
-/// Time after the third end from which retries of a request that ends its upstreams count, and how
-/// many may come then.
+/// Time after the last permitted end from which sends of what ends its upstreams count, and how many
+/// may come then.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
-const DEADLY_RETRIES: usize = 3;
+const DEADLY_SENDS: usize = 3;
+/// Ends that a request may cause, and those that a prompt block may.
+const REQUEST_ENDS: usize = 3;
+const BLOCK_ENDS: usize = 5;
 /// Body of a plain answer.
 const PLAIN: &str = "the whole answer";
 /// Statuses that say that a request has not run and will not.
@@ -114,19 +117,38 @@
 
 /// Checks what became of upstreams that a request ends: some seconds after the third has ended, the
 /// request reaches them in three retries at the most. Returns the promises that were broken.
-pub fn deadly(frail: &[CrashingUpstream]) -> Vec<String> {
+pub fn deadly(frail: &[CrashingUpstream]) -> Option<String> {
+    let is_deadly = |seen: &ReceivedRequest| seen.path.ends_with(mortal::DEADLY);
+    let (late, ends) = late_sends(frail, REQUEST_ENDS, is_deadly);
+    let text = format!("{late} retries of a request that has ended {ends}");
+    (late > DEADLY_SENDS).then_some(text)
+}
+
+/// Checks the same of upstreams that a prompt block ends, some seconds after the fifth has ended.
+pub fn deadly_block(frail: &[CrashingUpstream]) -> Option<String> {
+    let is_deadly = |seen: &ReceivedRequest| {
+        let blocks = seen.field("pistachiohall-prompt-prefix");
+        blocks.contains(mortal::DEADLY_BLOCK)
+    };
+    let (late, ends) = late_sends(frail, BLOCK_ENDS, is_deadly);
+    let text = format!("{late} sends of a block that has ended {ends}");
+    (late > DEADLY_SENDS).then_some(text)
+}
+
+/// Returns how many deadly requests upstreams got some seconds after `max_ends` of them had ended,
+/// and how many ended in all.
+fn late_sends<F>(frail: &[CrashingUpstream], max_ends: usize, is_deadly: F) -> (usize, usize)
+where
+    F: Fn(&ReceivedRequest) -> bool,
+{
     let mut ends: Vec<Instant> = frail.iter().flat_map(CrashingUpstream::ends).collect();
     ends.sort_unstable();
-    let Some(third) = ends.get(2) else {
-        return Vec::new();
+    let Some(last) = ends.get(max_ends - 1) else {
+        return (0, ends.len());
     };
     let seen = frail.iter().flat_map(CrashingUpstream::received);
-    let late =
-        seen.filter(|seen| seen.path.ends_with(mortal::DEADLY) && seen.at > *third + STABLE_WINDOW);
-    let late = late.count();
-    let is_broken = late > DEADLY_RETRIES;
-    let text = format!("{late} retries of a request that has ended {}", ends.len());
-    is_broken.then_some(text).into_iter().collect()
+    let late = seen.filter(|seen| is_deadly(seen) && seen.at > *last + STABLE_WINDOW);
+    (late.count(), ends.len())
 }
 
 /// What an upstream said of itself in its answers, and which requests it got.
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -22,6 +22,8 @@
 const FIRST_NOTICE: u64 = 2000;
 /// Seeds from which on a request ends the upstreams that run it.
 const FIRST_DEADLY: u64 = 3000;
+/// Seeds from which on a prompt block ends the upstreams that generate on it.
+const FIRST_DEADLY_BLOCK: u64 = 4000;
 /// Sets the draw of these apart from that of the other faults.
 const NOTICE_SEED: u64 = 0x5a1d;
 /// Sets the draw of leaving upstreams apart from that of the other faults.
@@ -158,7 +160,12 @@
     })
 }
 
-/// Draws how upstreams end under a request that ends them, in runs that have one.
+/// Returns whether a run has a prompt block that ends upstreams.
+pub fn has_deadly_block(seed: u64) -> bool {
+    seed >= FIRST_DEADLY_BLOCK
+}
+
+/// Draws how upstreams end under a request or a block that ends them, in runs that have one.
 pub fn deadly(seed: u64) -> Option<CrashBehavior> {
     let mut random = StdRng::seed_from_u64(seed ^ DEADLY_SEED);
     (seed >= FIRST_DEADLY).then(|| CrashBehavior {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -42,6 +42,7 @@
 #[case::says_that_it_leaves(2004)]
 #[case::asks_for_a_pause(2009)]
 #[case::a_request_ends_upstreams(3001)]
+#[case::a_prompt_block_ends_engines(4001)]
 fn promises_hold_under_faults(#[case] seed: u64) {
     let report = play(seed);
     assert!(report.answers > 0, "no request was answered");
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -48,6 +48,8 @@
 const CALLERS: u64 = 8;
 /// Upstreams that a request ends.
 const FRAIL: [&str; 4] = ["f1", "f2", "f3", "f4"];
+/// Engines that a prompt block ends.
+const FRAIL_ENGINES: [&str; 4] = ["e1", "e2", "e3", "e4"];
 /// Pause between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 /// Time in which callers go on after the last fault.
@@ -104,6 +106,8 @@
 struct World {
     /// Upstreams that a request ends, in runs that have one.
     frail: Vec<CrashingUpstream>,
+    /// Engines that a prompt block ends, in runs that have one.
+    frail_engines: Vec<CrashingUpstream>,
     store: Store,
     store_links: Vec<Proxy>,
     upstreams: Vec<Upstream>,
@@ -168,18 +172,24 @@
                 upstream
             })
             .collect();
-        let frail: Vec<CrashingUpstream> = fault::deadly(seed)
-            .into_iter()
-            .flat_map(|nature| FRAIL.map(|name| (name, nature)))
-            .map(|(name, nature)| {
+        let start_frail = |names: [&'static str; 4], service, stage| {
+            let nature = fault::deadly(seed).into_iter();
+            let roles = nature.flat_map(move |nature| names.map(|name| (name, nature)));
+            let upstreams = roles.map(|(name, nature)| {
                 let role = mortal::Role {
                     name,
-                    service: "frail",
-                    stage: None,
+                    service,
+                    stage,
                 };
                 CrashingUpstream::start(store.registry(), role, nature).unwrap()
-            })
-            .collect();
+            });
+            upstreams.collect::<Vec<CrashingUpstream>>()
+        };
+        let frail = start_frail(FRAIL, "frail", None);
+        let frail_engines = match fault::has_deadly_block(seed) {
+            true => start_frail(FRAIL_ENGINES, "frail-lm", Some("decode")),
+            false => Vec::new(),
+        };
         let store_links: Vec<Proxy> = (0..GATEWAYS)
             .map(|_| Proxy::start(store.address()).unwrap())
             .collect();
@@ -203,6 +213,7 @@
             .collect();
         World {
             frail,
+            frail_engines,
             store,
             store_links,
             upstreams,
@@ -409,7 +420,11 @@
                     "gateway {index} does not serve frail upstreams again"
                 ));
             }
-            for (path, sizes) in [("/ask/a", "9000,6"), ("/draft/a", "200,6")] {
+            let mut streams = vec![("/ask/a", "9000,6"), ("/draft/a", "200,6")];
+            if !self.frail_engines.is_empty() {
+                streams.push(("/chat/a", "100,6"));
+            }
+            for (path, sizes) in streams {
                 let fields = [
                     ("Pistachiohall-Token-Count", sizes),
                     ("Pistachiohall-Prompt-Prefix", "a1:50,b2:50"),
@@ -451,6 +466,7 @@
             self.broken.extend(said.broken());
         }
         self.broken.extend(check::deadly(&self.frail));
+        self.broken.extend(check::deadly_block(&self.frail_engines));
         for (index, gateway) in self.gateways.iter_mut().enumerate() {
             gateway.signal("-TERM");
             let code = gateway.wait();
