Log the limits that upstreams name

Nothing read Server-Limit, so that the log could not tell when a host knew of a limit. The head of a response is now decoded and the first limit of an incarnation logged; nothing is done about it yet. The stand-in upstream can name one.

--- a/src/availability/mod.rs
+++ b/src/availability/mod.rs
@@ -18,6 +18,7 @@
 use crate::fleet::State;
 use crate::id::StartTime;
 use crate::id::UpstreamId;
+use crate::throttle::Limit;
 
 /// Maximum pause that an upstream is granted; a longer one is reduced to this.
 pub const MAX_PAUSE: Duration = Duration::from_secs(3600);
@@ -34,6 +35,8 @@
     pub pause: Option<Duration>,
     /// `true` if it asks for a pause in a form that cannot be parsed.
     pub is_pause_unreadable: bool,
+    /// Requests that it takes from all hosts together.
+    pub limit: Option<Limit>,
 }
 
 /// Change made by a notice.
@@ -45,6 +48,8 @@
     Pauses(Duration),
     /// It asks for a pause in a form that cannot be parsed, for the first time.
     Unreadable,
+    /// It names a limit, for the first time.
+    Limits(Limit),
 }
 
 /// Reason for which an upstream takes no requests now.
@@ -62,6 +67,7 @@
     leaving_since: Option<Instant>,
     paused_until: Option<Instant>,
     has_been_unreadable: bool,
+    has_named_limit: bool,
 }
 
 /// One incarnation of an upstream: from its start to its end, under one name.
@@ -97,6 +103,10 @@
     pub fn apply(&self, notice: &Notice, now: Instant) -> Option<Change> {
         let mut notices = self.notices();
         let mut change = None;
+        if let Some(limit) = notice.limit.filter(|_| !notices.has_named_limit) {
+            notices.has_named_limit = true;
+            change = Some(Change::Limits(limit));
+        }
         if notice.is_pause_unreadable && !notices.has_been_unreadable {
             notices.has_been_unreadable = true;
             change = Some(Change::Unreadable);
@@ -236,6 +246,14 @@
             outcome = "ignored";
             "upstream asks for a pause that cannot be read"
         ),
+        Change::Limits(limit) => info!(
+            upstream:% = entry.id,
+            born = entry.started_at,
+            told_by = source,
+            limit_per_s:% = limit,
+            outcome = "limited";
+            "upstream names a limit"
+        ),
     }
     Some(change)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,5 +46,6 @@
 pub mod standin;
 pub mod status;
 pub mod suspicion;
+pub mod throttle;
 pub mod upstream;
 pub mod wire;
--- a/src/platform/egress.rs
+++ b/src/platform/egress.rs
@@ -21,6 +21,7 @@
 use crate::id::StartTime;
 use crate::id::UpstreamId;
 use crate::reassign::duty::Report;
+use crate::throttle::Limit;
 use crate::upstream::Role;
 
 /// Path at which engines take orders.
@@ -131,6 +132,9 @@
 /// assert!(notice.is_leaving);
 /// assert_eq!(notice.pause, Some(Duration::from_millis(1500)));
 /// assert_eq!(egress::notice(http::StatusCode::OK, &headers).pause, None);
+/// headers.insert("server-limit", "16.2".parse().unwrap());
+/// let limit = egress::notice(http::StatusCode::OK, &headers).limit.unwrap();
+/// assert_eq!(limit.requests_per_s(), 16.2);
 /// ```
 pub fn notice(status: StatusCode, headers: &HeaderMap) -> Notice {
     let is_leaving = headers
@@ -143,8 +147,11 @@
     };
     // The longest of several values applies: it satisfies them all.
     let pause = values.iter().copied().filter_map(parse_pause).max();
+    let limits = headers.get_all(header::LIMIT).iter();
     Notice {
         is_leaving,
+        // The lowest of several values applies, for the same reason.
+        limit: limits.filter_map(parse_limit).min(),
         pause,
         is_pause_unreadable: pause.is_none() && !values.is_empty(),
     }
@@ -160,6 +167,11 @@
     Some(Duration::from_secs_f64(bounded))
 }
 
+/// Decodes a number of requests per second; a value that is none is ignored.
+fn parse_limit(value: &HeaderValue) -> Option<Limit> {
+    Limit::per_second(value.to_str().ok()?.trim().parse().ok()?)
+}
+
 /// Returns the header fields of a response that are passed on to the caller.
 pub fn response_fields(headers: &HeaderMap) -> HeaderMap {
     let mut fields = HeaderMap::with_capacity(headers.len());
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -26,6 +26,8 @@
 pub const KV_SOURCE: HeaderName = HeaderName::from_static("pistachiohall-kv-source");
 /// States that the upstream is leaving, if it is `1`.
 pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests per second that the upstream takes from all hosts together, as a decimal number.
+pub const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Event after which a stream is resumed.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
--- a/src/standin/fleet/replica/answer.rs
+++ b/src/standin/fleet/replica/answer.rs
@@ -177,6 +177,9 @@
     if let (503, Some(value)) = (status, &state.retry_after) {
         fields.push(("Retry-After", value.clone()));
     }
+    if let Some(value) = &state.limit {
+        fields.push(("Server-Limit", value.clone()));
+    }
     fields
 }
 
--- a/src/standin/fleet/replica/mod.rs
+++ b/src/standin/fleet/replica/mod.rs
@@ -117,6 +117,8 @@
     is_leaving_in_report: bool,
     /// Value of the `Retry-After` field of its refusals.
     retry_after: Option<String>,
+    /// Value of the `Server-Limit` field of its answers.
+    limit: Option<String>,
     /// How it ends under a marked request; none if it does not.
     nature: Option<CrashBehavior>,
     is_ended: bool,
@@ -174,6 +176,7 @@
             is_leaving: false,
             is_leaving_in_report: false,
             retry_after: None,
+            limit: None,
             nature: None,
             is_ended: false,
             born: 1,
@@ -224,6 +227,11 @@
         self.state().retry_after = value.map(str::to_owned);
     }
 
+    /// Changes the value of the `Server-Limit` field of its answers.
+    pub fn set_limit(&self, value: Option<&str>) {
+        self.state().limit = value.map(str::to_owned);
+    }
+
     /// Has marked requests end it.
     pub fn set_death(&self, nature: CrashBehavior) {
         self.state().nature = Some(nature);
--- /dev/null
+++ b/src/throttle/mod.rs
@@ -0,0 +1,5 @@
+//! Rate limits that upstreams name.
+
+mod limit;
+
+pub use self::limit::Limit;
--- a/tests/decisions/availability.rs
+++ b/tests/decisions/availability.rs
@@ -33,6 +33,7 @@
     is_leaving: true,
     pause: None,
     is_pause_unreadable: false,
+    limit: None,
 };
 
 #[test]
