--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod innocent;
 mod input;
 mod lifecycle;
+mod limit;
 mod model;
 mod notice;
 mod plain;
