Share the limit that an upstream names among all hosts

Cause: nobody read Server-Limit; placement went on by load alone, and an upstream in need looked like any other. The class of fault: what an upstream says of itself was kept per incarnation for departures and pauses only.

Now each host takes its share of the limit: the hosts heard of within ten seconds divide it, by a rendezvous hash of upstream and host, which needs no message for a request. Prefills, decodes, retries and resumed streams take their turn at one place; a decode's turn is reserved before its prompt is prefilled; own calls count and do not wait. Upstreams without a turn left are not candidates, and where all are, callers are refused at once with the time of the next turn. Hosts report limits to one another, eight in a datagram, so that those without a share learn of them and of their end. A response that names none, to a request sent half a second after one that did, lifts it.

--- a/src/availability/mod.rs
+++ b/src/availability/mod.rs
@@ -19,6 +19,7 @@
 use crate::id::StartTime;
 use crate::id::UpstreamId;
 use crate::throttle::Limit;
+use crate::throttle::Throttle;
 
 /// Maximum pause that an upstream is granted; a longer one is reduced to this.
 pub const MAX_PAUSE: Duration = Duration::from_secs(3600);
@@ -48,7 +49,7 @@
     Pauses(Duration),
     /// It asks for a pause in a form that cannot be parsed, for the first time.
     Unreadable,
-    /// It names a limit, for the first time.
+    /// It names a limit, after none was known.
     Limits(Limit),
 }
 
@@ -59,6 +60,8 @@
     Leaving,
     /// It takes requests again after this time.
     Paused(Duration),
+    /// Its limit allows this host another request after this time.
+    Limited(Duration),
 }
 
 /// Notices received from one incarnation.
@@ -67,7 +70,7 @@
     leaving_since: Option<Instant>,
     paused_until: Option<Instant>,
     has_been_unreadable: bool,
-    has_named_limit: bool,
+    throttle: Throttle,
 }
 
 /// One incarnation of an upstream: from its start to its end, under one name.
@@ -103,9 +106,11 @@
     pub fn apply(&self, notice: &Notice, now: Instant) -> Option<Change> {
         let mut notices = self.notices();
         let mut change = None;
-        if let Some(limit) = notice.limit.filter(|_| !notices.has_named_limit) {
-            notices.has_named_limit = true;
-            change = Some(Change::Limits(limit));
+        if let Some(limit) = notice.limit {
+            if !notices.throttle.is_limited(now) {
+                change = Some(Change::Limits(limit));
+            }
+            notices.throttle.record_named(limit, now);
         }
         if notice.is_pause_unreadable && !notices.has_been_unreadable {
             notices.has_been_unreadable = true;
@@ -132,8 +137,20 @@
         if notices.leaving_since.is_some() {
             return Some(Unavailability::Leaving);
         }
-        let remaining = notices.paused_until?.checked_duration_since(now)?;
-        (!remaining.is_zero()).then_some(Unavailability::Paused(remaining))
+        let until = notices.paused_until;
+        let remaining = until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+        if !remaining.is_zero() {
+            return Some(Unavailability::Paused(remaining));
+        }
+        notices.throttle.wait(now).map(Unavailability::Limited)
+    }
+
+    /// Applies `act` to what the upstream's limit allows this host.
+    pub fn with_throttle<F, T>(&self, act: F) -> T
+    where
+        F: FnOnce(&mut Throttle) -> T,
+    {
+        act(&mut self.notices().throttle)
     }
 
     /// Returns the time when the upstream first announced that it is leaving, if it did.
@@ -147,6 +164,7 @@
         let is_past_retention = |at: Instant| now.saturating_duration_since(at) >= NOTICE_RETENTION;
         notices.leaving_since.is_none_or(is_past_retention)
             && notices.paused_until.is_none_or(|at| at <= now)
+            && notices.throttle.named_at().is_none_or(is_past_retention)
     }
 }
 
@@ -182,6 +200,15 @@
         });
     }
 
+    /// Returns the number of upstreams whose limit holds at `now`.
+    pub fn count_limited(&self, now: Instant) -> usize {
+        let incarnations = self.incarnations.lock().expect("incarnations lock");
+        let incarnations = incarnations.values();
+        incarnations
+            .filter(|incarnation| incarnation.with_throttle(|throttle| throttle.is_limited(now)))
+            .count()
+    }
+
     /// Returns the numbers of upstreams that take no requests at `now`: those that are leaving and
     /// those that asked for a pause.
     pub fn count_unavailable(&self, now: Instant) -> (usize, usize) {
@@ -194,6 +221,7 @@
             |(leaving, paused), unavailability| match unavailability {
                 Unavailability::Leaving => (leaving + 1, paused),
                 Unavailability::Paused(_) => (leaving, paused + 1),
+                Unavailability::Limited(_) => (leaving, paused),
             },
         )
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -23,6 +23,8 @@
 use super::Gateway;
 use super::call::Call;
 use super::pool::Connection;
+use super::target::Admission;
+use super::target::Reservation;
 use super::target::Target;
 use crate::platform::egress;
 
@@ -165,6 +167,8 @@
     /// `true` if a pooled connection may be used; one on which a late byte arrives costs an
     /// attempt.
     pub may_reuse: bool,
+    /// Turn within the upstream's limit that was reserved earlier.
+    pub reservation: Option<&'a Reservation>,
     /// Time at which to stop waiting for the head of the response.
     pub until: Instant,
     /// Time by which the response must be complete; the upstream is sent the remaining time.
@@ -182,7 +186,12 @@
     call: &Call,
     options: &Options<'_>,
 ) -> Result<Response, Failure> {
-    let mut connection = target.connect(options.may_reuse, options.until).await?;
+    let admission = options
+        .reservation
+        .map_or(Admission::Request, Admission::Reserved);
+    let mut connection = target
+        .connect(options.may_reuse, options.until, admission)
+        .await?;
     let now = Instant::now();
     gateway.age_observer.record_send(call, target, now);
     let left = options.deadline.saturating_duration_since(now);
@@ -206,7 +215,7 @@
         Ok(Ok(response)) => response,
     };
     let (head, body) = response.into_parts();
-    target.apply_notice(&head, &call.request.id);
+    gateway.apply_notice(target, &head, &call.request.id);
     let response = match egress::provenance(&head, &call.request.id) {
         Provenance::Foreign => {
             return Err(Failure::broken("the answer belongs to another request"));
@@ -224,6 +233,9 @@
         suspicion.record_response(target.incarnation_digest(), now);
     }
     if response.provenance != Provenance::NotRun {
+        if response.head.status.is_success() {
+            gateway.lift_limit(target, &response.head, now);
+        }
         return Ok(response);
     }
     let status = response.head.status;
@@ -321,7 +333,7 @@
     path: &str,
     until: Instant,
 ) -> Result<FullResponse, Failure> {
-    let mut connection = target.connect(true, until).await?;
+    let mut connection = target.connect(true, until, Admission::Own).await?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.method_mut() = method;
     *request.uri_mut() = Uri::try_from(path).map_err(Failure::broken)?;
@@ -331,7 +343,7 @@
         .insert(http::header::HOST, target.authority());
     let exchange = async {
         let (head, body) = connection.send(request).await?.into_parts();
-        target.apply_notice(&head, path);
+        gateway.apply_notice(target, &head, path);
         let response = Response {
             head,
             body,
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -37,8 +37,9 @@
 /// Time after which a caller should retry when engines aborted the request.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// Reason for refusing a request if all engines that could decode asked for a pause.
-const PAUSED: &str = "upstreams asked for a pause";
+/// Reason for refusing a request if all engines that could decode asked for a pause or have used up
+/// their limits.
+const PAUSED: &str = "upstreams asked for a pause or fewer requests";
 
 /// Serves a request.
 pub async fn serve(gateway: &Rc<Gateway>, call: Call, trace: Trace) -> Reply {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod generate;
 pub mod health;
+pub mod limits;
 pub mod listen;
 pub mod metrics;
 pub mod open;
@@ -109,6 +110,9 @@
     last_peer: Cell<Option<SocketAddr>>,
     view: RefCell<Arc<View>>,
     targets: RefCell<BTreeMap<UpstreamId, Rc<Target>>>,
+    upstreams_by_incarnation: RefCell<HashMap<IncarnationDigest, UpstreamId>>,
+    /// Hosts that share limits, including this one.
+    sharing_hosts: RefCell<Vec<HostId>>,
     retry_budgets: RefCell<HashMap<ServiceId, window::Window>>,
 }
 
@@ -139,6 +143,8 @@
             last_peer: Cell::default(),
             view: RefCell::default(),
             targets: RefCell::default(),
+            upstreams_by_incarnation: RefCell::default(),
+            sharing_hosts: RefCell::default(),
             retry_budgets: RefCell::default(),
         }
     }
@@ -226,6 +232,10 @@
         for target in previous.into_values() {
             target.leave();
         }
+        let upstreams = targets
+            .iter()
+            .map(|(id, target)| (target.incarnation_digest(), id.clone()));
+        *self.upstreams_by_incarnation.borrow_mut() = upstreams.collect();
     }
 
     fn max_connections(&self, view: &View, service: &ServiceId) -> usize {
@@ -267,8 +277,8 @@
             .collect()
     }
 
-    /// Returns the shortest time left until an upstream that asked for a pause takes work again,
-    /// among those that `is_candidate` selects; `None` if none of these asked for a pause.
+    /// Returns the shortest time left until an upstream that asked for a pause, or whose limit is used
+    /// up, takes work again, among those that `is_candidate` selects; `None` if there is none.
     pub fn pause_left<F>(
         &self,
         service: &ServiceId,
@@ -284,7 +294,7 @@
             .filter(|target| target.entry.service == *service && is_candidate(target));
         candidates
             .filter_map(|target| match target.unavailability(now) {
-                Some(Unavailability::Paused(left)) => Some(left),
+                Some(Unavailability::Paused(left) | Unavailability::Limited(left)) => Some(left),
                 Some(Unavailability::Leaving) | None => None,
             })
             .min()
@@ -361,11 +371,8 @@
 
     /// Returns the upstream whose incarnation has this digest.
     pub fn target_by_incarnation(&self, incarnation: IncarnationDigest) -> Option<Rc<Target>> {
-        let targets = self.targets.borrow();
-        targets
-            .values()
-            .find(|target| target.incarnation_digest() == incarnation)
-            .cloned()
+        let upstreams = self.upstreams_by_incarnation.borrow();
+        self.target(upstreams.get(&incarnation)?)
     }
 
     /// Closes connections that have been idle for too long.
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -126,6 +126,15 @@
             fallback,
             urgency,
         } => {
+            // A prompt is not prefilled before it is known where it can be decoded.
+            let reservation = match gateway.target(decode_engine).map(|target| target.reserve()) {
+                Some(Ok(reservation)) => reservation,
+                Some(Err(failure)) => return withhold(progress, decode_engine, failure),
+                None => {
+                    let failure = Failure::NotSent("the engine is gone".into());
+                    return withhold(progress, decode_engine, failure);
+                }
+            };
             let mut prefilled = prefill_at(gateway, progress, prefill_engine, *urgency).await?;
             // Hosts may have learned of a suspect during the prefill.
             if !suspect::is_clear(gateway, &progress.call) {
@@ -134,7 +143,11 @@
             let handle = prefilled.handle.clone();
             let stage = Stage::Decode(&handle);
             let options = options(&progress.call, stage, *urgency, after_event);
-            let mut started = start_at(gateway, progress, decode_engine, &options).await;
+            let reserved = Options {
+                reservation: Some(&reservation),
+                ..options
+            };
+            let mut started = start_at(gateway, progress, decode_engine, &reserved).await;
             if let (Err(failure), Some(fallback)) = (&started, fallback)
                 && failure.is_not_run()
                 && progress.attempt_budget.allows_more(false)
@@ -149,6 +162,19 @@
     }
 }
 
+/// Records that nothing is sent for a plan, since an engine takes no requests.
+fn withhold(
+    progress: &mut Progress,
+    engine: &UpstreamId,
+    failure: Failure,
+) -> Result<Start, Failure> {
+    progress
+        .trace
+        .step(format_args!("{engine}=withheld:{failure:?}"));
+    progress.tried.push(engine.clone());
+    Err(failure)
+}
+
 /// Sends a request to an engine and waits for the first events.
 async fn start_at(
     gateway: &Rc<Gateway>,
@@ -235,6 +261,7 @@
         urgency: Some(urgency),
         after_event,
         may_reuse: call.route.is_idempotent() || matches!(stage, Stage::Prefill),
+        reservation: None,
         until,
         deadline: call.deadline,
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -39,6 +39,10 @@
 
 /// Maximum number of suspects in one datagram, about 50 bytes each.
 const MAX_SUSPECTS: usize = 8;
+/// Maximum number of limits in one datagram, about 12 bytes each.
+const MAX_LIMITS: usize = 8;
+/// Interval at which the hosts that share limits are determined.
+const SHARING_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum interval between two datagrams that are sent outside the regular interval.
 const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum share of known peers that are silent at which the suspects that they have reported are
@@ -99,6 +103,8 @@
     let mut tick = time::interval(gossip::MIN_INTERVAL);
     tick.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut sender = Sender::new();
+    let started_at = Instant::now();
+    let mut sharing_set_at = started_at;
     loop {
         tokio::select! {
             due = tick.tick() => {
@@ -106,6 +112,12 @@
                 gateway.age_observer.record_delay(late);
                 sender.send_due(&gateway, &socket, &mut peers).await;
                 let now = Instant::now();
+                if now.saturating_duration_since(sharing_set_at) >= SHARING_INTERVAL {
+                    sharing_set_at = now;
+                    let counts_unheard = started_at.elapsed() < gossip::SHARING_TIMEOUT;
+                    let hosts = peers.sharing(&gateway.settings.name, counts_unheard, now);
+                    gateway.set_sharing_hosts(hosts, now);
+                }
                 is_partial.store(has_many_silent(&peers, now), Ordering::Relaxed);
                 let (own, domain) = (&gateway.settings.name, &gateway.settings.domain);
                 exchange.set_rank(peers.rank_in_domain(own, domain, now));
@@ -281,7 +293,10 @@
             .suspicion
             .borrow_mut()
             .due_reports(MAX_SUSPECTS, now);
-        let is_unchanged = has_same_state && updates.prefills.is_empty() && suspects.is_empty();
+        let limits = gateway.due_limits(MAX_LIMITS, now);
+        let has_no_updates =
+            updates.prefills.is_empty() && suspects.is_empty() && limits.is_empty();
+        let is_unchanged = has_same_state && has_no_updates;
         if is_unchanged && since < gossip::MAX_INTERVAL {
             return;
         }
@@ -291,6 +306,7 @@
         self.unreachable = unreachable;
         let datagram = Datagram {
             prefills: updates.prefills,
+            limits,
             suspects: suspects.iter().map(Into::into).collect(),
             ..self.datagram(gateway)
         };
@@ -418,6 +434,7 @@
         let origin = gossip::digest(&datagram.host);
         gateway.suspicion.borrow_mut().merge(origin, &reports, now);
     }
+    gateway.record_reported_limits(&datagram.limits, now);
     if is_newest {
         let host = HostId::from(datagram.host.as_str());
         if datagram.domain == gateway.settings.domain {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -136,6 +136,7 @@
         urgency: None,
         after_event: None,
         may_reuse,
+        reservation: None,
         until,
         deadline: call.deadline,
     };
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -341,6 +341,8 @@
     let (leaving, paused) = gateway.incarnations.count_unavailable(now);
     metrics.set("upstreams_leaving_by_answer", leaving as i64);
     metrics.set("upstreams_paused", paused as i64);
+    let limited = gateway.incarnations.count_limited(now);
+    metrics.set("upstreams_limited", limited as i64);
     metrics.set("store_calls", store.calls() as i64);
 }
 
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -25,6 +25,9 @@
 use crate::id::IncarnationDigest;
 use crate::platform::egress;
 
+/// Reason for not sending a request to an upstream whose limit is used up.
+const LIMITED: &str = "the upstream's limit is used up";
+
 /// An upstream in use.
 #[derive(Debug)]
 pub struct Target {
@@ -32,6 +35,7 @@
     pub entry: Entry,
     /// Maximum connections that this host may have open to it.
     pub max_connections: usize,
+    incarnation_digest: IncarnationDigest,
     shared: Rc<Shared>,
 }
 
@@ -67,9 +71,11 @@
                 incarnation: incarnations.get(&entry),
             }),
         };
+        let incarnation_digest = gossip::incarnation_digest(&entry.id, entry.started_at);
         let target = Target {
             entry,
             max_connections,
+            incarnation_digest,
             shared,
         };
         let is_leaving_by_notice = target.shared.incarnation.leaving_since().is_some();
@@ -81,7 +87,7 @@
 
     /// Returns the digest of the upstream's incarnation.
     pub fn incarnation_digest(&self) -> IncarnationDigest {
-        gossip::incarnation_digest(&self.entry.id, self.entry.started_at)
+        self.incarnation_digest
     }
 
     /// Returns `true` if both are the same incarnation of the same upstream.
@@ -117,38 +123,90 @@
         }
     }
 
+    /// Returns the notices received from the upstream.
+    pub fn incarnation(&self) -> &Incarnation {
+        &self.shared.incarnation
+    }
+
     /// Fails if the upstream takes no requests now.
-    fn check_open(&self) -> Result<(), Failure> {
+    fn check_open(&self, admission: Admission<'_>) -> Result<(), Failure> {
         match self.unavailability(Instant::now()) {
             None => Ok(()),
             Some(Unavailability::Leaving) => Err(Failure::Withheld("the upstream leaves")),
             Some(Unavailability::Paused(_)) => {
                 Err(Failure::Withheld("the upstream asked for a pause"))
             }
+            Some(Unavailability::Limited(_)) => match admission {
+                Admission::Request => Err(Failure::Withheld(LIMITED)),
+                Admission::Reserved(_) | Admission::Own => Ok(()),
+            },
         }
     }
 
+    /// Counts a request that is about to be sent, or fails if the upstream takes none now.
+    fn admit(&self, admission: Admission<'_>) -> Result<(), Failure> {
+        self.check_open(admission)?;
+        let now = Instant::now();
+        match admission {
+            Admission::Request => {
+                let is_allowed = self
+                    .shared
+                    .incarnation
+                    .with_throttle(|throttle| throttle.try_take(now));
+                is_allowed.then_some(()).ok_or(Failure::Withheld(LIMITED))
+            }
+            Admission::Reserved(reservation) => {
+                reservation.is_used.set(true);
+                Ok(())
+            }
+            Admission::Own => {
+                self.shared
+                    .incarnation
+                    .with_throttle(|throttle| throttle.take(now));
+                Ok(())
+            }
+        }
+    }
+
+    /// Reserves one request within the upstream's limit.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Failure::Withheld`] if the upstream takes no requests now.
+    pub fn reserve(&self) -> Result<Reservation, Failure> {
+        self.admit(Admission::Request)?;
+        Ok(Reservation {
+            incarnation: Arc::clone(&self.shared.incarnation),
+            is_used: Cell::default(),
+        })
+    }
+
     /// Records that the upstream is leaving: open requests go on, no new ones are sent.
     pub fn leave(&self) {
         self.shared.is_leaving.set(true);
         self.shared.pool.close_idle();
     }
 
-    /// Returns a connection.
+    /// Returns a connection on which one request may be sent.
     ///
     /// # Errors
     ///
     /// Fails as [`Pool::get`] does, or with [`Failure::Withheld`] if the upstream takes no
-    /// requests.
-    pub async fn connect(&self, may_reuse: bool, until: Instant) -> Result<Connection, Failure> {
-        self.check_open()?;
+    /// requests now.
+    pub async fn connect(
+        &self,
+        may_reuse: bool,
+        until: Instant,
+        admission: Admission<'_>,
+    ) -> Result<Connection, Failure> {
+        self.check_open(admission)?;
         let connection = self
             .shared
             .pool
             .get(may_reuse, self.max_connections, until)
             .await?;
         // A notice may have arrived while the connection was being opened.
-        self.check_open()?;
+        self.admit(admission)?;
         Ok(connection)
     }
 
@@ -197,6 +255,34 @@
     }
 }
 
+/// Reason for which a request is sent within an upstream's limit.
+#[derive(Debug, Clone, Copy)]
+pub enum Admission<'a> {
+    /// A request that waits for its turn.
+    Request,
+    /// A request whose turn was reserved.
+    Reserved(&'a Reservation),
+    /// One of the gateway's own calls, which are few: it is counted and doesn't wait.
+    Own,
+}
+
+/// One request reserved within an upstream's limit; given back unless it is sent.
+#[derive(Debug)]
+pub struct Reservation {
+    incarnation: Arc<Incarnation>,
+    is_used: Cell<bool>,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if !self.is_used.get() {
+            let now = Instant::now();
+            self.incarnation
+                .with_throttle(|throttle| throttle.give_back(now));
+        }
+    }
+}
+
 /// Guard that counts a request as in flight until it is dropped.
 #[derive(Debug)]
 pub struct InFlight(Rc<Shared>);
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -23,6 +23,9 @@
 /// Time without datagrams from a peer after which its loads no longer count and it is sent
 /// datagrams only occasionally.
 pub const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without datagrams from a peer after which it has no share of limits any more. Longer than
+/// [`PEER_TIMEOUT`]: a host that is only cut off from its peers still sends requests.
+pub const SHARING_TIMEOUT: Duration = Duration::from_secs(10);
 /// Minimum interval between datagrams, used while loads change; a few requests arrive within it at
 /// the whole site.
 pub const MIN_INTERVAL: Duration = Duration::from_millis(20);
@@ -159,6 +162,17 @@
     }
 }
 
+/// A limit that an upstream has named to the sender.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct RateLimit {
+    /// Digest of the upstream's name and start time.
+    #[prost(fixed32, tag = "1")]
+    pub incarnation: IncarnationDigest,
+    /// Requests from all hosts together, in thousandths per second.
+    #[prost(uint32, tag = "2")]
+    pub limit: u32,
+}
+
 /// A record of the store.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Record {
@@ -275,6 +289,9 @@
     /// Upstreams that the sender cannot reach, as digests of their names.
     #[prost(fixed32, repeated, tag = "10")]
     pub unreachable: Vec<u32>,
+    /// Some of the limits that upstreams have named to the sender, in rotation.
+    #[prost(message, repeated, tag = "11")]
+    pub limits: Vec<RateLimit>,
     /// Some of the suspects, in rotation.
     #[prost(message, repeated, tag = "6")]
     pub suspects: Vec<Suspect>,
@@ -450,6 +467,32 @@
             .collect()
     }
 
+    /// Returns the hosts that share limits, in order of their names: `own`, those from which a
+    /// datagram arrived within a while, and, if `counts_unheard`, those from which none ever did.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::gossip::Peers;
+    /// let mut peers = Peers::default();
+    /// peers.add(&"h2".into(), "127.0.0.1:9".parse().unwrap());
+    /// let sharing = |counts_unheard| {
+    ///     peers.sharing(&"h1".into(), counts_unheard, Instant::now()).len()
+    /// };
+    /// assert_eq!((sharing(true), sharing(false)), (2, 1));
+    /// ```
+    pub fn sharing(&self, own: &HostId, counts_unheard: bool, now: Instant) -> Vec<HostId> {
+        let is_sharing = |peer: &Peer| {
+            peer.last_received.map_or(counts_unheard, |at| {
+                now.saturating_duration_since(at) < SHARING_TIMEOUT
+            })
+        };
+        let peers = self.peers.iter().filter(|(_, peer)| is_sharing(peer));
+        let mut hosts: Vec<HostId> = peers.map(|(host, _)| host.clone()).collect();
+        hosts.push(own.clone());
+        hosts.sort_unstable();
+        hosts
+    }
+
     fn domain_peers(
         &self,
         domain: &DomainId,
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -16,6 +16,7 @@
 mod suspicion;
 mod target;
 mod term;
+mod throttle;
 
 use pistachiohall::fleet::Entry;
 use pistachiohall::fleet::State;
