Soak: an upstream that names a limit

Counted in 4 s are the requests of gateways that had passed on an answer with it half a second before and were not stopped, killed or restarted within three seconds.

--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -1,5 +1,6 @@
 //! The promises, checked from what callers and upstreams saw.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -34,6 +35,11 @@
 /// Ends that a request may cause, and those that a prompt block may.
 const REQUEST_ENDS: usize = 3;
 const BLOCK_ENDS: usize = 5;
+/// Field by which an upstream names a limit.
+const LIMIT_FIELD: &str = "server-limit";
+/// Time after an answer with a limit from which requests count, and the span that they are counted in.
+const LIMIT_START: Duration = Duration::from_millis(500);
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Body of a plain answer.
 const PLAIN: &str = "the whole answer";
 /// Statuses that say that a request has not run and will not.
@@ -161,6 +167,8 @@
     pub seen: &'a [ReceivedRequest],
     /// What happened to the gateways.
     pub disturbances: &'a [Disturbance],
+    /// Requests a second that its answers allow all gateways together.
+    pub limit_per_s: Option<f64>,
 }
 
 impl Said<'_> {
@@ -178,6 +186,7 @@
             .collect();
         let gateways = self.calls.iter().map(|call| call.gateway).max();
         let gateways = 0..=gateways.unwrap_or_default();
+        let beyond_limit = self.beyond_limit(&sent);
         gateways
             .flat_map(|gateway| {
                 let own: Vec<_> = sent
@@ -189,9 +198,53 @@
                 broken.extend(self.within_pause(gateway, &own));
                 broken
             })
+            .chain(beyond_limit)
             .collect()
     }
 
+    /// Counts the requests of the gateways that had passed on an answer with the limit.
+    fn beyond_limit(&self, sent: &[(&ReceivedRequest, &Call)]) -> Option<String> {
+        let limit = self.limit_per_s?;
+        let told_at = |gateway| {
+            let told = sent.iter().filter(|(seen, call)| {
+                let answer = call.answer.as_ref();
+                let is_told = answer.is_some_and(|answer| answer.fields.contains_key(LIMIT_FIELD));
+                is_told && seen.ran && call.gateway == gateway
+            });
+            told.map(|(_, call)| call.ended).min()
+        };
+        let gateways: BTreeSet<usize> = sent.iter().map(|(_, call)| call.gateway).collect();
+        let told: HashMap<usize, Instant> = gateways
+            .into_iter()
+            .filter_map(|gateway| Some((gateway, told_at(gateway)?)))
+            .collect();
+        let first = *told.values().min()?;
+        let counts = |(seen, call): &&(&ReceivedRequest, &Call)| {
+            let is_told = told
+                .get(&call.gateway)
+                .is_some_and(|told| seen.at > *told + LIMIT_START);
+            let is_excused = self.is_disturbed(call.gateway, seen.at - STABLE_WINDOW, seen.at);
+            is_told && !is_excused && seen.at > first + STABLE_WINDOW
+        };
+        let mut arrivals: Vec<Instant> = sent
+            .iter()
+            .filter(counts)
+            .map(|(seen, _)| seen.at)
+            .collect();
+        arrivals.sort_unstable();
+        let in_window = |from: usize| {
+            let rest = arrivals[from..].iter();
+            let until = arrivals[from] + LIMIT_WINDOW;
+            rest.take_while(|at| **at < until).count()
+        };
+        let busiest = (0..arrivals.len()).map(in_window).max()?;
+        let allowed = 1.5 * limit * LIMIT_WINDOW.as_secs_f64() + 5.0;
+        (busiest as f64 > allowed).then(|| {
+            let upstream = self.upstream;
+            format!("{busiest} requests in 4 s reached {upstream}; its limit allows {allowed}")
+        })
+    }
+
     /// A restart or a freeze of the gateway excuses what it forgot.
     fn is_disturbed(&self, gateway: usize, from: Instant, until: Instant) -> bool {
         self.disturbances
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -24,6 +24,12 @@
 const FIRST_DEADLY: u64 = 3000;
 /// Seeds from which on a prompt block ends the upstreams that generate on it.
 const FIRST_DEADLY_BLOCK: u64 = 4000;
+/// Seeds from which on an upstream names a limit.
+const FIRST_LIMIT: u64 = 5000;
+/// Requests a second that it names.
+const LIMITS_PER_S: [&str; 3] = ["1.5", "6", "16.2"];
+/// Sets the draw of limits apart from that of the other faults.
+const LIMIT_SEED: u64 = 0x11317;
 /// Sets the draw of these apart from that of the other faults.
 const NOTICE_SEED: u64 = 0x5a1d;
 /// Sets the draw of leaving upstreams apart from that of the other faults.
@@ -160,6 +166,13 @@
     })
 }
 
+/// Draws the upstream that names a limit for the whole run, and the limit.
+pub fn limit(seed: u64, upstreams: usize) -> Option<(usize, &'static str)> {
+    let mut random = StdRng::seed_from_u64(seed ^ LIMIT_SEED);
+    let limit = LIMITS_PER_S[random.random_range(0..LIMITS_PER_S.len())];
+    (seed >= FIRST_LIMIT).then(|| (random.random_range(0..upstreams), limit))
+}
+
 /// Returns whether a run has a prompt block that ends upstreams.
 pub fn has_deadly_block(seed: u64) -> bool {
     seed >= FIRST_DEADLY_BLOCK
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -121,6 +121,8 @@
     was_killed: [bool; GATEWAYS],
     disturbances: Vec<Disturbance>,
     left: Option<usize>,
+    /// Upstream that names a limit, and the limit.
+    limit: Option<(usize, &'static str)>,
     says_leaving: Option<usize>,
     calm: Instant,
     broken: Vec<String>,
@@ -147,7 +149,8 @@
         }
         world.suffer(&entries, &addresses);
         world.calm = Instant::now();
-        let is_long = world.left.or(world.says_leaving).is_some() || !world.frail.is_empty();
+        let leaves = world.left.or(world.says_leaving).is_some();
+        let is_long = leaves || world.limit.is_some() || !world.frail.is_empty();
         thread::sleep(if is_long { LONG_AFTERMATH } else { AFTERMATH });
         drop(ends);
         let calls = callers.into_iter();
@@ -172,6 +175,10 @@
                 upstream
             })
             .collect();
+        let limit = fault::limit(seed, UPSTREAMS.len());
+        if let Some((index, limit)) = limit {
+            upstreams[index].replica.set_limit(Some(limit));
+        }
         let start_frail = |names: [&'static str; 4], service, stage| {
             let nature = fault::deadly(seed).into_iter();
             let roles = nature.flat_map(move |nature| names.map(|name| (name, nature)));
@@ -227,6 +234,7 @@
             was_killed: [false; GATEWAYS],
             disturbances: Vec::new(),
             left: None,
+            limit,
             says_leaving: None,
             calm: Instant::now(),
             broken: Vec::new(),
@@ -455,13 +463,15 @@
             let seen = self.upstreams[left].replica.received();
             self.broken.extend(check::departure(name, &seen, self.calm));
         }
-        for (upstream, (name, ..)) in self.upstreams.iter().zip(UPSTREAMS) {
+        for (index, (upstream, (name, ..))) in self.upstreams.iter().zip(UPSTREAMS).enumerate() {
             let seen = upstream.replica.received();
+            let limit = self.limit.filter(|(limited, _)| *limited == index);
             let said = check::Said {
                 upstream: name,
                 calls,
                 seen: &seen,
                 disturbances: &self.disturbances,
+                limit_per_s: limit.map(|(_, limit)| limit.parse().unwrap()),
             };
             self.broken.extend(said.broken());
         }
