--- /dev/null
+++ b/src/gossip/peers.rs
@@ -0,0 +1,200 @@
+//! Known peers, by the datagrams received from them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use super::Datagram;
+use super::DatagramId;
+use super::PEER_TIMEOUT;
+use super::SHARING_TIMEOUT;
+use super::incarnation_digest;
+use crate::id::DomainId;
+use crate::id::HostId;
+
+#[derive(Debug, Clone)]
+struct Peer {
+    address: SocketAddr,
+    domain: DomainId,
+    started_at: u64,
+    sequence: u64,
+    last_received: Option<Instant>,
+    last_sent: Option<Instant>,
+}
+
+/// Known peers with the time of the last datagram from each.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: HashMap<HostId, Peer>,
+}
+
+impl Peers {
+    /// Adds a peer, or updates its address.
+    pub fn add(&mut self, host: &HostId, address: SocketAddr) {
+        let peer = self.peers.entry(host.clone()).or_insert(Peer {
+            address,
+            domain: DomainId::default(),
+            started_at: 0,
+            sequence: 0,
+            last_received: None,
+            last_sent: None,
+        });
+        peer.address = address;
+    }
+
+    /// Records a datagram; returns `true` if it is newer than all previous ones of its sender.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::gossip::{Datagram, Peers};
+    /// let mut peers = Peers::default();
+    /// let datagram = |sequence| Datagram { host: "h2".into(), started_at: 1, sequence, ..Datagram::default() };
+    /// let from = "127.0.0.1:9".parse().unwrap();
+    /// assert!(peers.record(&datagram(2), from, Instant::now()));
+    /// assert!(!peers.record(&datagram(1), from, Instant::now()));
+    /// ```
+    pub fn record(&mut self, datagram: &Datagram, from: SocketAddr, now: Instant) -> bool {
+        let host = HostId::from(datagram.host.as_str());
+        if let Some(peer) = self.peers.get(&host) {
+            let is_duplicate =
+                datagram.started_at == peer.started_at && datagram.sequence <= peer.sequence;
+            // If a host's clock was set back, its new incarnation has an earlier start time; it is
+            // accepted once the previous incarnation has timed out.
+            let is_previous_incarnation =
+                datagram.started_at < peer.started_at && is_recent(peer.last_received, now);
+            if is_duplicate || is_previous_incarnation {
+                return false;
+            }
+        }
+        self.add(&host, from);
+        if let Some(peer) = self.peers.get_mut(&host) {
+            peer.domain = DomainId::from(datagram.domain.as_str());
+            peer.started_at = datagram.started_at;
+            peer.sequence = datagram.sequence;
+            peer.last_received = Some(now);
+        }
+        true
+    }
+
+    /// Returns the addresses to send a datagram to now: those of peers from which a datagram
+    /// arrived recently, and occasionally those of the others.
+    pub fn due(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let mut due = Vec::with_capacity(self.peers.len());
+        for peer in self.peers.values_mut() {
+            let is_responsive = is_recent(peer.last_received, now);
+            if is_responsive || !is_recent(peer.last_sent, now) {
+                peer.last_sent = Some(now);
+                due.push(peer.address);
+            }
+        }
+        due
+    }
+
+    /// Returns the addresses of the peers from which a datagram arrived recently.
+    pub fn addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        let recent = self
+            .peers
+            .values()
+            .filter(|peer| is_recent(peer.last_received, now));
+        recent.map(|peer| peer.address).collect()
+    }
+
+    /// Returns the rank of `own` by name among the hosts from which a datagram arrived recently.
+    pub fn rank(&self, own: &HostId, now: Instant) -> usize {
+        let recent = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| is_recent(peer.last_received, now));
+        recent.filter(|(host, _)| *host < own).count()
+    }
+
+    /// Returns the rank of `own` by name among the hosts of `domain` from which a datagram arrived
+    /// recently.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::gossip::{Datagram, Peers};
+    /// let now = Instant::now();
+    /// let mut peers = Peers::default();
+    /// for (host, domain) in [("h1", "derby"), ("h2", "leicester"), ("h4", "derby")] {
+    ///     let datagram = Datagram { host: host.into(), domain: domain.into(), ..Datagram::default() };
+    ///     peers.record(&datagram, "127.0.0.1:9".parse().unwrap(), now);
+    /// }
+    /// assert_eq!(peers.rank_in_domain(&"h3".into(), &"derby".into(), now), 1);
+    /// ```
+    pub fn rank_in_domain(&self, own: &HostId, domain: &DomainId, now: Instant) -> usize {
+        let peers = self.domain_peers(domain, now);
+        peers.filter(|(host, _)| *host < own).count()
+    }
+
+    /// Returns the addresses of the hosts of `domain` from which a datagram arrived recently.
+    pub fn addresses_in_domain(&self, domain: &DomainId, now: Instant) -> Vec<SocketAddr> {
+        self.domain_peers(domain, now)
+            .map(|(_, peer)| peer.address)
+            .collect()
+    }
+
+    /// Returns the newest datagram of each host of `domain`, if it arrived recently.
+    pub fn last_datagrams_in_domain(&self, domain: &DomainId, now: Instant) -> Vec<DatagramId> {
+        let peers = self.domain_peers(domain, now);
+        peers
+            .map(|(host, peer)| DatagramId {
+                incarnation: incarnation_digest(host, peer.started_at),
+                sequence: peer.sequence,
+            })
+            .collect()
+    }
+
+    /// Returns the hosts that share limits, in order of their names: `own`, those from which a
+    /// datagram arrived within a while, and, if `counts_unheard`, those from which none ever did.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::gossip::Peers;
+    /// let mut peers = Peers::default();
+    /// peers.add(&"h2".into(), "127.0.0.1:9".parse().unwrap());
+    /// let sharing = |counts_unheard| {
+    ///     peers.sharing(&"h1".into(), counts_unheard, Instant::now()).len()
+    /// };
+    /// assert_eq!((sharing(true), sharing(false)), (2, 1));
+    /// ```
+    pub fn sharing(&self, own: &HostId, counts_unheard: bool, now: Instant) -> Vec<HostId> {
+        let is_sharing = |peer: &Peer| {
+            peer.last_received.map_or(counts_unheard, |at| {
+                now.saturating_duration_since(at) < SHARING_TIMEOUT
+            })
+        };
+        let peers = self.peers.iter().filter(|(_, peer)| is_sharing(peer));
+        let mut hosts: Vec<HostId> = peers.map(|(host, _)| host.clone()).collect();
+        hosts.push(own.clone());
+        hosts.sort_unstable();
+        hosts
+    }
+
+    fn domain_peers(
+        &self,
+        domain: &DomainId,
+        now: Instant,
+    ) -> impl Iterator<Item = (&HostId, &Peer)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.domain == *domain && is_recent(peer.last_received, now))
+    }
+
+    /// Returns the number of known peers, including those from which no datagram arrived.
+    pub fn count_known(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns the number of peers from which a datagram arrived recently.
+    pub fn count_recent(&self, now: Instant) -> usize {
+        let peers = self.peers.values();
+        peers
+            .filter(|peer| is_recent(peer.last_received, now))
+            .count()
+    }
+}
+
+fn is_recent(at: Option<Instant>, now: Instant) -> bool {
+    at.is_some_and(|at| now.saturating_duration_since(at) < PEER_TIMEOUT)
+}
