Keep shares of limits in step with the hosts while an upstream has no entry

Cause: when hosts join or go, the shares of the upstreams in use were set anew. The upstream's entry had lapsed at that moment; when it came back its incarnation still had the share of a host that is alone. The hosts had started a second before and did not yet know one another, so that each had taken the whole limit.

Now a share belongs to a generation of hosts and is determined again when the two differ, whenever the upstream is used or its entry comes back. Until the store or a peer has named other hosts, the usual number is assumed. A line tells each share.

--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -11,15 +11,26 @@
 use crate::gossip;
 use crate::id::HostId;
 use crate::platform::egress;
+use crate::throttle::Generation;
 use crate::throttle::Limit;
 use crate::throttle::Share;
 use crate::throttle::Throttle;
 
+/// Hosts that share limits.
+#[derive(Debug, Default)]
+pub struct SharingHosts {
+    /// Names, including this host's.
+    hosts: Vec<HostId>,
+    /// Number of hosts that is assumed if there are fewer.
+    min_hosts: usize,
+    generation: Generation,
+}
+
 impl Gateway {
     /// Applies the notice in the head of a response; `source` names the request or the call.
     pub fn apply_notice(&self, target: &Target, head: &Parts, source: &str) {
         target.apply_notice(head, source);
-        self.set_missing_share(target, Instant::now());
+        self.update_share(target, Instant::now());
     }
 
     /// Lifts an upstream's limit if the head of its response, to a request sent at `sent_at`, names
@@ -40,35 +51,41 @@
         }
     }
 
-    /// Sets the hosts that share limits, including this one.
-    pub fn set_sharing_hosts(&self, hosts: Vec<HostId>, now: Instant) {
-        let is_changed = *self.sharing_hosts.borrow() != hosts;
-        if is_changed {
-            *self.sharing_hosts.borrow_mut() = hosts;
+    /// Sets the hosts that share limits, including this one, and the number of hosts that is assumed
+    /// if they are fewer.
+    pub fn set_sharing_hosts(&self, hosts: Vec<HostId>, min_hosts: usize, now: Instant) {
+        let mut sharing = self.sharing_hosts.borrow_mut();
+        if sharing.hosts != hosts || sharing.min_hosts != min_hosts {
+            sharing.hosts = hosts;
+            sharing.min_hosts = min_hosts;
+            sharing.generation += 1;
         }
+        drop(sharing);
         for target in self.targets.borrow().values() {
-            let is_limited = |throttle: &mut Throttle| throttle.is_limited(now);
-            if is_changed && target.incarnation().with_throttle(is_limited) {
-                self.set_share(target, now);
-            } else {
-                self.set_missing_share(target, now);
-            }
+            self.update_share(target, now);
         }
     }
 
-    fn set_missing_share(&self, target: &Target, now: Instant) {
-        let needs_share =
-            |throttle: &mut Throttle| throttle.is_limited(now) && throttle.needs_share();
-        if target.incarnation().with_throttle(needs_share) {
-            self.set_share(target, now);
+    /// Sets this host's share of an upstream's limit if the hosts that share it have changed. They may
+    /// change while the upstream has no entry.
+    fn update_share(&self, target: &Target, now: Instant) {
+        let sharing = self.sharing_hosts.borrow();
+        let generation = sharing.generation;
+        let needs_share = |throttle: &mut Throttle| throttle.needs_share(generation, now);
+        if !target.incarnation().with_throttle(needs_share) {
+            return;
         }
-    }
-
-    fn set_share(&self, target: &Target, now: Instant) {
-        let hosts = self.sharing_hosts.borrow();
-        let share = Share::of(&self.settings.name, &hosts, &target.entry.id);
-        let set_share = |throttle: &mut Throttle| throttle.set_share(share, now);
+        let mut share = Share::of(&self.settings.name, &sharing.hosts, &target.entry.id);
+        share.hosts = share.hosts.max(sharing.min_hosts);
+        let set_share = |throttle: &mut Throttle| throttle.set_share(share, generation, now);
         target.incarnation().with_throttle(set_share);
+        info!(
+            upstream:% = target.entry.id,
+            hosts = share.hosts,
+            rank = share.rank,
+            outcome = "shared";
+            "share of a limit set"
+        );
     }
 
     /// Returns at most `max` limits that are due to be reported to peers.
@@ -94,7 +111,7 @@
             let limit = Limit(reported.limit);
             let record = |throttle: &mut Throttle| throttle.record_reported(limit, now);
             target.incarnation().with_throttle(record);
-            self.set_missing_share(&target, now);
+            self.update_share(&target, now);
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 
 use self::belief::AgeObserver;
 use self::doubt::UnreachabilityReports;
+use self::limits::SharingHosts;
 use self::record::Metrics;
 use self::target::Target;
 
@@ -111,8 +112,7 @@
     view: RefCell<Arc<View>>,
     targets: RefCell<BTreeMap<UpstreamId, Rc<Target>>>,
     upstreams_by_incarnation: RefCell<HashMap<IncarnationDigest, UpstreamId>>,
-    /// Hosts that share limits, including this one.
-    sharing_hosts: RefCell<Vec<HostId>>,
+    sharing_hosts: RefCell<SharingHosts>,
     retry_budgets: RefCell<HashMap<ServiceId, window::Window>>,
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -105,6 +105,7 @@
     let mut sender = Sender::new();
     let started_at = Instant::now();
     let mut sharing_set_at = started_at;
+    let mut has_host_list = false;
     loop {
         tokio::select! {
             due = tick.tick() => {
@@ -116,7 +117,12 @@
                     sharing_set_at = now;
                     let counts_unheard = started_at.elapsed() < gossip::SHARING_TIMEOUT;
                     let hosts = peers.sharing(&gateway.settings.name, counts_unheard, now);
-                    gateway.set_sharing_hosts(hosts, now);
+                    // Until the store or a peer has named the others, a usual number is assumed.
+                    let min_hosts = match has_host_list || hosts.len() > 1 {
+                        true => 1,
+                        false => gateway.settings.hosts_expected,
+                    };
+                    gateway.set_sharing_hosts(hosts, min_hosts, now);
                 }
                 is_partial.store(has_many_silent(&peers, now), Ordering::Relaxed);
                 let (own, domain) = (&gateway.settings.name, &gateway.settings.domain);
@@ -151,6 +157,7 @@
                 sender.pending_changes = ordered;
             }
             Ok(()) = hosts.changed() => {
+                has_host_list = true;
                 for (host, address) in hosts.borrow_and_update().iter() {
                     if *host != gateway.settings.name {
                         peers.add(host, *address);
--- a/src/throttle/mod.rs
+++ b/src/throttle/mod.rs
@@ -28,11 +28,16 @@
 /// Time after which a host without a share checks again whether the limit still holds.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Number of times that the hosts which share limits have changed.
+pub type Generation = u64;
+
 /// What one upstream's limit allows this host.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Throttle {
     limit: Option<Limit>,
     share: Option<Share>,
+    /// Hosts that the share was determined for.
+    generation: Generation,
     /// Time when the upstream last named a limit to this host.
     named_at: Option<Instant>,
     /// Time when a peer last reported a limit.
@@ -114,15 +119,16 @@
         self.named_at
     }
 
-    /// Returns `true` if the share has never been set.
-    pub fn needs_share(&self) -> bool {
-        self.share.is_none()
+    /// Returns `true` if a limit holds at `now` and the share is not that of the `generation` of hosts.
+    pub fn needs_share(&self, generation: Generation, now: Instant) -> bool {
+        self.is_limited(now) && (self.share.is_none() || self.generation != generation)
     }
 
-    /// Sets the share of this host.
-    pub fn set_share(&mut self, share: Share, now: Instant) {
+    /// Sets the share of this host in a `generation` of hosts.
+    pub fn set_share(&mut self, share: Share, generation: Generation, now: Instant) {
         self.refill(now);
         self.share = Some(share);
+        self.generation = generation;
     }
 
     fn limit_at(&self, now: Instant) -> Option<Limit> {
@@ -178,7 +184,7 @@
     /// let mut throttle = Throttle::default();
     /// assert!(throttle.try_take(now));
     /// throttle.record_named(Limit(1_000), now);
-    /// throttle.set_share(Share { hosts: 2, rank: 0 }, now);
+    /// throttle.set_share(Share { hosts: 2, rank: 0 }, 1, now);
     /// assert!(!throttle.try_take(now));
     /// assert_eq!(throttle.wait(now), Some(Duration::from_secs(2)));
     /// assert!(throttle.try_take(now + Duration::from_secs(2)));
--- a/tests/gateway/limit.rs
+++ b/tests/gateway/limit.rs
@@ -8,6 +8,7 @@
 
 use rstest::rstest;
 
+use pistachiohall::platform::store;
 use pistachiohall::standin::fleet::client::Answer;
 use pistachiohall::standin::fleet::client::Client;
 use pistachiohall::standin::fleet::mortal::CrashingUpstream;
@@ -19,7 +20,9 @@
 use super::deployment::READ;
 use super::deployment::RESET;
 use super::site::Gateway;
+use super::site::NO_ORDERS;
 use super::site::Site;
+use super::site::wait_for;
 
 /// Time after the first answer with a limit from which it must be kept.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
@@ -166,6 +169,33 @@
     assert!(lifted > 2 * max_in_window(1.0), "{lifted} once lifted");
 }
 
+/// Guards against a share that stays as it was because the upstream had no entry when another host
+/// joined.
+#[test]
+fn a_share_follows_the_hosts_while_an_entry_is_away() {
+    let site = Site::desks(&["c1", "c2"]);
+    site.replicas["c1"].set_limit(Some("2"));
+    let first = &site.gateway;
+    for number in 0..20 {
+        first.call("GET", "/read/a", &format!("r{number}"), &[DEADLINE]);
+    }
+    let shared = |hosts: &str| {
+        let hosts = format!("hosts={hosts}");
+        first
+            .line(&["share of a limit set", "upstream=c1", &hosts])
+            .is_some()
+    };
+    wait_for("a share as the only host", || shared("1"));
+    site.store.remove(store::UPSTREAM_TOPIC, "c1");
+    first.wait_line(&["upstream=c1", "outcome=removed"]);
+    let second = Gateway::start("h2", site.store.address(), NO_ORDERS);
+    second.wait_ready();
+    first.wait_line(&["peers heard changed", "peers=1"]);
+    std::thread::sleep(Duration::from_millis(500));
+    site.replicas["c1"].register(&site.store, "ready");
+    wait_for("a share as one of two hosts", || shared("2"));
+}
+
 /// Guards against holding requests back until their deadline passes while all upstreams are limited.
 #[test]
 fn requests_beyond_all_limits_are_refused_at_once() {
