Log the era that the store names

No log line and no metric told whether the store had come back from a copy, so that the four hypotheses could not be told apart. Each host now logs a newer era, and exports store_era.

--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -344,6 +344,7 @@
     let limited = gateway.incarnations.count_limited(now);
     metrics.set("upstreams_limited", limited as i64);
     metrics.set("store_calls", store.calls() as i64);
+    metrics.set("store_era", store.newest_era() as i64);
 }
 
 /// Reads the settings file again and applies the settings that can change at run time.
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -5,6 +5,8 @@
 
 /// Position of a record in a stream of the platform's log.
 pub type Offset = u64;
+/// Number of times that the platform's store has been restored from a copy.
+pub type Era = u64;
 /// Name of a host.
 pub type HostId = CompactString;
 /// Name of a failure domain.
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -28,6 +28,8 @@
 pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Requests per second that the upstream takes from all hosts together, as a decimal number.
 pub const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Era of the store, which rises each time that the store is restored from a copy.
+pub const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 /// Event after which a stream is resumed.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,8 +13,11 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use compact_str::CompactString;
+use log::info;
 use serde::Deserialize;
 
+use super::header;
+use crate::id::Era;
 use crate::id::Offset;
 use crate::log::AppendError;
 use crate::log::ReadError;
@@ -66,6 +69,7 @@
 pub struct Store {
     address: SocketAddr,
     calls: Arc<AtomicU64>,
+    newest_era: Arc<AtomicU64>,
 }
 
 #[derive(Deserialize)]
@@ -108,6 +112,7 @@
         Store {
             address,
             calls: Arc::default(),
+            newest_era: Arc::default(),
         }
     }
 
@@ -124,6 +129,20 @@
             .read_timeout(RESPONSE_TIMEOUT + wait)
     }
 
+    /// Returns the newest era that a response has named; 0 before the first one.
+    pub fn newest_era(&self) -> Era {
+        self.newest_era.load(Ordering::Relaxed)
+    }
+
+    /// Records the era that a response names, and logs a newer one.
+    fn record_era(&self, response: &Response) {
+        let era = era(response);
+        let previous = self.newest_era.fetch_max(era, Ordering::Relaxed);
+        if era > previous {
+            info!(era = era, previous = previous, outcome = "newer-era"; "store names a newer era");
+        }
+    }
+
     fn append(
         &self,
         topic: &str,
@@ -143,6 +162,7 @@
                 false => AppendError::Unknown(cause.to_string()),
             }
         })?;
+        self.record_era(&response);
         let status = response.status();
         if STATUS_NOT_DONE.contains(&status.as_u16())
             || status.is_client_error() && status != STATUS_PRECONDITION_FAILED
@@ -177,6 +197,7 @@
             .param("wait_ms", wait.as_millis())
             .send()
             .map_err(read_error)?;
+        self.record_era(&response);
         let status = response.status();
         let body = read_body(response)?;
         if status == STATUS_GONE {
@@ -204,6 +225,7 @@
             .send()
             .and_then(Response::error_for_status)
             .map_err(read_error)?;
+        self.record_era(&response);
         let body = read_body(response)?;
         serde_json::from_slice(&body).map_err(read_error)
     }
@@ -254,6 +276,13 @@
     }
 }
 
+/// Returns the era that a response names; 0 if it names none.
+fn era(response: &Response) -> Era {
+    let value = response.headers().get(header::STORE_ERA);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.trim().parse().ok()).unwrap_or(0)
+}
+
 /// Reads the body of a response, up to [`MAX_RESPONSE_BYTES`].
 fn read_body(response: Response) -> Result<Vec<u8>, ReadError> {
     let (_, _, reader) = response.split();
