Reproduce a store that is restored from a copy

The stand-in store names its era in all answers, can be copied and restored, and answers a read beyond its end with 410, as the platform's protocol says. Eight tests of a gateway fail on these sources: a host waits at an offset that was given out again or skips records below it (2), believes the copy of the registry (3), and does not write its entry and its losses again (2); a host that starts gets the older configuration of the copy although a peer serves the newer one (1).

--- a/src/standin/fleet/store.rs
+++ b/src/standin/fleet/store.rs
@@ -20,6 +20,11 @@
 use super::wire::Request;
 use super::wire::Server;
 
+/// Era of a store that was never restored.
+const FIRST_ERA: u64 = 1;
+/// Field of all answers that names the era.
+const ERA_FIELD: &str = "Store-Era";
+
 /// What is wrong with the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -34,7 +39,7 @@
     LostAnswers,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct Topic {
     first: u64,
     records: Vec<Vec<u8>>,
@@ -59,11 +64,17 @@
     }
 }
 
+/// A copy of all topics at one moment.
+#[derive(Debug, Clone)]
+pub struct Snapshot(HashMap<String, Topic>);
+
 #[derive(Debug, Default)]
 struct State {
     topics: HashMap<String, Topic>,
     trouble: Fault,
     calls: u64,
+    /// Era that all answers name; `None` if they name none.
+    era: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -87,6 +98,7 @@
     /// Fails if no port can be listened on.
     pub fn start() -> io::Result<Self> {
         let shared = Arc::new(Shared::default());
+        shared.state.lock().expect("store lock").era = Some(FIRST_ERA);
         let own = Arc::clone(&shared);
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::start(address, move |request, stream| {
@@ -106,6 +118,25 @@
         self.shared.changed.notify_all();
     }
 
+    /// Returns a copy of all topics.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot(self.shared.state.lock().expect("store lock").topics.clone())
+    }
+
+    /// Replaces all topics with a copy, which begins a new era. Calls that wait for records are
+    /// answered as of the era in which they came.
+    pub fn restore(&self, snapshot: &Snapshot) {
+        let mut state = self.shared.state.lock().expect("store lock");
+        state.topics = snapshot.0.clone();
+        state.era = state.era.map(|era| era + 1);
+        self.shared.changed.notify_all();
+    }
+
+    /// Names no era in its answers from now on.
+    pub fn hide_era(&self) {
+        self.shared.state.lock().expect("store lock").era = None;
+    }
+
     /// Returns how many calls it got.
     pub fn calls(&self) -> u64 {
         self.shared.state.lock().expect("store lock").calls
@@ -194,13 +225,13 @@
 }
 
 fn handle(shared: &Shared, request: &Request, stream: &mut TcpStream) -> io::Result<Next> {
-    let trouble = {
+    let (trouble, era) = {
         let mut state = shared.state.lock().expect("store lock");
         state.calls += 1;
-        state.trouble
+        (state.trouble, state.era)
     };
     match trouble {
-        Fault::Down => return answer(stream, 503, &json!({})),
+        Fault::Down => return answer(stream, 503, &json!({}), era),
         Fault::Silent => {
             let state = shared.state.lock().expect("store lock");
             let _state = shared
@@ -214,58 +245,68 @@
     let topic = request.query.get("topic").cloned().unwrap_or_default();
     match (request.method.as_str(), request.path.as_str()) {
         ("POST", "/v1/log-append") => {
-            let (status, body) = append(shared, &topic, request);
+            let (status, body, era) = append(shared, &topic, request);
             match trouble == Fault::LostAnswers {
                 true => Ok(Next::Close),
-                false => answer(stream, status, &body),
+                false => answer(stream, status, &body, era),
             }
         }
         ("GET", "/v1/log-read") => read(shared, &topic, request, stream),
         ("GET", "/v1/log-newest") => {
-            let body = newest(shared, &topic);
-            answer(stream, 200, &body)
+            let (body, era) = newest(shared, &topic);
+            answer(stream, 200, &body, era)
         }
-        _ => answer(stream, 404, &json!({})),
+        _ => answer(stream, 404, &json!({}), era),
     }
 }
 
-fn answer(stream: &mut TcpStream, status: u16, body: &Value) -> io::Result<Next> {
-    let fields = [("Content-Type", "application/json")];
+fn answer(stream: &mut TcpStream, status: u16, body: &Value, era: Option<u64>) -> io::Result<Next> {
+    let era = era.map(|era| era.to_string());
+    let era = era.iter().map(|era| (ERA_FIELD, era.as_str()));
+    let fields: Vec<(&str, &str)> = [("Content-Type", "application/json")]
+        .into_iter()
+        .chain(era)
+        .collect();
     wire::answer(stream, status, &fields, body.to_string().as_bytes())?;
     Ok(Next::Keep)
 }
 
-fn append(shared: &Shared, name: &str, request: &Request) -> (u16, Value) {
+fn append(shared: &Shared, name: &str, request: &Request) -> (u16, Value, Option<u64>) {
+    let mut state = shared.state.lock().expect("store lock");
+    let era = state.era;
     if matches!(name, "keyed.op" | "keyed.servers") {
-        return (403, json!({}));
+        return (403, json!({}), era);
     }
-    let mut state = shared.state.lock().expect("store lock");
     let topic = state.topics.entry(name.into()).or_default();
     let at = request.query.get("at").and_then(|at| at.parse().ok());
     if at.is_some_and(|at: u64| at != topic.end()) {
-        return (412, json!({"end_offset": topic.end()}));
+        return (412, json!({"end_offset": topic.end()}), era);
     }
     let Some((length, content)) = request.body.split_at_checked(4) else {
-        return (400, json!({}));
+        return (400, json!({}), era);
     };
     let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]);
     if length as usize != content.len() {
-        return (400, json!({}));
+        return (400, json!({}), era);
     }
     let offset = topic.append(content.to_vec());
     shared.changed.notify_all();
-    (200, json!({"offset": offset, "end_offset": offset + 1}))
+    let body = json!({"offset": offset, "end_offset": offset + 1});
+    (200, body, era)
 }
 
-fn newest(shared: &Shared, name: &str) -> Value {
+fn newest(shared: &Shared, name: &str) -> (Value, Option<u64>) {
     let state = shared.state.lock().expect("store lock");
     let Some(topic) = state.topics.get(name) else {
-        return json!({"items": [], "more": false, "end_offset": 0});
+        let body = json!({"items": [], "more": false, "end_offset": 0});
+        return (body, state.era);
     };
     let items = topic.newest.iter().map(|(key, (offset, value))| {
         json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
     });
-    json!({"items": items.collect::<Vec<_>>(), "more": false, "end_offset": topic.end()})
+    let items: Vec<Value> = items.collect();
+    let body = json!({"items": items, "more": false, "end_offset": topic.end()});
+    (body, state.era)
 }
 
 fn read(
@@ -283,28 +324,39 @@
     let from = number("from").unwrap_or_default();
     let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
     let state = shared.state.lock().expect("store lock");
+    let era = state.era;
     let has_none = |state: &mut State| {
         let end = state.topics.get(name).map_or(0, Topic::end);
-        end <= from && state.trouble == Fault::None
+        end == from && state.trouble == Fault::None && state.era == era
     };
     let (state, _) = shared
         .changed
         .wait_timeout_while(state, wait, has_none)
         .expect("store lock");
     let empty = Topic::default();
-    let topic = state.topics.get(name).unwrap_or(&empty);
-    if from < topic.first {
+    let has_changed_era = state.era != era;
+    let topic = match has_changed_era {
+        true => &empty,
+        false => state.topics.get(name).unwrap_or(&empty),
+    };
+    if !has_changed_era && (from < topic.first || from > topic.end()) {
         let body = json!({"first_offset": topic.first});
         drop(state);
-        return answer(stream, 410, &body);
+        return answer(stream, 410, &body, era);
     }
     let mut body = topic.end().to_be_bytes().to_vec();
     body.extend_from_slice(&topic.first.to_be_bytes());
-    for record in topic.records.iter().skip((from - topic.first) as usize) {
+    for record in topic
+        .records
+        .iter()
+        .skip(from.saturating_sub(topic.first) as usize)
+    {
         body.extend_from_slice(&(record.len() as u32).to_be_bytes());
         body.extend_from_slice(record);
     }
     drop(state);
-    wire::answer(stream, 200, &[], &body)?;
+    let era = era.map(|era| era.to_string());
+    let fields: Vec<(&str, &str)> = era.iter().map(|era| (ERA_FIELD, era.as_str())).collect();
+    wire::answer(stream, 200, &fields, &body)?;
     Ok(Next::Keep)
 }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod model;
 mod notice;
 mod plain;
+mod restored;
 
 mod deployment;
 mod site;
