Name positions of the store by era and offset

Cause: an offset named a position, though it is given out again after a restore. A reader whose offset existed again went on in another history, and peers' segments were compared by offsets alone.

A position now consists of an era and an offset and has no order, so that the types don't compare two eras. A reader that learns of a newer era, from the store or from a peer, reads the topic in full; segments of an older era are ignored, and the records of a newer one are applied at once. The hosts of a domain read the registry in full one after another (100 ms a page), which bounds the load at 300 hosts; the configuration is one call.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -196,6 +196,11 @@
             .min()
     }
 
+    /// Returns the number of upstreams, including draining ones.
+    pub fn count(&self) -> usize {
+        self.upstreams.len()
+    }
+
     /// Returns all upstreams, including draining ones.
     pub fn entries(&self) -> Vec<Entry> {
         self.upstreams
--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -43,6 +43,10 @@
                     adopt_newest(publisher, records, "peer-reading");
                     schedule.record_peer_read(incoming.asked, now, endpoint.rank());
                 }
+                SegmentOutcome::Restored(records) => {
+                    adopt_newest(publisher, records, "peer-reading");
+                    schedule.set_due(now);
+                }
                 SegmentOutcome::Missing => schedule.set_due(now),
                 SegmentOutcome::Behind => (),
             }
@@ -50,12 +54,17 @@
         }
         let from = reader.next();
         let (mut freshness, queried_at) = (endpoint.freshness(), clock.now());
-        match reader.read(store, LONG_POLL_TIMEOUT) {
+        let update = match reader.is_restored() {
+            true => reader.read_in_full(store),
+            false => reader.read(store, LONG_POLL_TIMEOUT),
+        };
+        match update {
+            Ok(Update::Outdated) => schedule.set_due(clock.now()),
             Ok(update) => {
                 reader.record_success();
                 let took = clock.now().saturating_duration_since(queried_at);
                 freshness.waited = waited(&update, took);
-                let (Update::Full(records) | Update::Changes(records)) = update;
+                let records = update.into_records();
                 publisher.record_config_read(queried_at + freshness.waited);
                 if let (Some(from), Some(next)) = (from, reader.next()) {
                     endpoint.send(from, next, records.clone(), freshness);
--- a/src/follow/hosts.rs
+++ b/src/follow/hosts.rs
@@ -58,10 +58,15 @@
     let mut reader = Reader::new(store::HOST_TOPIC);
     let mut hosts: Vec<(HostId, SocketAddr)> = Vec::new();
     loop {
-        match reader.read(store, Duration::ZERO) {
-            Ok(Update::Full(records) | Update::Changes(records)) => {
+        let update = match reader.is_restored() {
+            true => reader.read_in_full(store),
+            false => reader.read(store, Duration::ZERO),
+        };
+        match update {
+            Ok(Update::Outdated) => (),
+            Ok(update) => {
                 reader.record_success();
-                for record in records {
+                for record in update.into_records() {
                     hosts.retain(|(host, _)| *host != record.key);
                     if let Some(address) =
                         record.value.and_then(|value| decode(&record.key, &value))
--- a/src/follow/reader.rs
+++ b/src/follow/reader.rs
@@ -7,20 +7,26 @@
 use log::warn;
 
 use super::share::Segment;
-use crate::id::Offset;
+use crate::id::Era;
 use crate::log::ReadError;
 use crate::log::keyed::ChangesError;
 use crate::log::keyed::Keyed;
+use crate::log::keyed::Position;
 use crate::log::keyed::Record;
 
 /// Consecutive failures from which the store counts as lost.
 const MIN_LOST_FAILURES: u32 = 2;
 
-/// Reads one topic, in full after each gap, and logs when the store is lost and when it is back.
+/// Reads one topic, in full after each gap and each restore of the store, and logs when the store is
+/// lost and when it is back.
 #[derive(Debug)]
 pub struct Reader {
     topic: &'static str,
-    next: Option<Offset>,
+    next: Option<Position>,
+    /// Newest era of the store that a read or a peer's segment has named.
+    era: Era,
+    /// Whether records before `next` were not read, since the store was restored.
+    is_restored: bool,
     failures: u32,
 }
 
@@ -29,9 +35,11 @@
 pub enum SegmentOutcome {
     /// The next records; empty if nothing has changed.
     Next(Vec<Record>),
+    /// Records of a store that was restored; the topic has to be read in full.
+    Restored(Vec<Record>),
     /// Records are missing that only the store can provide.
     Missing,
-    /// The sender has read less than this reader.
+    /// The sender has read less than this reader, or an older era.
     Behind,
 }
 
@@ -40,8 +48,23 @@
 pub enum Update {
     /// The newest record of each key.
     Full(Vec<Record>),
+    /// The newest record of each key in a store that was restored: what was read before may be
+    /// missing, and what was removed may be back.
+    Restored(Vec<Record>),
     /// Records since the previous read.
     Changes(Vec<Record>),
+    /// The store was restored; the topic has to be read in full.
+    Outdated,
+}
+
+impl Update {
+    /// Returns the records.
+    pub fn into_records(self) -> Vec<Record> {
+        match self {
+            Update::Full(records) | Update::Restored(records) | Update::Changes(records) => records,
+            Update::Outdated => Vec::new(),
+        }
+    }
 }
 
 impl Reader {
@@ -50,11 +73,15 @@
         Reader {
             topic,
             next: None,
+            era: 0,
+            is_restored: false,
             failures: 0,
         }
     }
 
-    /// Reads new records, or all if nothing was read yet or records were deleted meanwhile.
+    /// Reads new records, or all if nothing was read yet or records were deleted meanwhile. After a
+    /// restore of the store it reads nothing, unless a segment has named a position in the new era:
+    /// [`Reader::read_in_full`] is more expensive, so that the caller determines its time.
     ///
     /// # Errors
     ///
@@ -64,6 +91,9 @@
         K: Keyed,
     {
         if let Some(next) = self.next {
+            if next.era() < self.era {
+                return Ok(Update::Outdated);
+            }
             match store.changes(self.topic, next, wait) {
                 Ok(changes) => {
                     self.next = Some(changes.next);
@@ -72,18 +102,63 @@
                 Err(ChangesError::Gap(first)) => {
                     warn!(
                         topic:% = self.topic,
-                        next = next,
+                        next:% = next,
                         first = first,
                         outcome = "read-anew";
                         "topic read again in full after a gap"
                     );
                 }
+                Err(ChangesError::Restored(era)) => {
+                    self.record_era(era, "store");
+                    return Ok(Update::Outdated);
+                }
                 Err(ChangesError::Read(error)) => return Err(error),
             }
         }
+        self.read_in_full(store)
+    }
+
+    /// Reads the newest record of each key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store gives no usable response, or one of an older era than it has named before.
+    pub fn read_in_full<K>(&mut self, store: &K) -> Result<Update, ReadError>
+    where
+        K: Keyed,
+    {
         let newest = store.newest(self.topic)?;
+        let era = newest.next.era();
+        if era < self.era {
+            return Err(ReadError(format!(
+                "the store answered as of era {era}, expected {}",
+                self.era
+            )));
+        }
+        self.record_era(era, "store");
         self.next = Some(newest.next);
-        Ok(Update::Full(newest.records))
+        match std::mem::take(&mut self.is_restored) {
+            true => Ok(Update::Restored(newest.records)),
+            false => Ok(Update::Full(newest.records)),
+        }
+    }
+
+    /// Records the era that `source` names.
+    fn record_era(&mut self, era: Era, source: &str) {
+        if let Some(next) = self.next
+            && era > self.era
+        {
+            self.is_restored = true;
+            warn!(
+                topic:% = self.topic,
+                next:% = next,
+                era = era,
+                source:% = source,
+                outcome = "restored";
+                "store was restored from a copy"
+            );
+        }
+        self.era = self.era.max(era);
     }
 
     /// Applies a segment that a peer read.
@@ -91,26 +166,40 @@
         let Some(next) = self.next else {
             return SegmentOutcome::Missing;
         };
-        if segment.next < next {
+        let end = Position::new(segment.era, segment.next);
+        if segment.era < self.era {
+            return SegmentOutcome::Behind;
+        }
+        let Some(offset) = next.offset_in(segment.era) else {
+            self.record_era(segment.era, "peer");
+            self.next = Some(end);
+            return SegmentOutcome::Restored(segment.records.unwrap_or_default());
+        };
+        if segment.next < offset {
             return SegmentOutcome::Behind;
         }
-        if segment.next == next {
+        if segment.next == offset {
             return SegmentOutcome::Next(Vec::new());
         }
         match segment.records {
-            Some(records) if segment.from == next => {
-                self.next = Some(segment.next);
+            Some(records) if segment.from == offset => {
+                self.next = Some(end);
                 SegmentOutcome::Next(records)
             }
             _ => SegmentOutcome::Missing,
         }
     }
 
-    /// Returns the offset at which the next read starts; `None` before the first read.
-    pub fn next(&self) -> Option<Offset> {
+    /// Returns the position at which the next read starts; `None` before the first read.
+    pub fn next(&self) -> Option<Position> {
         self.next
     }
 
+    /// Returns `true` if the store was restored and the topic has not been read in full since.
+    pub fn is_restored(&self) -> bool {
+        self.is_restored
+    }
+
     /// Returns the number of consecutive failed reads.
     pub fn failures(&self) -> u32 {
         self.failures
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -9,6 +9,7 @@
 use super::reader::Reader;
 use super::reader::SegmentOutcome;
 use super::reader::Update;
+use super::share;
 use super::share::Endpoint;
 use super::share::Incoming;
 use super::share::Schedule;
@@ -18,6 +19,7 @@
 use crate::fleet::Change;
 use crate::fleet::Fleet;
 use crate::id::UpstreamId;
+use crate::log::ReadError;
 use crate::log::keyed::Keyed;
 use crate::log::keyed::Record;
 use crate::platform::registry;
@@ -48,6 +50,9 @@
         log_lateness(now.saturating_duration_since(follower.schedule.due()));
         match incoming {
             Some(incoming) => follower.apply(incoming, endpoint.rank(), now),
+            None if follower.full_read_at.is_some_and(|at| at <= now) => {
+                follower.read_in_full(clock, store, endpoint);
+            }
             None if follower.schedule.due() <= now => follower.read(clock, store, endpoint),
             None => (),
         }
@@ -62,6 +67,8 @@
     reader: Reader,
     fleet: Fleet,
     schedule: Schedule,
+    /// Time of the full read that a restore of the store requires.
+    full_read_at: Option<Instant>,
     /// Origin of the newest data.
     origin: Origin,
     /// Latest time at which the store is known to have answered this host or a peer.
@@ -75,6 +82,7 @@
             reader: Reader::new(store::UPSTREAM_TOPIC),
             fleet: Fleet::default(),
             schedule: Schedule::new(READ_INTERVAL, FAILURE_BACKOFF, MAX_AGE, now),
+            full_read_at: None,
             origin: Origin {
                 source: "store",
                 queried_at: None,
@@ -86,23 +94,34 @@
     /// Returns the time of the next action if no segment arrives before.
     fn wake(&self) -> Instant {
         let due = self.schedule.due();
-        self.fleet.next_expiry().map_or(due, |end| end.min(due))
+        let others = [self.fleet.next_expiry(), self.full_read_at];
+        others.into_iter().flatten().fold(due, Instant::min)
     }
 
     /// Applies a segment from a peer.
     fn apply(&mut self, incoming: Incoming, rank: usize, now: Instant) {
-        match self.reader.apply(incoming.segment) {
-            SegmentOutcome::Next(records) => {
-                self.schedule.record_peer_read(incoming.asked, now, rank);
-                self.origin = Origin {
-                    source: "peer-reading",
-                    queried_at: incoming.asked,
-                };
-                self.update(Update::Changes(records), now);
+        let records = match self.reader.apply(incoming.segment) {
+            SegmentOutcome::Next(records) => records,
+            SegmentOutcome::Restored(records) => {
+                self.plan_full_read(rank, now);
+                records
             }
-            SegmentOutcome::Missing => self.schedule.set_due(now),
-            SegmentOutcome::Behind => (),
-        }
+            SegmentOutcome::Missing => return self.schedule.set_due(now),
+            SegmentOutcome::Behind => return,
+        };
+        self.schedule.record_peer_read(incoming.asked, now, rank);
+        self.origin = Origin {
+            source: "peer-reading",
+            queried_at: incoming.asked,
+        };
+        self.update(Update::Changes(records), now);
+    }
+
+    /// Plans the full read that a restore of the store requires. The hosts of a failure domain read
+    /// one after another, and until then the records that others read are enough.
+    fn plan_full_read(&mut self, rank: usize, now: Instant) {
+        let delay = share::full_read_delay(rank, self.fleet.count());
+        self.full_read_at.get_or_insert(now + delay);
     }
 
     /// Reads the store and sends the result to peers.
@@ -110,12 +129,38 @@
     where
         C: Clock,
         K: Keyed,
+    {
+        let read = |reader: &mut Reader| reader.read(store, Duration::ZERO);
+        self.read_with(read, clock, endpoint);
+    }
+
+    /// Reads the newest record of each key and sends the result to peers.
+    fn read_in_full<C, K>(&mut self, clock: &C, store: &K, endpoint: &Endpoint)
+    where
+        C: Clock,
+        K: Keyed,
+    {
+        self.full_read_at = None;
+        self.read_with(|reader| reader.read_in_full(store), clock, endpoint);
+        if self.reader.is_restored() {
+            self.full_read_at = Some(self.schedule.due());
+        }
+    }
+
+    fn read_with<C, F>(&mut self, read: F, clock: &C, endpoint: &Endpoint)
+    where
+        C: Clock,
+        F: FnOnce(&mut Reader) -> Result<Update, ReadError>,
     {
         let from = self.reader.next();
         let (freshness, queried_at) = (endpoint.freshness(), clock.now());
-        let update = self.reader.read(store, Duration::ZERO);
+        let update = read(&mut self.reader);
         let now = clock.now();
         match update {
+            Ok(Update::Outdated) => {
+                self.schedule.record_read(now);
+                self.plan_full_read(endpoint.rank(), now);
+            }
             Ok(update) => {
                 self.schedule.record_read(now);
                 if let (Some(from), Update::Changes(records), Some(next)) =
@@ -194,7 +239,7 @@
     now: Instant,
 ) -> Vec<UpstreamId> {
     match update {
-        Update::Full(records) => {
+        Update::Full(records) | Update::Restored(records) => {
             let entries =
                 records
                     .into_iter()
@@ -215,6 +260,7 @@
             }
             fleet.apply(changes, now)
         }
+        Update::Outdated => Vec::new(),
     }
 }
 
--- a/src/follow/share.rs
+++ b/src/follow/share.rs
@@ -20,7 +20,9 @@
 use tokio::sync::mpsc;
 
 use crate::gossip::DatagramId;
+use crate::id::Era;
 use crate::id::Offset;
+use crate::log::keyed::Position;
 use crate::log::keyed::Record;
 
 /// Additional delay of the second host in rank: time for a response of the store and a datagram on
@@ -38,11 +40,33 @@
 /// Maximum number of queued segments per direction; each covers at least half a second.
 const MAX_QUEUED_SEGMENTS: usize = 16;
 
+/// Minimum number of records in a page of the newest records.
+const PAGE_RECORDS: usize = 500;
+/// Time between the full reads of two hosts of a failure domain, for each page.
+const FULL_READ_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Returns the delay of a full read of some `records` after a restore of the store; `rank` is the
+/// number of hosts of the failure domain before this one. Without it, all hosts would read at the
+/// same time, and the store limits the calls and the bytes of all hosts together.
+///
+/// ```
+/// use std::time::Duration;
+/// use pistachiohall::follow::share;
+/// assert_eq!(share::full_read_delay(0, 12_000), Duration::ZERO);
+/// assert_eq!(share::full_read_delay(2, 12_000), Duration::from_millis(4800));
+/// ```
+pub fn full_read_delay(rank: usize, records: usize) -> Duration {
+    let pages = records.div_ceil(PAGE_RECORDS).max(1);
+    FULL_READ_INTERVAL * (rank * pages) as u32
+}
+
 /// Consecutive records of a topic that one host read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Segment {
     /// Topic.
     pub topic: &'static str,
+    /// Era of the store to which the offsets belong.
+    pub era: Era,
     /// Offset of the first record.
     pub from: Offset,
     /// Offset after the last record.
@@ -191,11 +215,16 @@
         }
     }
 
-    /// Sends records that were read to peers.
-    pub fn send(&self, from: Offset, next: Offset, records: Vec<Record>, freshness: Freshness) {
+    /// Sends records that were read between two positions of one era to peers.
+    pub fn send(&self, from: Position, next: Position, records: Vec<Record>, freshness: Freshness) {
+        let (era, next) = next.into_parts();
+        let Some(from) = from.offset_in(era) else {
+            return;
+        };
         let outgoing = Outgoing {
             segment: Segment {
                 topic: self.topic,
+                era,
                 from,
                 next,
                 records: Some(records),
--- a/src/follow/suspects.rs
+++ b/src/follow/suspects.rs
@@ -228,13 +228,17 @@
         C: Clock,
         K: Keyed,
     {
-        let update = self.reader.read(store, Duration::ZERO);
+        let update = match self.reader.is_restored() {
+            true => self.reader.read_in_full(store),
+            false => self.reader.read(store, Duration::ZERO),
+        };
         match update {
-            Ok(Update::Full(records) | Update::Changes(records)) => {
+            Ok(Update::Outdated) => (),
+            Ok(update) => {
                 self.reader.record_success();
                 self.read_at = clock.now();
                 let now_ms = clock::wall_ms(clock);
-                for record in records {
+                for record in update.into_records() {
                     self.forward(record, now_ms, messages);
                 }
                 send(messages, Message::ReadComplete);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -381,6 +381,7 @@
     });
     gossip::Segment {
         topic: segment.topic.into(),
+        era: segment.era,
         from: segment.from,
         next: segment.next,
         records: records.collect(),
@@ -397,6 +398,7 @@
     });
     share::Segment {
         topic,
+        era: segment.era,
         from: segment.from,
         next: segment.next,
         records: (!segment.is_omitted).then(|| records.collect()),
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -47,6 +47,7 @@
 use crate::follow::View;
 use crate::follow::ViewPublisher;
 use crate::follow::suspects::Message;
+use crate::log::keyed::Keyed;
 use crate::platform::ingress;
 use crate::platform::store::Store;
 use crate::reassign;
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -190,6 +190,9 @@
     /// Topic.
     #[prost(string, tag = "1")]
     pub topic: String,
+    /// Era of the store to which the offsets belong.
+    #[prost(uint64, tag = "8")]
+    pub era: u64,
     /// Offset of the first record.
     #[prost(fixed64, tag = "2")]
     pub from: u64,
--- a/src/log/keyed.rs
+++ b/src/log/keyed.rs
@@ -1,5 +1,6 @@
 //! Topics that keep the newest record of each key, and conditional appends.
 
+use std::fmt;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -7,8 +8,54 @@
 
 use super::AppendError;
 use super::ReadError;
+use crate::id::Era;
 use crate::id::Offset;
 
+/// Position in a topic.
+///
+/// An offset identifies a record only within one era of the store: after a restore from a copy, the
+/// offsets of lost records are given out again. Positions of two eras are therefore not ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Position {
+    era: Era,
+    offset: Offset,
+}
+
+impl Position {
+    /// Returns the position of `offset` in `era`.
+    ///
+    /// ```
+    /// use pistachiohall::log::keyed::Position;
+    /// let position = Position::new(2, 7);
+    /// assert_eq!(position.offset_in(2), Some(7));
+    /// assert_eq!(position.offset_in(3), None);
+    /// ```
+    pub fn new(era: Era, offset: Offset) -> Self {
+        Position { era, offset }
+    }
+
+    /// Returns the era.
+    pub fn era(self) -> Era {
+        self.era
+    }
+
+    /// Returns era and offset, to be encoded.
+    pub fn into_parts(self) -> (Era, Offset) {
+        (self.era, self.offset)
+    }
+
+    /// Returns the offset if the position belongs to `era`.
+    pub fn offset_in(self, era: Era) -> Option<Offset> {
+        (self.era == era).then_some(self.offset)
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}@{}", self.offset, self.era)
+    }
+}
+
 /// A record of a keyed topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Record {
@@ -27,13 +74,13 @@
     pub value: &'a [u8],
 }
 
-/// Consecutive records and the offset at which to continue.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+/// Consecutive records and the position at which to continue.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Changes {
     /// Records in order of offset.
     pub records: Vec<Record>,
-    /// Offset at which to continue reading.
-    pub next: Offset,
+    /// Position at which to continue reading.
+    pub next: Position,
 }
 
 /// Reason why changes could not be read.
@@ -42,6 +89,9 @@
     /// The requested records were deleted; the newest record of each key has to be read again.
     #[error("records were deleted, the first one left is {0}")]
     Gap(Offset),
+    /// The log was restored from a copy, so that the position doesn't exist any more.
+    #[error("the log was restored and is in era {0}")]
+    Restored(Era),
     /// The log gave no usable response.
     #[error(transparent)]
     Read(#[from] ReadError),
@@ -66,12 +116,24 @@
     /// during the read once more.
     fn newest(&self, topic: &str) -> Result<Changes, ReadError>;
 
-    /// Reads records from offset `from` on, waiting up to `wait` for the first one.
-    fn changes(&self, topic: &str, from: Offset, wait: Duration) -> Result<Changes, ChangesError>;
+    /// Reads records from `from` on, waiting up to `wait` for the first one.
+    fn changes(&self, topic: &str, from: Position, wait: Duration)
+    -> Result<Changes, ChangesError>;
+
+    /// Writes a record, which becomes the newest of its key, and returns its position.
+    fn put(&self, topic: &str, record: Pair<'_>) -> Result<Position, AppendError>;
 
-    /// Writes a record, which becomes the newest of its key.
-    fn put(&self, topic: &str, record: Pair<'_>) -> Result<Offset, AppendError>;
+    /// Writes a record, which becomes the newest of its key, if the topic ends at `at`; returns its
+    /// position.
+    ///
+    /// If the log was restored meanwhile, the record may have been written, but to another history.
+    fn put_at(
+        &self,
+        topic: &str,
+        record: Pair<'_>,
+        at: Position,
+    ) -> Result<Position, ConditionError>;
 
-    /// Writes a record, which becomes the newest of its key, if the topic ends at offset `at`.
-    fn put_at(&self, topic: &str, record: Pair<'_>, at: Offset) -> Result<Offset, ConditionError>;
+    /// Returns the newest era that the log has named to this process.
+    fn newest_era(&self) -> Era;
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -26,6 +26,7 @@
 use crate::log::keyed::ConditionError;
 use crate::log::keyed::Keyed;
 use crate::log::keyed::Pair;
+use crate::log::keyed::Position;
 use crate::log::keyed::Record;
 
 /// Topic that contains the operator's configuration under [`CONFIG_KEY`].
@@ -129,18 +130,16 @@
             .read_timeout(RESPONSE_TIMEOUT + wait)
     }
 
-    /// Returns the newest era that a response has named; 0 before the first one.
-    pub fn newest_era(&self) -> Era {
-        self.newest_era.load(Ordering::Relaxed)
-    }
-
-    /// Records the era that a response names, and logs a newer one.
-    fn record_era(&self, response: &Response) {
-        let era = era(response);
+    /// Returns the era that a response names, 0 if it names none, and logs a newer one.
+    fn record_era(&self, response: &Response) -> Era {
+        let value = response.headers().get(header::STORE_ERA);
+        let text = value.and_then(|value| value.to_str().ok());
+        let era = text.and_then(|text| text.trim().parse().ok()).unwrap_or(0);
         let previous = self.newest_era.fetch_max(era, Ordering::Relaxed);
         if era > previous {
             info!(era = era, previous = previous, outcome = "newer-era"; "store names a newer era");
         }
+        era
     }
 
     fn append(
@@ -148,7 +147,7 @@
         topic: &str,
         content: &[u8],
         at: Option<Offset>,
-    ) -> Result<Offset, ConditionError> {
+    ) -> Result<Position, ConditionError> {
         let mut request = self
             .request(Method::POST, "log-append", Duration::ZERO)
             .param("topic", topic)
@@ -162,7 +161,7 @@
                 false => AppendError::Unknown(cause.to_string()),
             }
         })?;
-        self.record_era(&response);
+        let era = self.record_era(&response);
         let status = response.status();
         if STATUS_NOT_DONE.contains(&status.as_u16())
             || status.is_client_error() && status != STATUS_PRECONDITION_FAILED
@@ -179,16 +178,17 @@
             return Err(unknown(&format!("the store answered {status}")).into());
         }
         let appended: Appended = serde_json::from_slice(&body).map_err(|cause| unknown(&cause))?;
-        Ok(appended.offset)
+        Ok(Position::new(era, appended.offset))
     }
 
-    /// Reads contents from offset `from`; returns them and the offset after the last one.
+    /// Reads contents from offset `from`, which must exist in `era`; returns them.
     fn read(
         &self,
         topic: &str,
+        era: Era,
         from: Offset,
         wait: Duration,
-    ) -> Result<(Vec<Vec<u8>>, Offset), ChangesError> {
+    ) -> Result<Vec<Vec<u8>>, ChangesError> {
         let response = self
             .request(Method::GET, "log-read", wait)
             .param("topic", topic)
@@ -197,7 +197,14 @@
             .param("wait_ms", wait.as_millis())
             .send()
             .map_err(read_error)?;
-        self.record_era(&response);
+        let answered = self.record_era(&response);
+        if answered > era {
+            return Err(ChangesError::Restored(answered));
+        }
+        if answered < era {
+            let cause = format!("the store answered as of era {answered}, expected {era}");
+            return Err(ReadError(cause).into());
+        }
         let status = response.status();
         let body = read_body(response)?;
         if status == STATUS_GONE {
@@ -209,11 +216,14 @@
         }
         let contents = unframe(&body)
             .ok_or_else(|| ReadError(format!("records of `{topic}` are cut short")))?;
-        let next = from + contents.len() as Offset;
-        Ok((contents, next))
+        Ok(contents)
     }
 
-    fn newest_page(&self, topic: &str, after: Option<&str>) -> Result<NewestPage, ReadError> {
+    fn newest_page(
+        &self,
+        topic: &str,
+        after: Option<&str>,
+    ) -> Result<(NewestPage, Era), ReadError> {
         let mut request = self
             .request(Method::GET, "log-newest", Duration::ZERO)
             .param("topic", topic)
@@ -225,16 +235,17 @@
             .send()
             .and_then(Response::error_for_status)
             .map_err(read_error)?;
-        self.record_era(&response);
+        let era = self.record_era(&response);
         let body = read_body(response)?;
-        serde_json::from_slice(&body).map_err(read_error)
+        let page = serde_json::from_slice(&body).map_err(read_error)?;
+        Ok((page, era))
     }
 }
 
 impl Keyed for Store {
     fn newest(&self, topic: &str) -> Result<Changes, ReadError> {
-        let mut page = self.newest_page(topic, None)?;
-        let next = page.end_offset;
+        let (mut page, era) = self.newest_page(topic, None)?;
+        let next = Position::new(era, page.end_offset);
         let mut records = Vec::new();
         loop {
             let after = page.items.last().map(|item| item.key.clone());
@@ -247,40 +258,62 @@
                     value: Some(value),
                 });
             }
-            match after {
-                Some(after) if page.more => page = self.newest_page(topic, Some(&after))?,
-                _ => return Ok(Changes { records, next }),
+            let Some(after) = after.filter(|_| page.more) else {
+                return Ok(Changes { records, next });
+            };
+            let page_era;
+            (page, page_era) = self.newest_page(topic, Some(&after))?;
+            if page_era != era {
+                return Err(ReadError(format!(
+                    "the store was restored to era {page_era} while `{topic}` was read in era {era}"
+                )));
             }
         }
     }
 
-    fn changes(&self, topic: &str, from: Offset, wait: Duration) -> Result<Changes, ChangesError> {
-        let (contents, next) = self.read(topic, from, wait)?;
+    fn changes(
+        &self,
+        topic: &str,
+        from: Position,
+        wait: Duration,
+    ) -> Result<Changes, ChangesError> {
+        let (era, offset) = from.into_parts();
+        let contents = self.read(topic, era, offset, wait)?;
         let records = contents.iter().filter_map(|content| decode(content));
         Ok(Changes {
             records: records.collect(),
-            next,
+            next: Position::new(era, offset + contents.len() as Offset),
         })
     }
 
-    fn put(&self, topic: &str, record: Pair<'_>) -> Result<Offset, AppendError> {
+    fn put(&self, topic: &str, record: Pair<'_>) -> Result<Position, AppendError> {
         match self.append(topic, &encode(record), None) {
-            Ok(offset) => Ok(offset),
+            Ok(position) => Ok(position),
             Err(ConditionError::Append(error)) => Err(error),
             Err(moved @ ConditionError::Moved(_)) => Err(AppendError::Refused(moved.to_string())),
         }
     }
 
-    fn put_at(&self, topic: &str, record: Pair<'_>, at: Offset) -> Result<Offset, ConditionError> {
-        self.append(topic, &encode(record), Some(at))
+    fn put_at(
+        &self,
+        topic: &str,
+        record: Pair<'_>,
+        at: Position,
+    ) -> Result<Position, ConditionError> {
+        let (era, offset) = at.into_parts();
+        let written = self.append(topic, &encode(record), Some(offset))?;
+        match written.era() == era {
+            true => Ok(written),
+            false => Err(AppendError::Unknown(format!(
+                "the store was restored: the condition was read in era {era}, the record written at {written}"
+            ))
+            .into()),
+        }
     }
-}
 
-/// Returns the era that a response names; 0 if it names none.
-fn era(response: &Response) -> Era {
-    let value = response.headers().get(header::STORE_ERA);
-    let text = value.and_then(|value| value.to_str().ok());
-    text.and_then(|text| text.trim().parse().ok()).unwrap_or(0)
+    fn newest_era(&self) -> Era {
+        self.newest_era.load(Ordering::Relaxed)
+    }
 }
 
 /// Reads the body of a response, up to [`MAX_RESPONSE_BYTES`].
--- a/src/reassign/term.rs
+++ b/src/reassign/term.rs
@@ -15,6 +15,7 @@
 use crate::log::keyed::ConditionError;
 use crate::log::keyed::Keyed;
 use crate::log::keyed::Pair;
+use crate::log::keyed::Position;
 use crate::platform::store;
 
 /// Number of lease durations for which another host's record must be unchanged before it is
@@ -37,7 +38,7 @@
 #[derive(Debug)]
 struct LastRead {
     record: Option<Record>,
-    end: Offset,
+    end: Position,
     /// When the topic's end was first read at its current offset, as time since boot.
     unchanged_since: Duration,
 }
@@ -113,7 +114,8 @@
             value: &value,
         };
         match store.put_at(store::LEASE_TOPIC, pair, at) {
-            Ok(fencing_token) => {
+            Ok(position) => {
+                let (_, fencing_token) = position.into_parts();
                 let expires_at = now + self.lease.mul_f64(USABLE_SHARE);
                 info!(lease = fencing_token, holder:% = self.host, outcome = "taken"; "lease taken");
                 self.grant = Some(Grant {
@@ -187,7 +189,7 @@
 
     /// Returns the offset at which the topic must end for the lease to be acquired, or `None` if
     /// this host may not acquire it now.
-    fn acquirable_at(&self, now: Duration) -> Option<Offset> {
+    fn acquirable_at(&self, now: Duration) -> Option<Position> {
         let last_read = self.last_read.as_ref()?;
         let is_own = last_read.record.as_ref().is_none_or(|record| {
             record.holder == self.host && record.started_at == self.started_at
--- a/tests/decisions/share.rs
+++ b/tests/decisions/share.rs
@@ -6,8 +6,10 @@
 use pistachiohall::follow::reader::Reader;
 use pistachiohall::follow::reader::SegmentOutcome;
 use pistachiohall::follow::reader::Update;
+use pistachiohall::follow::share;
 use pistachiohall::follow::share::Schedule;
 use pistachiohall::follow::share::Segment;
+use pistachiohall::id::Era;
 use pistachiohall::id::Offset;
 use pistachiohall::log::AppendError;
 use pistachiohall::log::ReadError;
@@ -16,6 +18,7 @@
 use pistachiohall::log::keyed::ConditionError;
 use pistachiohall::log::keyed::Keyed;
 use pistachiohall::log::keyed::Pair;
+use pistachiohall::log::keyed::Position;
 use pistachiohall::log::keyed::Record;
 use rstest::rstest;
 
@@ -24,8 +27,16 @@
 const MAX_AGE: Duration = Duration::from_millis(1500);
 const TOPIC: &str = "keyed.servers";
 
-/// A store whose topic ends at this offset, with one record at each offset.
-struct EndingAt(Offset);
+/// Era of a store that was never restored.
+const ERA: Era = 1;
+
+/// A store in an era, whose topic ends at this offset, with one record at each offset.
+struct Ending(Era, Offset);
+
+/// Returns a store that was never restored, whose topic ends at `end`.
+fn ending_at(end: Offset) -> Ending {
+    Ending(ERA, end)
+}
 
 fn record(offset: Offset) -> Record {
     Record {
@@ -34,27 +45,30 @@
     }
 }
 
-impl Keyed for EndingAt {
+impl Keyed for Ending {
     fn newest(&self, _topic: &str) -> Result<Changes, ReadError> {
         Ok(Changes {
-            records: (0..self.0).map(record).collect(),
-            next: self.0,
+            records: (0..self.1).map(record).collect(),
+            next: Position::new(self.0, self.1),
         })
     }
 
     fn changes(
         &self,
         _topic: &str,
-        from: Offset,
+        from: Position,
         _wait: Duration,
     ) -> Result<Changes, ChangesError> {
+        let Some(from) = from.offset_in(self.0) else {
+            return Err(ChangesError::Restored(self.0));
+        };
         Ok(Changes {
-            records: (from..self.0).map(record).collect(),
-            next: self.0,
+            records: (from..self.1).map(record).collect(),
+            next: Position::new(self.0, self.1),
         })
     }
 
-    fn put(&self, _topic: &str, _record: Pair<'_>) -> Result<Offset, AppendError> {
+    fn put(&self, _topic: &str, _record: Pair<'_>) -> Result<Position, AppendError> {
         unreachable!("readers do not write")
     }
 
@@ -62,15 +76,20 @@
         &self,
         _topic: &str,
         _record: Pair<'_>,
-        _at: Offset,
-    ) -> Result<Offset, ConditionError> {
+        _at: Position,
+    ) -> Result<Position, ConditionError> {
         unreachable!("readers do not write")
     }
+
+    fn newest_era(&self) -> Era {
+        self.0
+    }
 }
 
 fn segment(from: Offset, next: Offset) -> Segment {
     Segment {
         topic: TOPIC,
+        era: ERA,
         from,
         next,
         records: Some((from..next).map(record).collect()),
@@ -79,7 +98,7 @@
 
 fn reader_at(next: Offset) -> Reader {
     let mut reader = Reader::new(TOPIC);
-    let read = reader.read(&EndingAt(next), Duration::ZERO).unwrap();
+    let read = reader.read(&ending_at(next), Duration::ZERO).unwrap();
     assert!(matches!(read, Update::Full(_)));
     reader
 }
@@ -91,12 +110,12 @@
         reader.apply(segment(5, 7)),
         SegmentOutcome::Next(vec![record(5), record(6)])
     );
-    assert_eq!(reader.next(), Some(7));
+    assert_eq!(reader.next(), Some(Position::new(ERA, 7)));
     assert_eq!(
         reader.apply(segment(7, 7)),
         SegmentOutcome::Next(Vec::new())
     );
-    let read = reader.read(&EndingAt(8), Duration::ZERO).unwrap();
+    let read = reader.read(&ending_at(8), Duration::ZERO).unwrap();
     assert_eq!(read, Update::Changes(vec![record(7)]));
 }
 
@@ -107,14 +126,14 @@
 fn incomplete_segments_require_a_read(#[case] segment: Segment) {
     let mut reader = reader_at(5);
     assert_eq!(reader.apply(segment), SegmentOutcome::Missing);
-    assert_eq!(reader.next(), Some(5));
+    assert_eq!(reader.next(), Some(Position::new(ERA, 5)));
 }
 
 #[test]
 fn segments_of_a_peer_that_is_behind_change_nothing() {
     let mut reader = reader_at(5);
     assert_eq!(reader.apply(segment(2, 4)), SegmentOutcome::Behind);
-    assert_eq!(reader.next(), Some(5));
+    assert_eq!(reader.next(), Some(Position::new(ERA, 5)));
 }
 
 #[test]
@@ -124,6 +143,102 @@
     assert_eq!(reader.next(), None);
 }
 
+/// Guards against records that are skipped: the same offset stands for another record after a restore.
+#[rstest]
+#[case::at_its_offset(5)]
+#[case::beyond_its_offset(9)]
+#[case::below_its_offset(2)]
+fn a_restored_store_is_read_in_full(#[case] end: Offset) {
+    let mut reader = reader_at(5);
+    let store = Ending(ERA + 1, end);
+    let read = reader.read(&store, Duration::ZERO).unwrap();
+    assert_eq!(read, Update::Outdated);
+    let read = reader.read_in_full(&store).unwrap();
+    assert_eq!(read, Update::Restored((0..end).map(record).collect()));
+    assert!(!reader.is_restored());
+    assert_eq!(reader.next(), Some(Position::new(ERA + 1, end)));
+    let read = reader.read(&store, Duration::ZERO).unwrap();
+    assert_eq!(read, Update::Changes(Vec::new()));
+}
+
+/// Guards against records of another history that are taken for known, for the next, or for old
+/// ones, and against a host that never reads in full what came before them.
+#[rstest]
+#[case::taken_for_known(3, 5)]
+#[case::taken_for_the_next(5, 7)]
+#[case::taken_for_old(1, 3)]
+fn a_segment_of_a_newer_era_is_applied_and_requires_a_full_read(
+    #[case] from: Offset,
+    #[case] next: Offset,
+) {
+    let mut reader = reader_at(5);
+    let newer = Segment {
+        era: ERA + 1,
+        ..segment(from, next)
+    };
+    let records = (from..next).map(record).collect();
+    assert_eq!(reader.apply(newer), SegmentOutcome::Restored(records));
+    assert!(reader.is_restored());
+    let store = Ending(ERA + 1, next + 1);
+    let read = reader.read(&store, Duration::ZERO).unwrap();
+    assert_eq!(read, Update::Changes(vec![record(next)]));
+    assert!(reader.is_restored(), "the records before are not known");
+    let read = reader.read_in_full(&store).unwrap();
+    assert!(matches!(read, Update::Restored(_)));
+    assert!(!reader.is_restored());
+}
+
+/// Guards against data from before a restore that counts as fresh, or is applied to what came after
+/// it.
+#[rstest]
+#[case::with_records(5, 7)]
+#[case::without_change(5, 5)]
+fn segments_of_an_older_era_change_nothing(#[case] from: Offset, #[case] next: Offset) {
+    let mut reader = Reader::new(TOPIC);
+    reader.read(&Ending(ERA + 1, 5), Duration::ZERO).unwrap();
+    assert_eq!(reader.apply(segment(from, next)), SegmentOutcome::Behind);
+    assert_eq!(reader.next(), Some(Position::new(ERA + 1, 5)));
+}
+
+/// Guards against a late response of the store from before a restore that a peer has reported.
+#[test]
+fn a_full_read_of_an_older_era_is_not_adopted() {
+    let mut reader = reader_at(5);
+    let newer = Segment {
+        era: ERA + 2,
+        ..segment(5, 6)
+    };
+    reader.apply(newer);
+    assert!(reader.read_in_full(&Ending(ERA + 1, 9)).is_err());
+    assert!(reader.is_restored());
+    assert!(reader.read_in_full(&Ending(ERA + 2, 9)).is_ok());
+}
+
+/// Guards against the load of all hosts that read everything at once after a restore: half of the
+/// calls that the store allows a second, and of the bytes.
+#[test]
+fn three_hundred_hosts_stay_below_the_limits_of_a_restored_store() {
+    const DOMAINS: u64 = 31;
+    const HOSTS_PER_DOMAIN: usize = 10;
+    const UPSTREAMS: usize = 12_000;
+    const PAGE_BYTES: u64 = 500 * 340;
+    const MAX_CALLS_PER_S: u64 = 1000;
+    const MAX_BYTES_PER_S: u64 = 60_000_000;
+    let pages = UPSTREAMS.div_ceil(500) as u64;
+    let delays = (0..HOSTS_PER_DOMAIN).map(|rank| share::full_read_delay(rank, UPSTREAMS));
+    let mut reads: Vec<Duration> = delays.collect();
+    reads.sort_unstable();
+    // A host reads its pages one after another, in less time than lies between two hosts.
+    let interval = reads[1] - reads[0];
+    let per_s = (DOMAINS * pages) as f64 / interval.as_secs_f64();
+    assert!(per_s <= MAX_CALLS_PER_S as f64, "{per_s} calls a second");
+    let bytes_per_s = per_s * PAGE_BYTES as f64;
+    assert!(
+        bytes_per_s <= MAX_BYTES_PER_S as f64,
+        "{bytes_per_s} bytes a second"
+    );
+}
+
 /// Simulates `hosts` of a domain for a minute, each of which reads the store when its schedule is
 /// due; returns the number of reads and the longest time between two of them. From the twentieth
 /// second on, the first `silent` hosts neither read nor send segments.
--- a/tests/decisions/term.rs
+++ b/tests/decisions/term.rs
@@ -6,6 +6,7 @@
 
 use pistachiohall::clock::Clock;
 use pistachiohall::clock::Mock;
+use pistachiohall::id::Era;
 use pistachiohall::id::Offset;
 use pistachiohall::log::AppendError;
 use pistachiohall::log::ReadError;
@@ -14,10 +15,13 @@
 use pistachiohall::log::keyed::ConditionError;
 use pistachiohall::log::keyed::Keyed;
 use pistachiohall::log::keyed::Pair;
+use pistachiohall::log::keyed::Position;
 use pistachiohall::log::keyed::Record;
 use pistachiohall::reassign::term::LeaseState;
 
 const LEASE: Duration = Duration::from_secs(3);
+/// Era of the store.
+const ERA: Era = 1;
 
 /// In-memory store of one key of one topic.
 #[derive(Default)]
@@ -31,40 +35,50 @@
         let state = self.state.lock().unwrap();
         Ok(Changes {
             records: state.0.iter().cloned().collect(),
-            next: state.1,
+            next: Position::new(ERA, state.1),
         })
     }
 
     fn changes(
         &self,
         _topic: &str,
-        _from: Offset,
+        _from: Position,
         _wait: Duration,
     ) -> Result<Changes, ChangesError> {
         Err(ChangesError::Gap(0))
     }
 
-    fn put(&self, topic: &str, record: Pair<'_>) -> Result<Offset, AppendError> {
+    fn put(&self, topic: &str, record: Pair<'_>) -> Result<Position, AppendError> {
         let end = self.state.lock().unwrap().1;
-        self.put_at(topic, record, end)
+        self.put_at(topic, record, Position::new(ERA, end))
             .map_err(|error| AppendError::Unknown(error.to_string()))
     }
 
-    fn put_at(&self, _topic: &str, record: Pair<'_>, at: Offset) -> Result<Offset, ConditionError> {
+    fn put_at(
+        &self,
+        _topic: &str,
+        record: Pair<'_>,
+        at: Position,
+    ) -> Result<Position, ConditionError> {
         let mut state = self.state.lock().unwrap();
-        if state.1 != at {
+        let (_, offset) = at.into_parts();
+        if state.1 != offset {
             return Err(ConditionError::Moved(state.1));
         }
         let record = Record {
             key: record.key.into(),
             value: Some(record.value.to_vec()),
         };
-        *state = (Some(record), at + 1);
+        *state = (Some(record), offset + 1);
         match *self.loses_responses.lock().unwrap() {
             true => Err(AppendError::Unknown("lost".into()).into()),
             false => Ok(at),
         }
     }
+
+    fn newest_era(&self) -> Era {
+        ERA
+    }
 }
 
 fn lease_state(host: &str) -> LeaseState {
--- a/tests/gateway/belief.rs
+++ b/tests/gateway/belief.rs
@@ -331,6 +331,7 @@
         sequence,
         segments: vec![gossip::Segment {
             topic: store::UPSTREAM_TOPIC.into(),
+            era: 1,
             from: end,
             next: end,
             ..gossip::Segment::default()
--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -98,7 +98,7 @@
     let before = site.replicas["c1"].received().len();
     restore(&site.store, &site.gateway, &copy, || ());
     site.gateway
-        .wait_line(&["topic=keyed.servers", "outcome=read-anew"]);
+        .wait_line(&["topic=keyed.servers", "outcome=restored"]);
     assert_reads_are_served(&site.gateway);
     thread::sleep(REWRITE_WINDOW);
     assert_reads_are_served(&site.gateway);
