Weigh the copy of the registry against what is known of the upstreams

After a restore, an upstream that had left got work again, since its entry in the copy says that it is ready; one that had started in the lost seconds was dropped although it lives, since its entry is missing.

Cause: a full read of the registry was taken for the newest state. The class: a copy is older than what was read before it was restored.

The fleet now remembers the last entry of each upstream that departed, and a full read ignores entries that are not newer by the upstream's own start time and count of writes. After a restore, missing entries have the time to be rewritten that they have after an outage, however short it was. A full read is no longer quadratic in the upstreams.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -25,9 +26,13 @@
 /// Minimum length of an outage in which entries expire: upstreams write theirs every 1.2 s, and the
 /// registry removes an entry three such intervals after it was last written.
 pub const MIN_EXPIRY_OUTAGE: Duration = Duration::from_millis(2400);
+/// Time for which the last entry of a removed upstream is remembered; longer than copies from which
+/// the registry is restored are old.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(300);
 
-/// Availability of an upstream for new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// Availability of an upstream for new work, in the order in which one incarnation passes through
+/// its states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum State {
     /// Takes work.
     Ready,
@@ -76,10 +81,31 @@
     use_until: Option<Instant>,
 }
 
+/// Last entry of an upstream that is not in use any more.
+#[derive(Debug, Clone)]
+struct Departure {
+    started_at: StartTime,
+    write_count: WriteCount,
+    state: State,
+    removed_at: Instant,
+}
+
+impl Departure {
+    /// Returns `true` if an entry was written before the upstream departed. Without write counts,
+    /// entries of one incarnation cannot be told apart.
+    fn includes(&self, entry: &Entry, write_count: WriteCount) -> bool {
+        entry.started_at < self.started_at
+            || (entry.started_at == self.started_at
+                && self.write_count > 0
+                && write_count <= self.write_count)
+    }
+}
+
 /// Last known upstreams, including those that stay in use after their entries expired.
 #[derive(Debug, Default)]
 pub struct Fleet {
     upstreams: BTreeMap<UpstreamId, Upstream>,
+    departures: BTreeMap<UpstreamId, Departure>,
     rewrite_until: Option<Instant>,
 }
 
@@ -94,6 +120,12 @@
         }
     }
 
+    /// Records that the registry was restored from a copy: entries written since the copy was made are
+    /// missing, however short the outage was, and live upstreams rewrite them.
+    pub fn record_restore(&mut self, now: Instant) {
+        self.rewrite_until = self.rewrite_until.max(Some(now + REWRITE_WINDOW));
+    }
+
     /// Applies the changes of one read, in order; returns the upstreams that stay in use for a
     /// while although their entries were removed.
     pub fn apply(&mut self, changes: Vec<Change>, now: Instant) -> Vec<UpstreamId> {
@@ -103,7 +135,7 @@
             match change {
                 Change::Written(entry, write_count) => self.write(entry, write_count),
                 Change::Removed(id) => {
-                    if self.remove(&id, use_until) {
+                    if self.remove(&id, use_until, now) {
                         kept.push(id);
                     }
                 }
@@ -112,25 +144,32 @@
         kept
     }
 
-    /// Applies a full list: entries that are not in it were removed. Returns the upstreams that
-    /// stay in use for a while although their entries were removed.
+    /// Applies a full list: entries that are not in it were removed, and those of upstreams that
+    /// departed after they were written are ignored. Returns the upstreams that stay in use for a
+    /// while although their entries were removed.
     pub fn replace(&mut self, entries: Vec<(Entry, WriteCount)>, now: Instant) -> Vec<UpstreamId> {
-        let removed: Vec<UpstreamId> = self
-            .upstreams
-            .keys()
-            .filter(|id| !entries.iter().any(|(entry, _)| entry.id == **id))
-            .cloned()
-            .collect();
-        let mut changes: Vec<Change> = removed.into_iter().map(Change::Removed).collect();
-        changes.extend(
-            entries
-                .into_iter()
-                .map(|(entry, write_count)| Change::Written(entry, write_count)),
-        );
+        self.departures.retain(|_, departure| {
+            now.saturating_duration_since(departure.removed_at) < DEPARTURE_MEMORY
+        });
+        let listed: HashSet<&UpstreamId> = entries.iter().map(|(entry, _)| &entry.id).collect();
+        let removed = self.upstreams.keys().filter(|id| !listed.contains(id));
+        let mut changes: Vec<Change> = removed.cloned().map(Change::Removed).collect();
+        for (mut entry, write_count) in entries {
+            if let Some(departure) = self.departures.get(&entry.id) {
+                if departure.includes(&entry, write_count) {
+                    continue;
+                }
+                if entry.started_at == departure.started_at {
+                    entry.state = departure.state.max(entry.state);
+                }
+            }
+            changes.push(Change::Written(entry, write_count));
+        }
         self.apply(changes, now)
     }
 
     fn write(&mut self, entry: Entry, write_count: WriteCount) {
+        self.departures.remove(&entry.id);
         let Some(upstream) = self.upstreams.get_mut(&entry.id) else {
             let id = entry.id.clone();
             let upstream = Upstream {
@@ -148,9 +187,8 @@
             return;
         }
         let mut entry = entry;
-        if entry.started_at == upstream.entry.started_at && upstream.entry.state == State::Draining
-        {
-            entry.state = State::Draining;
+        if entry.started_at == upstream.entry.started_at {
+            entry.state = upstream.entry.state.max(entry.state);
         }
         *upstream = Upstream {
             entry,
@@ -160,19 +198,32 @@
     }
 
     /// Removes an entry; returns `true` if the upstream stays in use for a while.
-    fn remove(&mut self, id: &UpstreamId, use_until: Option<Instant>) -> bool {
+    fn remove(&mut self, id: &UpstreamId, use_until: Option<Instant>, now: Instant) -> bool {
         match (self.upstreams.get_mut(id), use_until) {
             (Some(upstream), Some(until)) if upstream.entry.state == State::Ready => {
                 upstream.use_until.get_or_insert(until);
                 true
             }
             _ => {
-                self.upstreams.remove(id);
+                self.depart(id, now);
                 false
             }
         }
     }
 
+    /// Removes an upstream and remembers its last entry.
+    fn depart(&mut self, id: &UpstreamId, now: Instant) {
+        if let Some(upstream) = self.upstreams.remove(id) {
+            let departure = Departure {
+                started_at: upstream.entry.started_at,
+                write_count: upstream.write_count,
+                state: upstream.entry.state,
+                removed_at: now,
+            };
+            self.departures.insert(id.clone(), departure);
+        }
+    }
+
     /// Drops upstreams whose expired entries were not rewritten in time; returns their names.
     pub fn sweep(&mut self, now: Instant) -> Vec<UpstreamId> {
         let is_expired = |upstream: &Upstream| upstream.use_until.is_some_and(|until| until <= now);
@@ -183,7 +234,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
-            self.upstreams.remove(id);
+            self.depart(id, now);
         }
         expired
     }
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -120,6 +120,7 @@
     /// Plans the full read that a restore of the store requires. The hosts of a failure domain read
     /// one after another, and until then the records that others read are enough.
     fn plan_full_read(&mut self, rank: usize, now: Instant) {
+        self.fleet.record_restore(now);
         let delay = share::full_read_delay(rank, self.fleet.count());
         self.full_read_at.get_or_insert(now + delay);
     }
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -47,6 +47,87 @@
         .collect()
 }
 
+/// Guards against new work at an upstream that has left: the registry was restored from a copy in
+/// which its entry still says that it is ready.
+#[rstest]
+#[case::written_before_the_last_entry(1, 4, false)]
+#[case::the_last_entry(1, 5, false)]
+#[case::of_an_incarnation_before(0, 9, false)]
+#[case::written_since(1, 6, true)]
+#[case::of_the_next_incarnation(2, 0, true)]
+fn entries_from_before_a_departure_are_ignored(
+    #[case] started_at: u64,
+    #[case] write_count: u64,
+    #[case] is_used: bool,
+) {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"], now);
+    fleet.apply(vec![Change::Removed("a".into())], now);
+    fleet.record_restore(now);
+    let copy = vec![(entry("a", started_at), write_count), (entry("b", 1), 5)];
+    fleet.replace(copy, now);
+    assert_eq!(ids(&fleet).contains(&"a".to_owned()), is_used);
+}
+
+/// Guards against new work at an upstream that was draining when its entry was removed and that
+/// writes it once more.
+#[test]
+fn an_upstream_that_drained_before_its_departure_is_not_ready_after_a_restore() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a"], now);
+    fleet.apply(vec![Change::Written(draining("a", 1), 6)], now);
+    fleet.apply(vec![Change::Removed("a".into())], now);
+    fleet.record_restore(now);
+    fleet.replace(vec![(entry("a", 1), 7)], now);
+    assert_eq!(fleet.entries()[0].state, State::Draining);
+}
+
+/// Guards against the loss of a live upstream whose entry is missing in the copy, and against
+/// endless belief in one that is gone.
+#[rstest]
+#[case::written_again(true)]
+#[case::not_written_again(false)]
+fn an_entry_that_is_missing_in_the_copy_is_used_until_it_would_be_rewritten(
+    #[case] is_rewritten: bool,
+) {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"], now);
+    fleet.record_restore(now);
+    assert_eq!(fleet.replace(vec![(entry("b", 1), 3)], now), ["a"]);
+    assert_eq!(ids(&fleet), ["a", "b"]);
+    if is_rewritten {
+        fleet.apply(vec![Change::Written(entry("a", 1), 6)], now);
+    }
+    fleet.sweep(now + REWRITE_WINDOW);
+    assert_eq!(ids(&fleet).contains(&"a".to_owned()), is_rewritten);
+}
+
+/// Guards against upstreams without write counts that are never used again.
+#[test]
+fn an_entry_without_a_write_count_is_used_after_its_removal() {
+    let now = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.apply(vec![Change::Written(entry("a", 0), 0)], now);
+    fleet.apply(vec![Change::Removed("a".into())], now);
+    fleet.replace(vec![(entry("a", 0), 0)], now);
+    assert_eq!(ids(&fleet), ["a"]);
+}
+
+/// Guards against a full read whose time grows with the square of the upstreams.
+#[test]
+fn twelve_thousand_entries_are_replaced_within_a_second() {
+    let now = Instant::now();
+    let entries: Vec<(Entry, u64)> = (0..12_000)
+        .map(|number| (entry(&format!("i-{number}"), 1), 5))
+        .collect();
+    let mut fleet = Fleet::default();
+    fleet.replace(entries.clone(), now);
+    let started_at = Instant::now();
+    fleet.replace(entries, now);
+    let took = started_at.elapsed();
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
+
 #[test]
 fn a_removed_upstream_is_not_used_any_longer() {
     let now = Instant::now();
