Give out each fencing token once and wait for grants that a restored store lacks

Cause: the token was the offset of the lease's record, which is given out again, and a topic without a record was taken for a lease that nobody holds.

The token now contains the era above the offset. In a store that was restored, a record tells something of the holder only if this process has written in that era; otherwise a host waits for two lease durations from its first read of the era, as for another host's lease. An append whose condition was read in another era is not confirmed.

--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -5,8 +5,10 @@
 
 /// Position of a record in a stream of the platform's log.
 pub type Offset = u64;
-/// Number of times that the platform's store has been restored from a copy.
+/// Number that rises each time that the platform's store is restored from a copy.
 pub type Era = u64;
+/// Number that an order carries; engines refuse orders with a lower one than they have seen.
+pub type FencingToken = u64;
 /// Name of a host.
 pub type HostId = CompactString;
 /// Name of a failure domain.
--- a/src/platform/egress.rs
+++ b/src/platform/egress.rs
@@ -17,7 +17,7 @@
 use crate::gateway::exchange::Handle;
 use crate::gateway::exchange::Provenance;
 use crate::gateway::exchange::Stage;
-use crate::id::Offset;
+use crate::id::FencingToken;
 use crate::id::StartTime;
 use crate::id::UpstreamId;
 use crate::reassign::duty::Report;
@@ -287,7 +287,12 @@
 /// let body = egress::role_order("h1", 7, Role::Prefill, 2);
 /// assert!(body.contains("\"fence\":7"));
 /// ```
-pub fn role_order(holder: &str, fencing_token: Offset, role: Role, expected_orders: u64) -> String {
+pub fn role_order(
+    holder: &str,
+    fencing_token: FencingToken,
+    role: Role,
+    expected_orders: u64,
+) -> String {
     let stage = match role {
         Role::Prefill => "prefill",
         Role::Decode | Role::Mixed => "decode",
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -43,6 +43,8 @@
 pub const LEASE_TOPIC: &str = "keyed.lease";
 /// Key of the lease.
 pub const LEASE_KEY: &str = "orders";
+/// Era of a store that was never restored.
+pub const FIRST_ERA: Era = 1;
 
 /// Timeout for connecting; the round-trip time to the store is a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
--- a/src/reassign/term.rs
+++ b/src/reassign/term.rs
@@ -8,8 +8,9 @@
 use serde::Serialize;
 
 use crate::clock::Clock;
+use crate::id::Era;
+use crate::id::FencingToken;
 use crate::id::HostId;
-use crate::id::Offset;
 use crate::log::AppendError;
 use crate::log::ReadError;
 use crate::log::keyed::ConditionError;
@@ -23,6 +24,8 @@
 const TAKEOVER_LEASES: u32 = 2;
 /// Share of the lease in which its holder sends orders; the rest covers an order in transit.
 const USABLE_SHARE: f64 = 0.7;
+/// Number of bits of a fencing token below the era.
+const OFFSET_BITS: u32 = 32;
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Record {
@@ -39,15 +42,15 @@
 struct LastRead {
     record: Option<Record>,
     end: Position,
-    /// When the topic's end was first read at its current offset, as time since boot.
+    /// When the topic's end was first read at its current position, as time since boot.
     unchanged_since: Duration,
 }
 
 /// Lease that this host holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Grant {
-    /// Fencing token: the offset of the lease's record.
-    pub fencing_token: Offset,
+    /// Fencing token: the position of the lease's record.
+    pub fencing_token: FencingToken,
     /// Time since boot at which orders under the lease have to stop. It counts the time for which
     /// the machine is suspended, after which a host must not go on as if no time had passed.
     pub expires_at: Duration,
@@ -60,6 +63,8 @@
     started_at: u64,
     lease: Duration,
     renewal: u64,
+    /// Era of the store in which this process last tried to write the record.
+    written_in: Option<Era>,
     last_read: Option<LastRead>,
     grant: Option<Grant>,
 }
@@ -73,6 +78,7 @@
             started_at,
             lease,
             renewal: 0,
+            written_in: None,
             last_read: None,
             grant: None,
         }
@@ -103,6 +109,7 @@
         }
         let at = self.acquirable_at(now)?;
         self.renewal += 1;
+        self.written_in = Some(at.era());
         let record = Record {
             holder: self.host.clone(),
             started_at: self.started_at,
@@ -115,7 +122,7 @@
         };
         match store.put_at(store::LEASE_TOPIC, pair, at) {
             Ok(position) => {
-                let (_, fencing_token) = position.into_parts();
+                let fencing_token = fencing_token(position);
                 let expires_at = now + self.lease.mul_f64(USABLE_SHARE);
                 info!(lease = fencing_token, holder:% = self.host, outcome = "taken"; "lease taken");
                 self.grant = Some(Grant {
@@ -187,14 +194,29 @@
         Ok(())
     }
 
-    /// Returns the offset at which the topic must end for the lease to be acquired, or `None` if
+    /// Returns the position at which the topic must end for the lease to be acquired, or `None` if
     /// this host may not acquire it now.
+    ///
+    /// A store that was restored may lack the record of a lease that still holds. Its topic tells
+    /// something of the current holder only once a record was written since.
     fn acquirable_at(&self, now: Duration) -> Option<Position> {
         let last_read = self.last_read.as_ref()?;
-        let is_own = last_read.record.as_ref().is_none_or(|record| {
-            record.holder == self.host && record.started_at == self.started_at
-        });
+        let era = last_read.end.era();
+        let is_free = match &last_read.record {
+            None => era <= store::FIRST_ERA,
+            Some(record) => {
+                let is_own = record.holder == self.host && record.started_at == self.started_at;
+                is_own && self.written_in == Some(era)
+            }
+        };
         let unchanged_for = now.saturating_sub(last_read.unchanged_since);
-        (is_own || unchanged_for >= self.lease * TAKEOVER_LEASES).then_some(last_read.end)
+        (is_free || unchanged_for >= self.lease * TAKEOVER_LEASES).then_some(last_read.end)
     }
 }
+
+/// Returns the fencing token of the record at `position`: unlike its offset, which is given out again
+/// after a restore, it is higher than those of all records written before.
+fn fencing_token(position: Position) -> FencingToken {
+    let (era, offset) = position.into_parts();
+    (era.saturating_sub(store::FIRST_ERA) << OFFSET_BITS) + offset
+}
--- a/tests/decisions/term.rs
+++ b/tests/decisions/term.rs
@@ -17,25 +17,52 @@
 use pistachiohall::log::keyed::Pair;
 use pistachiohall::log::keyed::Position;
 use pistachiohall::log::keyed::Record;
+use pistachiohall::reassign::term::Grant;
 use pistachiohall::reassign::term::LeaseState;
+use rstest::rstest;
 
 const LEASE: Duration = Duration::from_secs(3);
-/// Era of the store.
-const ERA: Era = 1;
+/// State of the store: the newest record of the only key and the end of the topic.
+type State = (Option<Record>, Offset);
 
 /// In-memory store of one key of one topic.
-#[derive(Default)]
 struct InMemory {
-    state: Mutex<(Option<Record>, Offset)>,
+    state: Mutex<State>,
+    era: Mutex<Era>,
     loses_responses: Mutex<bool>,
 }
 
+impl Default for InMemory {
+    fn default() -> Self {
+        InMemory {
+            state: Mutex::default(),
+            era: Mutex::new(1),
+            loses_responses: Mutex::default(),
+        }
+    }
+}
+
+impl InMemory {
+    fn copy(&self) -> State {
+        self.state.lock().unwrap().clone()
+    }
+
+    fn restore(&self, copy: &State) {
+        *self.state.lock().unwrap() = copy.clone();
+        *self.era.lock().unwrap() += 1;
+    }
+
+    fn position(&self, offset: Offset) -> Position {
+        Position::new(*self.era.lock().unwrap(), offset)
+    }
+}
+
 impl Keyed for InMemory {
     fn newest(&self, _topic: &str) -> Result<Changes, ReadError> {
         let state = self.state.lock().unwrap();
         Ok(Changes {
             records: state.0.iter().cloned().collect(),
-            next: Position::new(ERA, state.1),
+            next: self.position(state.1),
         })
     }
 
@@ -50,7 +77,7 @@
 
     fn put(&self, topic: &str, record: Pair<'_>) -> Result<Position, AppendError> {
         let end = self.state.lock().unwrap().1;
-        self.put_at(topic, record, Position::new(ERA, end))
+        self.put_at(topic, record, self.position(end))
             .map_err(|error| AppendError::Unknown(error.to_string()))
     }
 
@@ -77,7 +104,7 @@
     }
 
     fn newest_era(&self) -> Era {
-        ERA
+        *self.era.lock().unwrap()
     }
 }
 
@@ -159,3 +186,78 @@
     let mut restarted = LeaseState::new("h1".into(), 2, LEASE);
     assert!(restarted.acquire(&clock, &store).is_none());
 }
+
+/// Guards against a fencing token that is given out twice: the offsets of lost records are given out
+/// again.
+#[test]
+fn tokens_rise_across_a_restore() {
+    let (clock, store) = (Mock::new(SystemTime::UNIX_EPOCH), InMemory::default());
+    let mut one = lease_state("h1");
+    let mut tokens = Vec::new();
+    for _ in 0..3 {
+        tokens.push(one.acquire(&clock, &store).unwrap().fencing_token);
+        clock.advance(LEASE);
+    }
+    for _ in 0..2 {
+        store.restore(&State::default());
+        clock.advance(LEASE);
+        let grant = acquire_in_time(&mut one, &clock, &store);
+        tokens.push(grant.fencing_token);
+    }
+    assert!(
+        tokens.is_sorted_by(|before, after| before < after),
+        "{tokens:?}"
+    );
+}
+
+fn acquire_in_time(state: &mut LeaseState, clock: &Mock, store: &InMemory) -> Grant {
+    for _ in 0..100 {
+        clock.advance(Duration::from_millis(100));
+        if let Some(grant) = state.acquire(clock, store) {
+            return grant;
+        }
+    }
+    panic!("the lease was not acquired within ten seconds");
+}
+
+/// Guards against orders of two hosts at once: the record of a grant that still runs is missing in
+/// the copy, or an older record there says that another host holds the lease.
+#[rstest]
+#[case::the_copy_has_no_record(0)]
+#[case::the_copy_has_a_record_of_the_other_host(1)]
+#[case::the_copy_has_the_last_record(2)]
+fn a_grant_that_a_restored_store_lacks_ends_before_another_begins(#[case] records: usize) {
+    let (clock, store) = (Mock::new(SystemTime::UNIX_EPOCH), InMemory::default());
+    let (mut one, mut other) = (lease_state("h1"), lease_state("h2"));
+    let mut copies = vec![store.copy()];
+    one.acquire(&clock, &store).unwrap();
+    copies.push(store.copy());
+    let mut grant = acquire_in_time(&mut other, &clock, &store);
+    copies.push(store.copy());
+    let mut holder = "h2";
+    store.restore(&copies[records]);
+    for _ in 0..200 {
+        for (name, state) in [("h1", &mut one), ("h2", &mut other)] {
+            let Some(next) = state.acquire(&clock, &store) else {
+                continue;
+            };
+            if next.fencing_token == grant.fencing_token {
+                continue;
+            }
+            assert!(next.fencing_token > grant.fencing_token);
+            let is_apart = clock.boot() >= grant.expires_at + LEASE;
+            assert!(name == holder || is_apart, "{name} after {holder}");
+            (grant, holder) = (next, name);
+        }
+        clock.advance(Duration::from_millis(100));
+    }
+    assert!(clock.boot() < grant.expires_at + LEASE, "nobody holds it");
+}
+
+/// Guards against a lease that nobody holds for long: the first host needs no delay in a store that was never
+/// restored.
+#[test]
+fn a_store_without_a_record_that_was_never_restored_gives_the_lease_at_once() {
+    let (clock, store) = (Mock::new(SystemTime::UNIX_EPOCH), InMemory::default());
+    assert!(lease_state("h1").acquire(&clock, &store).is_some());
+}
--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -5,6 +5,10 @@
 use std::time::Duration;
 
 use pistachiohall::fleet::REWRITE_WINDOW;
+use pistachiohall::log::AppendError;
+use pistachiohall::log::keyed::ConditionError;
+use pistachiohall::log::keyed::Keyed;
+use pistachiohall::log::keyed::Pair;
 use pistachiohall::platform::store;
 use pistachiohall::standin::fleet;
 use pistachiohall::standin::fleet::replica::Replica;
@@ -185,3 +189,24 @@
     started.wait_line(&["config=9", "outcome=in-force"]);
     assert_eq!(started.call("GET", "/read/a", "r", &[]).status, 404);
 }
+
+/// Guards against a lease under a condition of another history: an append that was under way during
+/// the restore finds the topic at the offset that it names.
+#[test]
+fn an_append_with_a_condition_of_an_older_era_is_not_confirmed() {
+    let store = Store::start().unwrap();
+    let copy = store.snapshot();
+    let client = store::Store::new(store.address());
+    let pair = Pair {
+        key: store::LEASE_KEY,
+        value: b"h1",
+    };
+    let end = client.newest(store::LEASE_TOPIC).unwrap().next;
+    store.restore(&copy);
+    let written = client.put_at(store::LEASE_TOPIC, pair, end);
+    let is_unknown = matches!(
+        written,
+        Err(ConditionError::Append(AppendError::Unknown(_)))
+    );
+    assert!(is_unknown, "{written:?}");
+}
