Write a host's entry again when it is missing in the store

After a restore, hosts that start don't find those whose entries were written in the lost seconds, and take too large a share of limits, retries and connections.

Cause: a host wrote its entry once, at its start, and believed it to be there.

A host now compares what it reads with its entry, and writes it again if it is missing or differs. It reads within three seconds of the first response that names a newer era; the hosts are spread over two seconds, so that 410 writes stay below the store's 400 a second.

--- a/src/follow/hosts.rs
+++ b/src/follow/hosts.rs
@@ -1,4 +1,5 @@
-//! Peer discovery: each host writes its address to the store when it starts.
+//! Peer discovery: each host writes its address to the store when it starts, and again when it is
+//! missing there.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,15 +14,19 @@
 
 use super::reader::Reader;
 use super::reader::Update;
+use super::share;
 use crate::clock::Clock;
 use crate::id::HostId;
 use crate::log::keyed::Keyed;
 use crate::log::keyed::Pair;
+use crate::log::keyed::Record;
 use crate::platform::store;
 
 /// Interval between reads. Peers that start later send datagrams first, so this only matters for
 /// hosts that no datagram reaches.
 const READ_INTERVAL: Duration = Duration::from_secs(30);
+/// Interval at which a host checks whether the store was restored.
+const ERA_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay after a failed read or write.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(700);
 /// Delay before the first read, in which hosts that start together write their entries.
@@ -30,7 +35,7 @@
 /// Hosts and the addresses at which peers reach them.
 pub type Hosts = Arc<Vec<(HostId, SocketAddr)>>;
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Entry {
     peer: SocketAddr,
     domain: CompactString,
@@ -53,7 +58,7 @@
     C: Clock,
     K: Keyed,
 {
-    write(local, clock, store);
+    write(local, "start", clock, store);
     clock.sleep(FIRST_READ_DELAY);
     let mut reader = Reader::new(store::HOST_TOPIC);
     let mut hosts: Vec<(HostId, SocketAddr)> = Vec::new();
@@ -66,6 +71,9 @@
             Ok(Update::Outdated) => (),
             Ok(update) => {
                 reader.record_success();
+                if lacks(&update, local) {
+                    write(local, "missing", clock, store);
+                }
                 for record in update.into_records() {
                     hosts.retain(|(host, _)| *host != record.key);
                     if let Some(address) =
@@ -75,7 +83,9 @@
                     }
                 }
                 sender.send_replace(Arc::new(hosts.clone()));
-                clock.sleep(READ_INTERVAL);
+                if sleep_unless_restored(READ_INTERVAL, &reader, clock, store) {
+                    clock.sleep(share::refresh_delay(&local.name));
+                }
             }
             Err(error) => {
                 reader.record_failure(&error);
@@ -85,16 +95,55 @@
     }
 }
 
-fn write<C, K>(local: &LocalHost, clock: &C, store: &K)
+/// Sleeps for `duration`; returns `true` as soon as the store has named a newer era than that of the
+/// last read.
+fn sleep_unless_restored<C, K>(duration: Duration, reader: &Reader, clock: &C, store: &K) -> bool
 where
     C: Clock,
     K: Keyed,
 {
-    let entry = Entry {
+    let until = clock.now() + duration;
+    while clock.now() < until {
+        if reader.is_older_than(store.newest_era()) {
+            return true;
+        }
+        clock.sleep(ERA_CHECK_INTERVAL);
+    }
+    false
+}
+
+/// Returns `true` if this host's entry is not the one that was read.
+fn lacks(update: &Update, local: &LocalHost) -> bool {
+    let is_own = |record: &&Record| record.key == local.name;
+    let is_current = |record: &Record| {
+        let value = record.value.as_deref();
+        value.and_then(|value| serde_json::from_slice(value).ok()) == Some(entry(local))
+    };
+    match update {
+        Update::Full(records) | Update::Restored(records) => {
+            !records.iter().find(is_own).is_some_and(is_current)
+        }
+        Update::Changes(records) => records
+            .iter()
+            .rfind(is_own)
+            .is_some_and(|record| !is_current(record)),
+        Update::Outdated => false,
+    }
+}
+
+fn entry(local: &LocalHost) -> Entry {
+    Entry {
         peer: local.peer,
         domain: local.domain.clone(),
-    };
-    let value = serde_json::to_vec(&entry).expect("an entry is JSON");
+    }
+}
+
+fn write<C, K>(local: &LocalHost, reason: &str, clock: &C, store: &K)
+where
+    C: Clock,
+    K: Keyed,
+{
+    let value = serde_json::to_vec(&entry(local)).expect("an entry is JSON");
     let pair = Pair {
         key: &local.name,
         value: &value,
@@ -107,7 +156,12 @@
         );
         clock.sleep(FAILURE_BACKOFF);
     }
-    info!(peer:% = local.peer, outcome = "entry-written"; "host entry written");
+    info!(
+        peer:% = local.peer,
+        reason:% = reason,
+        outcome = "entry-written";
+        "host entry written"
+    );
 }
 
 fn decode(host: &HostId, value: &[u8]) -> Option<SocketAddr> {
--- a/src/follow/reader.rs
+++ b/src/follow/reader.rs
@@ -200,6 +200,11 @@
         self.is_restored
     }
 
+    /// Returns `true` if the last read was of an era before `era`.
+    pub fn is_older_than(&self, era: Era) -> bool {
+        self.next.is_some_and(|next| next.era() < era)
+    }
+
     /// Returns the number of consecutive failed reads.
     pub fn failures(&self) -> u32 {
         self.failures
--- a/src/follow/share.rs
+++ b/src/follow/share.rs
@@ -19,8 +19,10 @@
 use log::debug;
 use tokio::sync::mpsc;
 
+use crate::gossip;
 use crate::gossip::DatagramId;
 use crate::id::Era;
+use crate::id::HostId;
 use crate::id::Offset;
 use crate::log::keyed::Position;
 use crate::log::keyed::Record;
@@ -60,6 +62,16 @@
     FULL_READ_INTERVAL * (rank * pages) as u32
 }
 
+/// Time over which the hosts read and write their own topics again after a restore of the store.
+const REFRESH_SPREAD: Duration = Duration::from_secs(2);
+
+/// Returns the delay after which a host reads and writes its own topics again after a restore of the
+/// store; the delays of all hosts are spread evenly.
+pub fn refresh_delay(host: &HostId) -> Duration {
+    let share = f64::from(gossip::digest(host)) / f64::from(u32::MAX);
+    REFRESH_SPREAD.mul_f64(share)
+}
+
 /// Consecutive records of a topic that one host read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Segment {
--- a/tests/decisions/share.rs
+++ b/tests/decisions/share.rs
@@ -239,6 +239,26 @@
     );
 }
 
+/// Guards against more writes than the store allows a second when all hosts write their entries again.
+#[test]
+fn hosts_refresh_their_entries_below_the_limit_of_the_store() {
+    const MAX_WRITES_PER_S: usize = 400;
+    let names = (0..410).map(|number| format!("front-derby-{number}"));
+    let mut delays: Vec<Duration> = names
+        .map(|name| share::refresh_delay(&name.into()))
+        .collect();
+    delays.sort_unstable();
+    let within_second = |from: &Duration| {
+        let until = *from + Duration::from_secs(1);
+        delays
+            .iter()
+            .filter(|at| (*from..until).contains(at))
+            .count()
+    };
+    let busiest = delays.iter().map(within_second).max();
+    assert!(busiest < Some(MAX_WRITES_PER_S), "{busiest:?}");
+}
+
 /// Simulates `hosts` of a domain for a minute, each of which reads the store when its schedule is
 /// due; returns the number of reads and the longest time between two of them. From the twentieth
 /// second on, the first `silent` hosts neither read nor send segments.
