Write a host's losses again when a restored store lacks them

After a restore and a restart of all hosts, requests that crash upstreams were forwarded again: their losses, written in the lost seconds, were gone, and each host compared with what it had written last.

--- a/src/follow/suspects.rs
+++ b/src/follow/suspects.rs
@@ -20,6 +20,7 @@
 
 use super::reader::Reader;
 use super::reader::Update;
+use super::share;
 use crate::clock;
 use crate::clock::Clock;
 use crate::id::Fingerprint;
@@ -106,6 +107,7 @@
         reader: Reader::new(store::SUSPECT_TOPIC),
         read_at: clock.now(),
         write_at: clock.now(),
+        refresh_at: None,
         pending: None,
         written: Vec::new(),
     };
@@ -120,6 +122,7 @@
         if worker.write_due().is_some_and(|due| due <= clock.now()) {
             worker.write(clock, store);
         }
+        worker.check_era(clock, store);
         if worker.read_due(ends.is_partial.load(Ordering::Relaxed)) <= clock.now() {
             worker.read(clock, store, &ends.messages);
         }
@@ -131,6 +134,8 @@
     reader: Reader,
     /// End of the last read, or earliest time of the first read or a retry.
     read_at: Instant,
+    /// Time of the read that a restore of the store requires.
+    refresh_at: Option<Instant>,
     /// Earliest time of the next write.
     write_at: Instant,
     pending: Option<Vec<StoredLoss>>,
@@ -146,7 +151,23 @@
 }
 
 impl Worker<'_> {
+    /// Plans a read if the store was restored: it may lack what this host has written.
+    fn check_era<C, K>(&mut self, clock: &C, store: &K)
+    where
+        C: Clock,
+        K: Keyed,
+    {
+        if self.refresh_at.is_none() && self.reader.is_older_than(store.newest_era()) {
+            self.refresh_at = Some(clock.now() + share::refresh_delay(self.host));
+        }
+    }
+
     fn read_due(&self, is_partial: bool) -> Instant {
+        let regular = self.regular_read_due(is_partial);
+        self.refresh_at.map_or(regular, |at| at.min(regular))
+    }
+
+    fn regular_read_due(&self, is_partial: bool) -> Instant {
         if self.reader.next().is_none() || self.reader.failures() > 0 {
             return self.read_at;
         }
@@ -235,6 +256,10 @@
         match update {
             Ok(Update::Outdated) => (),
             Ok(update) => {
+                if let Update::Restored(records) = &update {
+                    self.refresh_at = None;
+                    self.written = self.stored_by_this_host(records);
+                }
                 self.reader.record_success();
                 self.read_at = clock.now();
                 let now_ms = clock::wall_ms(clock);
@@ -246,10 +271,23 @@
             Err(error) => {
                 self.reader.record_failure(&error);
                 self.read_at = clock.now() + FAILURE_BACKOFF;
+                self.refresh_at = self.refresh_at.map(|_| self.read_at);
             }
         }
     }
 
+    /// Returns the losses that this host has stored, as they were read.
+    fn stored_by_this_host(
+        &self,
+        records: &[Record],
+    ) -> Vec<(Fingerprint, IncarnationDigest, bool)> {
+        let own = records.iter().find(|record| record.key == *self.host);
+        let value = own.and_then(|record| record.value.as_deref());
+        let entries: Option<Vec<StoredLoss>> =
+            value.and_then(|value| serde_json::from_slice(value).ok());
+        entries.map_or_else(Vec::new, |entries| summary(&entries))
+    }
+
     fn forward(&mut self, record: Record, now_ms: u64, messages: &Sender<Message>) {
         let Some(value) = record.value else {
             return;
