--- a/src/standin/fleet/mod.rs
+++ b/src/standin/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod endless;
 pub mod mortal;
+pub mod proxy;
 pub mod replica;
 pub mod store;
 pub mod wire;
--- a/tests/soak/proxy.rs
+++ b/src/standin/fleet/proxy.rs
@@ -48,7 +48,11 @@
 }
 
 impl Proxy {
-    /// Starts a proxy to `server` on a free port; its threads end with the test process.
+    /// Starts a proxy to `server` on a free port; its threads end with the process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be listened on.
     pub fn start(server: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
@@ -70,7 +74,7 @@
 
     /// Changes the link.
     pub fn set(&self, link: Link) {
-        *self.link.lock().unwrap() = link;
+        *self.link.lock().expect("link lock") = link;
     }
 }
 
@@ -87,7 +91,9 @@
 
 fn pass(mut from: &TcpStream, mut to: &TcpStream, link: &Mutex<Link>, way: Way) {
     // Without it a reset would be noticed only with the next byte.
-    from.set_read_timeout(Some(LOOK_TIME)).unwrap();
+    if from.set_read_timeout(Some(LOOK_TIME)).is_err() {
+        return reset(from);
+    }
     let mut buffer = [0; 16 * 1024];
     loop {
         let read = from.read(&mut buffer);
@@ -115,13 +121,13 @@
 }
 
 fn is_reset(link: &Mutex<Link>) -> bool {
-    *link.lock().unwrap() == Link::Reset
+    *link.lock().expect("link lock") == Link::Reset
 }
 
 /// Waits until bytes may pass; returns false if the connection is reset instead.
 fn wait_open(link: &Mutex<Link>, way: Way) -> bool {
     loop {
-        let now = *link.lock().unwrap();
+        let now = *link.lock().expect("link lock");
         match (now, way) {
             (Link::Sound, _)
             | (Link::NoRequests, Way::ToClient)
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -4,14 +4,13 @@
 
 use pistachiohall::standin::fleet::mortal::CrashBehavior;
 use pistachiohall::standin::fleet::mortal::CrashMode;
+use pistachiohall::standin::fleet::proxy::Link;
 use pistachiohall::standin::fleet::replica::Behavior;
 use pistachiohall::standin::fleet::store::Fault as StoreFault;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use super::proxy::Link;
-
 /// Time in which faults begin.
 const SPAN: Duration = Duration::from_millis(2500);
 /// Longest time that a fault lasts.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,7 +9,6 @@
 mod caller;
 mod check;
 mod fault;
-mod proxy;
 #[path = "../gateway/site.rs"]
 #[allow(dead_code, reason = "shared with the gateway tests")]
 mod site;
