Take over a newer configuration that peers serve

After a restore, a host that starts serves the older configuration of the copy until the operator writes the newer one again, though its peers serve that one; a failure domain that doesn't reach the store keeps an older one for as long.

Cause: a host asked its peers only while it had no configuration at all.

Datagrams now tell the sender's version.

--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::catalog::Catalog;
+use crate::catalog::Version;
 use crate::fleet::Entry;
 use crate::platform::config;
 
@@ -144,6 +145,12 @@
         });
     }
 
+    /// Returns the version of the active configuration; 0 if there is none.
+    pub fn config_version(&self) -> Version {
+        let view = self.view.lock().expect("view lock");
+        view.catalog.as_ref().map_or(0, |catalog| catalog.version())
+    }
+
     /// Returns `true` if a configuration is active.
     pub fn has_catalog(&self) -> bool {
         self.view.lock().expect("view lock").catalog.is_some()
--- a/src/gateway/bootstrap.rs
+++ b/src/gateway/bootstrap.rs
@@ -1,5 +1,5 @@
-//! Startup while the store cannot be read: peers send their views of the configuration and the
-//! upstreams.
+//! Views of peers: a host that starts while the store cannot be read takes over the configuration and
+//! the upstreams, and one that cannot read a newer configuration takes that over.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,7 +31,9 @@
 use crate::follow::ViewPublisher;
 
 /// Path at which peers get this host's view.
-const PATH: &str = "/belief";
+const VIEW_PATH: &str = "/belief";
+/// Path at which peers get this host's configuration.
+const CONFIG_PATH: &str = "/configuration";
 /// Time to wait for the store before peers are asked.
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval between two queries.
@@ -54,12 +56,16 @@
 /// Answers a peer's query for this host's view.
 pub fn serve_view(gateway: &Gateway, request: &Request<Incoming>) -> Reply {
     let view = gateway.view();
-    if request.uri().path() != PATH {
-        return reply::own(StatusCode::NOT_FOUND, "only beliefs are told here");
+    let path = request.uri().path();
+    if ![VIEW_PATH, CONFIG_PATH].contains(&path) {
+        return reply::own(StatusCode::NOT_FOUND, "only views are served here");
     }
     if !view.has_registry || view.catalog.is_none() {
         return reply::own(StatusCode::SERVICE_UNAVAILABLE, "nothing is known here");
     }
+    if path == CONFIG_PATH {
+        return reply::own(StatusCode::OK, &String::from_utf8_lossy(&view.config));
+    }
     let view = PeerView {
         config: String::from_utf8_lossy(&view.config).into_owned(),
         entries: gateway.entries(),
@@ -75,34 +81,68 @@
     time::sleep(STORE_TIMEOUT).await;
     while !gateway.has_config_and_upstreams() {
         if let Some(peer) = gateway.last_peer() {
-            match time::timeout(QUERY_TIMEOUT, query(peer)).await {
-                Ok(Ok(view)) => {
+            match query_view(peer).await {
+                Ok(view) => {
                     views.adopt(view.config.into_bytes(), "peer");
                     views.adopt_entries(view.entries);
                 }
-                Ok(Err(cause)) => info!(
+                Err(cause) => info!(
                     peer:% = peer,
                     outcome = "no-belief",
                     cause:% = cause;
                     "peer sent no view"
                 ),
-                Err(_) => info!(
-                    peer:% = peer,
-                    outcome = "no-belief",
-                    cause = "no answer in time";
-                    "peer sent no view"
-                ),
             }
         }
         time::sleep(QUERY_INTERVAL).await;
     }
 }
 
-async fn query(peer: SocketAddr) -> Result<PeerView> {
+/// Queries a peer that announces a newer configuration which this host doesn't read from the store;
+/// never returns.
+pub async fn follow_peers(gateway: Rc<Gateway>, views: Arc<ViewPublisher>) {
+    loop {
+        time::sleep(QUERY_INTERVAL).await;
+        let own = gateway.config_version();
+        let source = gateway.announcement.borrow().source(own, Instant::now());
+        let Some(peer) = source else {
+            continue;
+        };
+        match query(peer, CONFIG_PATH).await {
+            Ok(config) => {
+                views.adopt(config.to_vec(), "peer");
+                if views.config_version() <= own {
+                    gateway.announcement.borrow_mut().withdraw();
+                }
+            }
+            Err(cause) => info!(
+                peer:% = peer,
+                config = own,
+                outcome = "no-configuration",
+                cause:% = cause;
+                "peer sent no configuration"
+            ),
+        }
+    }
+}
+
+async fn query_view(peer: SocketAddr) -> Result<PeerView> {
+    let body = query(peer, VIEW_PATH).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+/// Returns the response of a peer to a query, which has to come in time.
+async fn query(peer: SocketAddr, path: &'static str) -> Result<Bytes> {
+    time::timeout(QUERY_TIMEOUT, send_query(peer, path))
+        .await
+        .context("no answer in time")?
+}
+
+async fn send_query(peer: SocketAddr, path: &'static str) -> Result<Bytes> {
     let until = Instant::now() + QUERY_TIMEOUT;
     let mut connection = Pool::new(peer).get(false, 1, until).await?;
     let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = Uri::from_static(PATH);
+    *request.uri_mut() = Uri::from_static(path);
     let host = peer
         .to_string()
         .parse()
@@ -116,5 +156,5 @@
         .collect()
         .await
         .map_err(|cause| anyhow::anyhow!("cannot read the peer's response: {cause}"))?;
-    Ok(serde_json::from_slice(&body.to_bytes())?)
+    Ok(body.to_bytes())
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod limits;
 pub mod listen;
 pub mod metrics;
+pub mod newer;
 pub mod open;
 pub mod peers;
 pub mod place;
@@ -46,6 +47,7 @@
 use crate::availability::Incarnations;
 use crate::availability::Unavailability;
 use crate::catalog::Catalog;
+use crate::catalog::Version;
 use crate::fleet::Entry;
 use crate::follow::View;
 use crate::gossip;
@@ -61,6 +63,7 @@
 use self::belief::AgeObserver;
 use self::doubt::UnreachabilityReports;
 use self::limits::SharingHosts;
+use self::newer::Announcement;
 use self::record::Metrics;
 use self::target::Target;
 
@@ -109,6 +112,8 @@
     is_leaving: Cell<bool>,
     last_request: Cell<Option<Instant>>,
     last_peer: Cell<Option<SocketAddr>>,
+    /// Newest configuration that a peer has announced.
+    pub announcement: RefCell<Announcement>,
     view: RefCell<Arc<View>>,
     targets: RefCell<BTreeMap<UpstreamId, Rc<Target>>>,
     upstreams_by_incarnation: RefCell<HashMap<IncarnationDigest, UpstreamId>>,
@@ -141,6 +146,7 @@
             is_leaving: Cell::default(),
             last_request: Cell::default(),
             last_peer: Cell::default(),
+            announcement: RefCell::default(),
             view: RefCell::default(),
             targets: RefCell::default(),
             upstreams_by_incarnation: RefCell::default(),
@@ -190,6 +196,12 @@
         self.view.borrow().catalog.clone()
     }
 
+    /// Returns the version of the active configuration; 0 if there is none.
+    pub fn config_version(&self) -> Version {
+        let view = self.view.borrow();
+        view.catalog.as_ref().map_or(0, |catalog| catalog.version())
+    }
+
     /// Sets the number of hosts that share budgets, including this one.
     pub fn set_host_count(&self, hosts: usize) {
         if self.host_count.replace(hosts) != hosts {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -211,6 +211,7 @@
             loads: self.loads.clone(),
             pending_changes: self.pending_changes.clone(),
             unreachable: self.unreachable.clone(),
+            config_version: gateway.config_version(),
             ..Datagram::default()
         }
     }
@@ -421,6 +422,8 @@
     };
     let now = Instant::now();
     gateway.record_peer(from);
+    let mut announcement = gateway.announcement.borrow_mut();
+    announcement.record(from, datagram.config_version, now);
     let known = peers.count_known();
     let is_newest = peers.record(&datagram, from, now);
     if peers.count_known() != known {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -230,7 +230,11 @@
         store,
         persist,
     ));
-    task::spawn_local(bootstrap::query_peers(Rc::clone(&gateway), views));
+    task::spawn_local(bootstrap::query_peers(
+        Rc::clone(&gateway),
+        Arc::clone(&views),
+    ));
+    task::spawn_local(bootstrap::follow_peers(Rc::clone(&gateway), views));
     let (phase, connections) = start_listening(&gateway, callers, balancer);
     serve_views(&gateway, TcpListener::from_std(queries)?);
     while let Some(Command::Reload) = commands.recv().await {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -298,6 +298,9 @@
     /// Some of the suspects, in rotation.
     #[prost(message, repeated, tag = "6")]
     pub suspects: Vec<Suspect>,
+    /// Version of the sender's configuration; 0 if it has none.
+    #[prost(uint64, tag = "12")]
+    pub config_version: u64,
 }
 
 /// Returns the interval after a datagram of `bytes` to each of `peers`.
--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -11,6 +11,8 @@
 use pistachiohall::log::keyed::Pair;
 use pistachiohall::platform::store;
 use pistachiohall::standin::fleet;
+use pistachiohall::standin::fleet::proxy::Link;
+use pistachiohall::standin::fleet::proxy::Proxy;
 use pistachiohall::standin::fleet::replica::Replica;
 use pistachiohall::standin::fleet::store::Fault;
 use pistachiohall::standin::fleet::store::Snapshot;
@@ -210,3 +212,18 @@
     );
     assert!(is_unknown, "{written:?}");
 }
+
+/// Guards against a host that keeps an older configuration while its peers serve a newer one: no host
+/// of its failure domain reaches the store.
+#[test]
+fn a_host_that_is_cut_off_from_the_store_adopts_the_configuration_of_its_peers() {
+    let site = Site::desks(&["c1"]);
+    let link = Proxy::start(site.store.address()).unwrap();
+    let cut_off = Gateway::start_in("leicester", "h2", link.address(), NO_ORDERS);
+    cut_off.wait_ready();
+    cut_off.wait_line(&["peers=1"]);
+    link.set(Link::Reset);
+    cut_off.wait_line(&["topic=keyed.op", "outcome=lost"]);
+    site.store.put_config(&without_read(9));
+    cut_off.wait_line(&["config=9", "source=peer"]);
+}
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -37,6 +37,8 @@
     ("Pistachiohall-Token-Count", "200,4"),
     ("Pistachiohall-Prompt-Prefix", "a1:50,b2:30,c3:120"),
 ];
+/// Failure domain of gateways that name none.
+const DOMAIN: &str = "derby";
 /// Interval between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -62,6 +64,7 @@
 /// Gateway in a separate process, which is killed when this is dropped.
 pub struct Gateway {
     child: Child,
+    domain: String,
     addresses: HashMap<String, SocketAddr>,
     settings: PathBuf,
     /// Address at which peers reach it, also after a restart. No other process uses it: on a shared
@@ -90,11 +93,20 @@
 impl Gateway {
     /// Starts a gateway; `more` is added to its settings.
     pub fn start(name: &str, store: SocketAddr, more: &str) -> Self {
+        Gateway::start_in(DOMAIN, name, store, more)
+    }
+
+    /// Starts a gateway in a failure domain; `more` is added to its settings.
+    pub fn start_in(domain: &str, name: &str, store: SocketAddr, more: &str) -> Self {
         let unique = uuid::Uuid::now_v7();
         let settings = std::env::temp_dir().join(format!("{name}-{unique}.ini"));
         let peer_ip = unique_ip();
         let mut gateway = Gateway {
-            child: spawn(&settings, &settings_text(name, store, peer_ip, more)),
+            child: spawn(
+                &settings,
+                &settings_text(domain, name, store, peer_ip, more),
+            ),
+            domain: domain.into(),
             addresses: HashMap::new(),
             settings,
             peer_ip,
@@ -188,7 +200,7 @@
 
     /// Replaces the settings file.
     pub fn rewrite(&self, name: &str, store: SocketAddr, more: &str) {
-        let text = settings_text(name, store, self.peer_ip, more);
+        let text = settings_text(&self.domain, name, store, self.peer_ip, more);
         std::fs::write(&self.settings, text).unwrap();
     }
 
@@ -233,9 +245,15 @@
     Ipv4Addr::new(127, 64 + high % 128, low, number)
 }
 
-fn settings_text(name: &str, store: SocketAddr, peer_ip: Ipv4Addr, more: &str) -> String {
+fn settings_text(
+    domain: &str,
+    name: &str,
+    store: SocketAddr,
+    peer_ip: Ipv4Addr,
+    more: &str,
+) -> String {
     format!(
-        "[gateway]\nname = {name}\ndomain = derby\nlisten = 127.0.0.1:0\n\
+        "[gateway]\nname = {name}\ndomain = {domain}\nlisten = 127.0.0.1:0\n\
          ready_listen = 127.0.0.1:0\npeer_listen = {peer_ip}:0\nmetrics_listen = 127.0.0.1:0\n\
          store = {store}\n{more}"
     )
