Read a page of the store past an item that is no record

A host that starts never became ready while the page of the newest records had one bad item: a value that isn't base64, a missing or odd key, bytes that are no text, or a deeply nested value. A running one stopped following after a gap.

Cause: a page was decoded as a whole.

Each item is now decoded by itself, and a bad one is logged and ignored.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,7 +14,9 @@
 use base64::engine::general_purpose::STANDARD;
 use compact_str::CompactString;
 use log::info;
+use log::warn;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use super::header;
 use crate::id::Era;
@@ -76,8 +78,10 @@
 }
 
 #[derive(Deserialize)]
-struct NewestPage {
-    items: Vec<NewestItem>,
+struct NewestPage<'a> {
+    /// Items as they stand: one that cannot be decoded must not hide the others.
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
     more: bool,
     /// Offset after the topic's last record when the page was created.
     end_offset: Offset,
@@ -90,6 +94,42 @@
     value: String,
 }
 
+impl NewestItem {
+    /// Decodes an item; `None` if it is no record.
+    fn decode(topic: &str, item: &RawValue) -> Option<Record> {
+        let decoded = serde_json::from_str::<NewestItem>(item.get())
+            .map_err(|cause| cause.to_string())
+            .and_then(|item| match STANDARD.decode(&item.value) {
+                Ok(value) => Ok(Record {
+                    key: item.key,
+                    value: Some(value),
+                }),
+                Err(cause) => Err(format!("the value of `{}`: {cause}", item.key)),
+            });
+        match decoded {
+            Ok(record) => Some(record),
+            Err(cause) => {
+                warn!(
+                    topic:% = topic,
+                    entry = "unreadable",
+                    outcome = "ignored",
+                    cause:% = cause;
+                    "item unreadable"
+                );
+                None
+            }
+        }
+    }
+}
+
+/// Decoded page of the newest records.
+struct Page {
+    records: Vec<Record>,
+    /// Whether another page follows.
+    has_more: bool,
+    end: Position,
+}
+
 #[derive(Deserialize)]
 struct Appended {
     offset: Offset,
@@ -221,11 +261,7 @@
         Ok(contents)
     }
 
-    fn newest_page(
-        &self,
-        topic: &str,
-        after: Option<&str>,
-    ) -> Result<(NewestPage, Era), ReadError> {
+    fn newest_page(&self, topic: &str, after: Option<&str>) -> Result<Page, ReadError> {
         let mut request = self
             .request(Method::GET, "log-newest", Duration::ZERO)
             .param("topic", topic)
@@ -239,35 +275,38 @@
             .map_err(read_error)?;
         let era = self.record_era(&response);
         let body = read_body(response)?;
-        let page = serde_json::from_slice(&body).map_err(read_error)?;
-        Ok((page, era))
+        let text = String::from_utf8_lossy(&body);
+        let page: NewestPage<'_> = serde_json::from_str(&text).map_err(read_error)?;
+        let records = page.items.into_iter();
+        Ok(Page {
+            records: records
+                .filter_map(|item| NewestItem::decode(topic, item))
+                .collect(),
+            has_more: page.more,
+            end: Position::new(era, page.end_offset),
+        })
     }
 }
 
 impl Keyed for Store {
     fn newest(&self, topic: &str) -> Result<Changes, ReadError> {
-        let (mut page, era) = self.newest_page(topic, None)?;
-        let next = Position::new(era, page.end_offset);
+        let mut page = self.newest_page(topic, None)?;
+        let next = page.end;
         let mut records = Vec::new();
         loop {
-            let after = page.items.last().map(|item| item.key.clone());
-            for item in page.items {
-                let value = STANDARD
-                    .decode(&item.value)
-                    .map_err(|cause| ReadError(format!("the value of `{}`: {cause}", item.key)))?;
-                records.push(Record {
-                    key: item.key,
-                    value: Some(value),
-                });
-            }
-            let Some(after) = after.filter(|_| page.more) else {
+            let after = page.records.last().map(|record| record.key.clone());
+            records.append(&mut page.records);
+            if !page.has_more {
                 return Ok(Changes { records, next });
-            };
-            let page_era;
-            (page, page_era) = self.newest_page(topic, Some(&after))?;
-            if page_era != era {
+            }
+            let after = after.ok_or_else(|| {
+                ReadError(format!("a page of `{topic}` has no key to continue after"))
+            })?;
+            page = self.newest_page(topic, Some(&after))?;
+            if page.end.era() != next.era() {
                 return Err(ReadError(format!(
-                    "the store was restored to era {page_era} while `{topic}` was read in era {era}"
+                    "the store was restored while `{topic}` was read: {} after {next}",
+                    page.end
                 )));
             }
         }
@@ -375,7 +414,7 @@
     let key = match std::str::from_utf8(key) {
         Ok(key) => CompactString::from(key),
         Err(cause) => {
-            log::warn!(cause:% = cause; "record dropped: its key is not UTF-8");
+            warn!(cause:% = cause; "record dropped: its key is not UTF-8");
             return None;
         }
     };
--- a/src/standin/fleet/store.rs
+++ b/src/standin/fleet/store.rs
@@ -73,6 +73,8 @@
     topics: HashMap<String, Topic>,
     trouble: Fault,
     calls: u64,
+    /// Items of other writers in the pages of the newest records, as they stand there.
+    odd_items: HashMap<String, Vec<Vec<u8>>>,
     /// Era that all answers name; `None` if they name none.
     era: Option<u64>,
 }
@@ -132,6 +134,13 @@
         self.shared.changed.notify_all();
     }
 
+    /// Lists an item as it stands, whatever it is, before the newest records of a topic.
+    pub fn list_odd_item(&self, topic: &str, item: &[u8]) {
+        let mut state = self.shared.state.lock().expect("store lock");
+        let items = state.odd_items.entry(topic.into()).or_default();
+        items.push(item.to_vec());
+    }
+
     /// Names no era in its answers from now on.
     pub fn hide_era(&self) {
         self.shared.state.lock().expect("store lock").era = None;
@@ -254,20 +263,29 @@
         ("GET", "/v1/log-read") => read(shared, &topic, request, stream),
         ("GET", "/v1/log-newest") => {
             let (body, era) = newest(shared, &topic);
-            answer(stream, 200, &body, era)
+            answer_bytes(stream, 200, &body, era)
         }
         _ => answer(stream, 404, &json!({}), era),
     }
 }
 
 fn answer(stream: &mut TcpStream, status: u16, body: &Value, era: Option<u64>) -> io::Result<Next> {
+    answer_bytes(stream, status, body.to_string().as_bytes(), era)
+}
+
+fn answer_bytes(
+    stream: &mut TcpStream,
+    status: u16,
+    body: &[u8],
+    era: Option<u64>,
+) -> io::Result<Next> {
     let era = era.map(|era| era.to_string());
     let era = era.iter().map(|era| (ERA_FIELD, era.as_str()));
     let fields: Vec<(&str, &str)> = [("Content-Type", "application/json")]
         .into_iter()
         .chain(era)
         .collect();
-    wire::answer(stream, status, &fields, body.to_string().as_bytes())?;
+    wire::answer(stream, status, &fields, body)?;
     Ok(Next::Keep)
 }
 
@@ -295,17 +313,20 @@
     (200, body, era)
 }
 
-fn newest(shared: &Shared, name: &str) -> (Value, Option<u64>) {
+fn newest(shared: &Shared, name: &str) -> (Vec<u8>, Option<u64>) {
     let state = shared.state.lock().expect("store lock");
-    let Some(topic) = state.topics.get(name) else {
-        let body = json!({"items": [], "more": false, "end_offset": 0});
-        return (body, state.era);
-    };
+    let empty = Topic::default();
+    let topic = state.topics.get(name).unwrap_or(&empty);
     let items = topic.newest.iter().map(|(key, (offset, value))| {
         json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
+            .to_string()
+            .into_bytes()
     });
-    let items: Vec<Value> = items.collect();
-    let body = json!({"items": items, "more": false, "end_offset": topic.end()});
+    let odd_items = state.odd_items.get(name).into_iter().flatten().cloned();
+    let items: Vec<Vec<u8>> = odd_items.chain(items).collect();
+    let mut body = b"{\"items\": [".to_vec();
+    body.extend(items.join(&b','));
+    body.extend(format!("], \"more\": false, \"end_offset\": {}}}", topic.end()).into_bytes());
     (body, state.era)
 }
 
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod limit;
 mod model;
 mod notice;
+mod odd_entries;
 mod plain;
 mod restored;
 
