Wait for lost leases from the moment at which a host learns of a restore

They are now counted from the first response of the store, on any topic, that names the era; another host's record is waited for as before.

a_host_that_has_known_of_a_restore_acquires_the_lease_at_once is new.

--- a/src/reassign/duty.rs
+++ b/src/reassign/duty.rs
@@ -134,6 +134,7 @@
         K: Keyed,
     {
         let now = clock.now();
+        self.lease.record_era(store.newest_era(), clock.boot());
         self.remove_finished(&view.entries, now);
         let changes = self.wanted_changes(view, constraints);
         if changes.is_empty() {
--- a/src/reassign/term.rs
+++ b/src/reassign/term.rs
@@ -65,6 +65,8 @@
     renewal: u64,
     /// Era of the store in which this process last tried to write the record.
     written_in: Option<Era>,
+    /// Newest era of the store, and when this process learned of it, as time since boot.
+    era: (Era, Duration),
     last_read: Option<LastRead>,
     grant: Option<Grant>,
 }
@@ -79,6 +81,7 @@
             lease,
             renewal: 0,
             written_in: None,
+            era: (0, Duration::ZERO),
             last_read: None,
             grant: None,
         }
@@ -92,13 +95,16 @@
         K: Keyed,
     {
         let now = clock.boot();
+        self.record_era(store.newest_era(), now);
         if let Some(grant) = self.grant
             && now < grant.expires_at
         {
             return Some(grant);
         }
         self.grant = None;
-        if let Err(error) = self.read_record(now, store) {
+        let read = self.read_record(now, store);
+        self.record_era(store.newest_era(), now);
+        if let Err(error) = read {
             warn!(
                 dependency = "store",
                 topic:% = store::LEASE_TOPIC,
@@ -153,6 +159,14 @@
         self.grant
     }
 
+    /// Records the era that the store has named at `now`, as time since boot. A host that knows early
+    /// of a restore has to wait less when it needs the lease.
+    pub fn record_era(&mut self, era: Era, now: Duration) {
+        if era > self.era.0 {
+            self.era = (era, now);
+        }
+    }
+
     /// Releases the lease, for example after an engine refused its fencing token.
     pub fn release(&mut self) {
         self.grant = None;
@@ -194,23 +208,29 @@
         Ok(())
     }
 
+    fn is_own(&self, record: &Record) -> bool {
+        record.holder == self.host && record.started_at == self.started_at
+    }
+
     /// Returns the position at which the topic must end for the lease to be acquired, or `None` if
     /// this host may not acquire it now.
     ///
-    /// A store that was restored may lack the record of a lease that still holds. Its topic tells
-    /// something of the current holder only once a record was written since.
+    /// A store that was restored may lack the record of a lease that still holds, so that no record or
+    /// one that this process wrote before proves nothing for as long as such a lease lasts.
     fn acquirable_at(&self, now: Duration) -> Option<Position> {
         let last_read = self.last_read.as_ref()?;
         let era = last_read.end.era();
+        let takeover_delay = self.lease * TAKEOVER_LEASES;
+        let has_lost_lease_ended = || now.saturating_sub(self.era.1) >= takeover_delay;
         let is_free = match &last_read.record {
-            None => era <= store::FIRST_ERA,
-            Some(record) => {
-                let is_own = record.holder == self.host && record.started_at == self.started_at;
-                is_own && self.written_in == Some(era)
+            None => era <= store::FIRST_ERA || has_lost_lease_ended(),
+            Some(record) if self.is_own(record) => {
+                self.written_in == Some(era) || has_lost_lease_ended()
             }
+            Some(_) => now.saturating_sub(last_read.unchanged_since) >= takeover_delay,
         };
-        let unchanged_for = now.saturating_sub(last_read.unchanged_since);
-        (is_free || unchanged_for >= self.lease * TAKEOVER_LEASES).then_some(last_read.end)
+        let is_late = era < self.era.0;
+        (is_free && !is_late).then_some(last_read.end)
     }
 }
 
--- a/tests/decisions/term.rs
+++ b/tests/decisions/term.rs
@@ -261,3 +261,23 @@
     let (clock, store) = (Mock::new(SystemTime::UNIX_EPOCH), InMemory::default());
     assert!(lease_state("h1").acquire(&clock, &store).is_some());
 }
+
+/// Guards against engines that keep the wrong role for long: a host that learned of the restore waits from
+/// then on, not from the moment at which it needs the lease.
+#[rstest]
+#[case::the_copy_has_no_record(false)]
+#[case::the_copy_has_its_own_record(true)]
+fn a_host_that_has_known_of_a_restore_acquires_the_lease_at_once(#[case] has_record: bool) {
+    let (clock, store) = (Mock::new(SystemTime::UNIX_EPOCH), InMemory::default());
+    let mut one = lease_state("h1");
+    one.acquire(&clock, &store).unwrap();
+    let copy = if has_record {
+        store.copy()
+    } else {
+        State::default()
+    };
+    store.restore(&copy);
+    one.record_era(store.newest_era(), clock.boot());
+    clock.advance(2 * LEASE);
+    assert!(one.acquire(&clock, &store).is_some());
+}
