Ignore registry entries with values that no upstream has

An odd entry under an upstream's name, with a start time or a count of writes at the limit of the type, replaced its entry for good: each later one counted as stale, so that the host went on sending work to an upstream that leaves. An entry whose name cannot stand in a header field was used without naming the upstream that should run the request, so that any upstream at the address ran it.

Cause: whatever the types could hold was taken for an upstream's own.

The name, the address, the slots and both numbers are checked; an entry that fails is logged and ignored, and names no upstream to use.

Nested fields (200 and 20,000 deep), numbers beyond the types, 1e400, port 70000 and an entry of 2 MB were ignored already.

--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use serde::Deserialize;
+use serde::de::Error;
 
 use crate::fleet::Entry;
 use crate::fleet::State;
@@ -11,6 +12,12 @@
 use crate::id::UpstreamId;
 use crate::upstream::Role;
 
+/// Maximum number of concurrent requests of an upstream.
+const MAX_SLOTS: usize = 1 << 16;
+/// Maximum start time and number of writes: the largest integer that a JSON number represents exactly
+/// where numbers are floating-point.
+const MAX_INTEGER: u64 = (1 << 53) - 1;
+
 #[derive(Debug, Deserialize)]
 struct EntryText {
     service: CompactString,
@@ -45,6 +52,32 @@
     Decode,
 }
 
+impl EntryText {
+    /// Returns the reason why the entry of `id` names no upstream that can be used, if there is one.
+    fn fault(&self, id: &UpstreamId) -> Option<String> {
+        if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Some(format!("name {id:?}, expected visible ASCII characters"));
+        }
+        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+            let address = self.address;
+            return Some(format!(
+                "address {address}, expected one that takes connections"
+            ));
+        }
+        if self.slots > MAX_SLOTS {
+            return Some(format!(
+                "{} slots, expected at most {MAX_SLOTS}",
+                self.slots
+            ));
+        }
+        let integers = [("start time", self.born), ("write count", self.sequence)];
+        let (name, value) = integers
+            .into_iter()
+            .find(|(_, value)| *value > MAX_INTEGER)?;
+        Some(format!("{name} {value}, expected at most {MAX_INTEGER}"))
+    }
+}
+
 /// Decodes the entry of the upstream `id` and the number of times it has been written.
 ///
 /// ```
@@ -57,9 +90,13 @@
 ///
 /// # Errors
 ///
-/// Fails if the entry is incomplete; its upstream cannot be used then.
+/// Fails if the entry is incomplete or has a value that no upstream has; its upstream cannot be used
+/// then.
 pub fn decode(id: UpstreamId, text: &[u8]) -> Result<(Entry, WriteCount), serde_json::Error> {
     let value: EntryText = serde_json::from_slice(text)?;
+    if let Some(fault) = value.fault(&id) {
+        return Err(Error::custom(fault));
+    }
     let entry = Entry {
         id,
         started_at: value.born,
