Attribute a refusal only to the request that it names

An upstream that wrote an earlier refusal once more, which names no request, had its request answered with 'not run, try again' (REFUSED), or sent to a second upstream (TWICE), although the first had run it.

Cause: a response without an identifier counted as foreign unless it said that the request was not run.

A response now has to echo the identifier. The stand-in engine does so as well.

Three cases of gateway::refusals failed before (503 for requests that had run). That an upstream which refused a request doesn't get it again, so that a refusal with its own identifier can't be repeated, held already (6 cases).

--- a/src/platform/egress.rs
+++ b/src/platform/egress.rs
@@ -78,7 +78,8 @@
     fields
 }
 
-/// Returns the provenance of a response to the request `id`, as stated by its head.
+/// Returns the provenance of a response to the request `id`, as stated by its head. A response that
+/// names no request proves nothing: it may be one to an earlier request, written once more.
 ///
 /// ```
 /// use pistachiohall::gateway::exchange::Provenance;
@@ -96,14 +97,11 @@
 /// ```
 pub fn provenance(head: &Parts, id: &str) -> Provenance {
     let echoed = head.headers.get(header::REQUEST_ID);
-    let is_not_executed = head.headers.contains_key(header::NOT_EXECUTED)
-        || head.status == StatusCode::MISDIRECTED_REQUEST;
-    match echoed {
-        Some(echo) if echo.as_bytes() != id.as_bytes() => return Provenance::Foreign,
-        None if !is_not_executed => return Provenance::Foreign,
-        _ => (),
+    if echoed.is_none_or(|echoed| echoed.as_bytes() != id.as_bytes()) {
+        return Provenance::Foreign;
     }
-    if is_not_executed {
+    let is_not_executed = head.headers.contains_key(header::NOT_EXECUTED);
+    if is_not_executed || head.status == StatusCode::MISDIRECTED_REQUEST {
         return Provenance::NotRun;
     }
     let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
--- a/src/standin/fleet/replica/answer.rs
+++ b/src/standin/fleet/replica/answer.rs
@@ -108,6 +108,16 @@
         && !source.contains('/')
     {
         note(shared, &request, false);
+        let fields = [
+            ("Pistachiohall-Request-Id", own_id.as_str()),
+            ("Pistachiohall-Not-Executed", "1"),
+        ];
+        say(shared, stream, 503, &fields, b"")?;
+        return Ok(Next::Keep);
+    }
+    let index = note(shared, &request, true);
+    thread::sleep(pause);
+    if manner == Behavior::RepeatRefusal {
         say(
             shared,
             stream,
@@ -117,8 +127,6 @@
         )?;
         return Ok(Next::Keep);
     }
-    let index = note(shared, &request, true);
-    thread::sleep(pause);
     match stage {
         None => plain(shared, index, manner, &own_id, stream),
         Some(_) => generate(shared, index, &request, &own_id, stream),
--- a/src/standin/fleet/replica/mod.rs
+++ b/src/standin/fleet/replica/mod.rs
@@ -29,6 +29,8 @@
     Sound,
     /// It refuses and does not run them.
     Shed,
+    /// It runs them and answers with an earlier refusal, which names no request.
+    RepeatRefusal,
     /// It runs them and fails, with its signature.
     Fail,
     /// It runs them and does not answer.
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod notice;
 mod odd_entries;
 mod plain;
+mod refusals;
 mod restored;
 
 mod deployment;
--- /dev/null
+++ b/tests/gateway/refusals.rs
@@ -0,0 +1,87 @@
+//! Tests of upstreams that write an earlier refusal once more, for a request that they run.
+
+use rstest::rstest;
+
+use pistachiohall::standin::fleet::replica::Behavior;
+
+use super::site::LONG_PROMPT;
+use super::site::NO_ORDERS;
+use super::site::SHORT_PROMPT;
+use super::site::Site;
+
+/// Upstreams of each kind: two plain services, two engines that prefill, two that decode.
+fn site() -> Site {
+    let engines = [
+        ("p1", "prefill"),
+        ("p2", "prefill"),
+        ("d1", "decode"),
+        ("d2", "decode"),
+    ];
+    Site::start(&["c1", "c2"], &engines, NO_ORDERS)
+}
+
+fn set_behavior(site: &Site, ids: &[&str], behavior: Behavior) {
+    for id in ids {
+        site.replicas[*id].set_behavior(behavior);
+    }
+}
+
+/// Guards against a refusal of a request that has run, and against its second run: the refusal names
+/// no request, so that it may be any earlier one. The first request leaves connections to be reused.
+#[rstest]
+#[case::of_a_plain_service("/act/a", &[], &["c1", "c2"])]
+#[case::of_an_engine("/draft/a", &SHORT_PROMPT, &["d1", "d2"])]
+#[case::of_a_decode("/draft/a", &LONG_PROMPT, &["d1", "d2"])]
+fn a_refusal_that_names_no_request_proves_nothing(
+    #[case] path: &str,
+    #[case] prompt: &[(&str, &str)],
+    #[case] faulty: &[&str],
+) {
+    let site = site();
+    assert_eq!(site.gateway.call("POST", path, "r1", prompt).status, 200);
+    let before = site.runs();
+    set_behavior(&site, faulty, Behavior::RepeatRefusal);
+    let answer = site.gateway.call("POST", path, "r2", prompt);
+    assert_eq!(answer.status, 502, "it ran, so no refusal");
+    assert_eq!(site.runs() - before, 1, "it runs once at most");
+}
+
+/// Guards against a request that is given up although it may run again: another upstream serves it.
+#[test]
+fn a_safe_request_is_served_elsewhere_after_a_refusal_that_names_no_request() {
+    let site = site();
+    set_behavior(&site, &["c1"], Behavior::RepeatRefusal);
+    for number in 0..8 {
+        let answer = site
+            .gateway
+            .call("GET", "/read/a", &format!("r{number}"), &[]);
+        assert_eq!(answer.status, 200);
+    }
+}
+
+/// Guards against a refusal with the request's own identifier that is written once more: an upstream
+/// that has refused a request doesn't get it again, in either stage.
+#[rstest]
+#[case::of_a_plain_service("/act/a", &[])]
+#[case::of_an_engine("/draft/a", &SHORT_PROMPT)]
+#[case::of_a_prefill("/draft/a", &LONG_PROMPT)]
+fn an_upstream_that_refused_a_request_does_not_get_it_again(
+    #[case] path: &str,
+    #[case] prompt: &[(&str, &str)],
+    #[values(true, false)] prefills: bool,
+) {
+    let site = site();
+    set_behavior(&site, &["c1", "c2", "d1", "d2"], Behavior::Shed);
+    if !prefills {
+        set_behavior(&site, &["p1", "p2"], Behavior::Shed);
+    }
+    let answer = site.gateway.call("POST", path, "r1", prompt);
+    assert_eq!(answer.status, 503, "{}", site.gateway.log());
+    let refusing = site
+        .replicas
+        .iter()
+        .filter(|(id, _)| !(prefills && id.starts_with('p')));
+    for (id, replica) in refusing {
+        assert!(replica.received().len() <= 1, "{id}");
+    }
+}
