Pass on only what continues a stream

An engine's error head was also passed on within a stream that ends with its connection.

Identifiers have to rise in every stream. The rest of a stream that was partly delivered has to have the content type of its head and an identifier in each event, and is not ended by a connection that closes before an event. Bytes that begin as a response's head are no event. What cannot continue the stream counts as broken off, so that the stream is resumed elsewhere or ends without its proper end.

Six cases of gateway::model failed before; an error with status 500 was not passed on already.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use compact_str::CompactString;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -155,6 +156,22 @@
     pub provenance: Provenance,
 }
 
+/// Stream that was partly delivered, and whose rest another upstream is asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Continuation {
+    /// Content type in its head.
+    pub content_type: Option<HeaderValue>,
+}
+
+impl Continuation {
+    /// Returns the continuation of the stream with this head.
+    pub fn of(head: &Parts) -> Self {
+        Continuation {
+            content_type: head.headers.get(http::header::CONTENT_TYPE).cloned(),
+        }
+    }
+}
+
 /// Options of a send.
 #[derive(Debug, Clone, Copy)]
 pub struct Options<'a> {
@@ -164,6 +181,8 @@
     pub urgency: Option<u8>,
     /// Event after which a resumed stream continues.
     pub after_event: Option<u64>,
+    /// Stream whose rest the response has to be.
+    pub continuation: Option<&'a Continuation>,
     /// `true` if a pooled connection may be used; one on which a late byte arrives costs an
     /// attempt.
     pub may_reuse: bool,
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -10,6 +10,7 @@
 use super::Gateway;
 use super::allowance::AttemptBudget;
 use super::call::Call;
+use super::exchange::Continuation;
 use super::open;
 use super::open::OpenStream;
 use super::open::Progress;
@@ -46,6 +47,7 @@
     let mut progress = Progress {
         attempt_budget: AttemptBudget::new(call.route.max_attempts),
         tried: Vec::new(),
+        continuation: None,
         call,
         trace,
     };
@@ -170,6 +172,7 @@
 fn deliver(gateway: &Rc<Gateway>, mut stream: OpenStream, mut progress: Progress) -> Reply {
     progress.trace.record_first();
     let head = stream.head.clone();
+    progress.continuation = Some(Continuation::of(&head));
     let first = std::mem::take(&mut stream.first);
     let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let flow = stream::Flow {
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -15,6 +15,7 @@
 use super::call::Call;
 use super::events::Splitter;
 use super::exchange;
+use super::exchange::Continuation;
 use super::exchange::Failure;
 use super::exchange::Options;
 use super::exchange::Provenance;
@@ -83,6 +84,8 @@
     pub attempt_budget: AttemptBudget,
     /// Engines that failed to serve the request.
     pub tried: Vec<UpstreamId>,
+    /// Stream that was partly delivered.
+    pub continuation: Option<Continuation>,
     /// Steps taken so far.
     pub trace: Trace,
 }
@@ -114,10 +117,14 @@
     plan: &Plan,
     after_event: Option<u64>,
 ) -> Result<Start, Failure> {
+    let continuation = progress.continuation.clone();
     match plan {
         Plan::Refuse { reason, .. } => Err(Failure::NotSent((*reason).into())),
         Plan::Single { engine, urgency } => {
-            let options = options(&progress.call, Stage::Full, *urgency, after_event);
+            let options = Options {
+                continuation: continuation.as_ref(),
+                ..options(&progress.call, Stage::Full, *urgency, after_event)
+            };
             start_at(gateway, progress, engine, &options).await
         }
         Plan::Split {
@@ -142,7 +149,10 @@
             }
             let handle = prefilled.handle.clone();
             let stage = Stage::Decode(&handle);
-            let options = options(&progress.call, stage, *urgency, after_event);
+            let options = Options {
+                continuation: continuation.as_ref(),
+                ..options(&progress.call, stage, *urgency, after_event)
+            };
             let reserved = Options {
                 reservation: Some(&reservation),
                 ..options
@@ -260,6 +270,7 @@
         stage,
         urgency: Some(urgency),
         after_event,
+        continuation: None,
         may_reuse: call.route.is_idempotent() || matches!(stage, Stage::Prefill),
         reservation: None,
         until,
@@ -381,8 +392,20 @@
             connection,
             ..
         } = response;
-        let mut splitter = Splitter::default();
+        let mut splitter = match options.continuation {
+            Some(continuation) if *continuation != Continuation::of(&head) => {
+                return Err(Failure::Broken(
+                    "the answer is no rest of the stream".into(),
+                ));
+            }
+            Some(_) => Splitter::continuing(options.after_event),
+            None => Splitter::after(options.after_event),
+        };
         let (first, is_ended) = first_events(&mut body, &mut splitter).await?;
+        // The end of a connection alone does not tell the end of the stream from a failure.
+        if is_ended && options.continuation.is_some() && !is_framed(&head) {
+            return Err(Failure::Broken("the answer ended without an event".into()));
+        }
         slot.end_prefill();
         let target = Rc::clone(&target);
         let mut guard = guard.take().expect("an exchange starts one stream");
@@ -412,6 +435,15 @@
     ended
 }
 
+/// Returns `true` if the end of a response's body is marked.
+fn is_framed(head: &Parts) -> bool {
+    let framing = [
+        http::header::CONTENT_LENGTH,
+        http::header::TRANSFER_ENCODING,
+    ];
+    framing.iter().any(|name| head.headers.contains_key(name))
+}
+
 async fn first_events(
     body: &mut Incoming,
     splitter: &mut Splitter,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -135,6 +135,7 @@
         stage: Stage::Full,
         urgency: None,
         after_event: None,
+        continuation: None,
         may_reuse,
         reservation: None,
         until,
--- a/src/standin/fleet/replica/answer.rs
+++ b/src/standin/fleet/replica/answer.rs
@@ -14,6 +14,7 @@
 
 use super::Behavior;
 use super::ReceivedRequest;
+use super::ResumeError;
 use super::STAMP;
 use super::State;
 use crate::standin::fleet::endless;
@@ -380,6 +381,41 @@
     Ok(Next::Close)
 }
 
+/// Answers a request that resumes a stream with an error.
+fn resume_error(error: ResumeError, id: &str, stream: &mut TcpStream) -> io::Result<Next> {
+    let (status, kind, body) = match error {
+        ResumeError::Status => (500, "text/plain", "overloaded\n\n"),
+        ResumeError::Event => (
+            200,
+            "text/event-stream",
+            "event: error\ndata: overloaded\n\n",
+        ),
+        ResumeError::Text | ResumeError::UnframedText => {
+            (200, "text/plain", "overloaded\n\ntry again\n\n")
+        }
+        ResumeError::UnframedNothing | ResumeError::Restart => (200, "text/event-stream", ""),
+    };
+    let signed = [
+        ("Content-Type", kind),
+        ("Pistachiohall-Request-Id", id),
+        ("Pistachiohall-Server-Stamp", STAMP),
+    ];
+    if !matches!(
+        error,
+        ResumeError::UnframedText | ResumeError::UnframedNothing
+    ) {
+        wire::answer(stream, status, &signed, body.as_bytes())?;
+        return Ok(Next::Keep);
+    }
+    let fields = signed.map(|(name, value)| format!("{name}: {value}\r\n"));
+    write!(
+        stream,
+        "HTTP/1.1 {status} Status\r\n{}\r\n{body}",
+        fields.concat()
+    )?;
+    Ok(Next::Close)
+}
+
 fn generate(
     shared: &Mutex<State>,
     index: usize,
@@ -396,11 +432,28 @@
         Behavior::Reset => return Ok(Next::Reset),
         _ => (),
     }
+    if let (Behavior::BreakThen(error), true) =
+        (manner, request.fields.contains_key("last-event-id"))
+        && error != ResumeError::Restart
+    {
+        return resume_error(error, id, stream);
+    }
     let number = |text: Option<&str>| text.and_then(|text| text.parse::<u64>().ok());
     let sizes = request.fields.get("pistachiohall-token-count");
     let count = number(sizes.and_then(|sizes| sizes.split(',').nth(1))).unwrap_or(3);
-    let after = number(request.fields.get("last-event-id").map(String::as_str)).unwrap_or(0);
-    let is_framed = !matches!(manner, Behavior::Unframed | Behavior::UnframedBreak(_));
+    let after = match manner {
+        Behavior::BreakThen(ResumeError::Restart) => 0,
+        _ => number(request.fields.get("last-event-id").map(String::as_str)).unwrap_or(0),
+    };
+    let is_framed = !matches!(
+        manner,
+        Behavior::Unframed | Behavior::UnframedBreak(_) | Behavior::HeadWithin
+    );
+    let breaks_at = match manner {
+        Behavior::Break(number) | Behavior::UnframedBreak(number) => Some(number),
+        Behavior::BreakThen(_) => Some(3),
+        _ => None,
+    };
     let framing = if is_framed {
         "Transfer-Encoding: chunked\r\n"
     } else {
@@ -417,7 +470,11 @@
     stream.write_all(b"\r\n")?;
     for number in after + 1..=count {
         let event = format!("id: {number}\ndata: token {number}\n\n");
-        let is_last = [Behavior::Break(number), Behavior::UnframedBreak(number)].contains(&manner);
+        if manner == Behavior::HeadWithin && number == 3 {
+            wire::answer(stream, 500, &[], b"overloaded\n\n")?;
+            return Ok(Next::Close);
+        }
+        let is_last = breaks_at == Some(number);
         let part = if is_last {
             &event[..event.len() / 2]
         } else {
--- a/src/standin/fleet/replica/mod.rs
+++ b/src/standin/fleet/replica/mod.rs
@@ -51,6 +51,11 @@
     Late,
     /// It breaks a stream off within the event of this number.
     Break(u64),
+    /// It breaks a stream off within its third event, and answers a resumed one with an error.
+    BreakThen(ResumeError),
+    /// Its stream has neither a length nor chunks; after the second event it writes the head and the
+    /// body of an error.
+    HeadWithin,
     /// Its answer has neither a length nor chunks and ends with the connection.
     Unframed,
     /// The same, but it breaks off: a plain answer by a reset, a stream within the event of this
@@ -68,6 +73,23 @@
     Drip,
 }
 
+/// How an upstream answers a request that resumes a stream, other than with the rest of the stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResumeError {
+    /// With status 500.
+    Status,
+    /// With status 200 and an event that has no identifier.
+    Event,
+    /// With status 200 and lines of text.
+    Text,
+    /// The same, without a length, ending with the connection.
+    UnframedText,
+    /// With status 200 and nothing, without a length, ending with the connection.
+    UnframedNothing,
+    /// With the stream from its first event on.
+    Restart,
+}
+
 /// A request that an upstream got.
 #[derive(Debug, Clone)]
 pub struct ReceivedRequest {
--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -7,6 +7,7 @@
 use pistachiohall::standin::fleet::client::Answer;
 use pistachiohall::standin::fleet::replica::Behavior;
 use pistachiohall::standin::fleet::replica::Replica;
+use pistachiohall::standin::fleet::replica::ResumeError;
 
 use super::site::LONG_PROMPT;
 use super::site::NO_ORDERS;
@@ -143,6 +144,36 @@
     assert_eq!(site.runs(), 1);
 }
 
+/// Guards against an error in the middle of a stream, or a stream that looks complete: the engine that
+/// should resume it answered with an error.
+#[rstest]
+#[case::with_status_500(ResumeError::Status)]
+#[case::with_an_event(ResumeError::Event)]
+#[case::with_text(ResumeError::Text)]
+#[case::with_text_until_it_closes(ResumeError::UnframedText)]
+#[case::with_nothing_until_it_closes(ResumeError::UnframedNothing)]
+#[case::with_the_first_events(ResumeError::Restart)]
+fn an_error_does_not_continue_a_stream(#[case] error: ResumeError) {
+    let engines = [("d1", "decode"), ("d2", "decode"), ("d3", "decode")];
+    let site = Site::start(&[], &engines, NO_ORDERS);
+    for replica in site.replicas.values() {
+        replica.set_behavior(Behavior::BreakThen(error));
+    }
+    let answer = site.gateway.call("POST", "/ask/a", "r1", &SHORT_PROMPT);
+    assert_eq!((answer.status, answer.body), (200, events(1..=2)));
+    assert!(!answer.is_complete);
+}
+
+/// Guards against an engine's error, with its head, in the middle of a stream that ends with its connection.
+#[test]
+fn a_head_within_a_stream_is_not_passed_on() {
+    let site = Site::start(&[], &[("d1", "decode")], NO_ORDERS);
+    site.replicas["d1"].set_behavior(Behavior::HeadWithin);
+    let answer = site.gateway.call("POST", "/draft/a", "r1", &SHORT_PROMPT);
+    assert_eq!((answer.status, answer.body), (200, events(1..=2)));
+    assert!(!answer.is_complete);
+}
+
 #[test]
 fn resumes_after_the_callers_last_event() {
     let site = Site::start(&[], &[("d1", "decode")], NO_ORDERS);
