Give each server of a test an address of its own

Parallel tests took ports of 127.0.0.1 from each other: a stand-in or a gateway that starts again found its port taken by a connection of another test (AddrInUse in belief::tries_elsewhere_when_another_upstream_has_the_address, in lifecycle::a_gateway_restarts_at_its_address_while_its_port_number_is_taken and in the crashing upstreams, which wait for their port).

Servers now listen at addresses of the loopback that no other server of any process has, and from which no connection goes out.

--- a/src/standin/fleet/mortal.rs
+++ b/src/standin/fleet/mortal.rs
@@ -14,6 +14,7 @@
 use super::replica::ReceivedRequest;
 use super::replica::Replica;
 use super::store::Registry;
+use super::wire;
 
 /// End of the path of requests that end their upstreams.
 pub const DEADLY: &str = "/deadly";
@@ -85,7 +86,7 @@
     ///
     /// Fails if no port can be listened on.
     pub fn start(registry: Registry, role: Role, nature: CrashBehavior) -> io::Result<Self> {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let any = wire::unique_address();
         let first = Replica::start_at(any, role.name, role.service, "derby", role.stage)?;
         first.set_death(nature);
         let shared = Arc::new(Shared {
--- a/src/standin/fleet/wire.rs
+++ b/src/standin/fleet/wire.rs
@@ -13,11 +13,31 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+/// Returns an address on the loopback for a server, with a port that the system picks. No other server of
+/// this or of another process has its IP address, and no connection goes out from it, so that the
+/// port stays free when the server starts again.
+///
+/// ```
+/// use pistachiohall::standin::fleet::wire;
+/// assert_ne!(wire::unique_address().ip(), wire::unique_address().ip());
+/// ```
+pub fn unique_address() -> SocketAddr {
+    static SERVERS: AtomicU32 = AtomicU32::new(0);
+    const SERVER_BITS: u32 = 12;
+    const PROCESSES: u32 = 2047;
+    let server = SERVERS.fetch_add(1, Ordering::Relaxed) % (1 << SERVER_BITS);
+    let process = std::process::id() % PROCESSES;
+    let number = (1 << 23) | (process << SERVER_BITS) | server;
+    let [_, high, middle, low] = number.to_be_bytes();
+    SocketAddr::from(([127, high, middle, low], 0))
+}
+
 /// Fields of a head, by name in lower case.
 pub type Fields = BTreeMap<String, String>;
 
