--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -25,6 +25,10 @@
 const FIRST_DEADLY_BLOCK: u64 = 4000;
 /// Seeds from which on an upstream names a limit.
 const FIRST_LIMIT: u64 = 5000;
+/// Seeds from which on the store is restored from a copy.
+const FIRST_RESTORE: u64 = 6000;
+/// Sets the draw of restores apart from that of the other faults.
+const RESTORE_SEED: u64 = 0x2e57;
 /// Requests a second that it names.
 const LIMITS_PER_S: [&str; 3] = ["1.5", "6", "16.2"];
 /// Sets the draw of limits apart from that of the other faults.
@@ -61,6 +65,8 @@
     Configure,
     /// The store forgets its history.
     Compact,
+    /// The store is copied, then restored from the copy; the number tells several apart.
+    Restore(usize),
     /// An upstream's entry is removed, then written again.
     Lapse(usize),
     /// An upstream leaves for the rest of the run.
@@ -125,6 +131,7 @@
     let leave = leave(seed, upstreams);
     let notice = notice(seed, upstreams);
     entries.extend(leave);
+    entries.extend(restores(seed));
     // One upstream of each service stays.
     entries.extend(
         notice.filter(|notice| !leave.is_some_and(|leave| is_same_service(&leave, notice))),
@@ -133,6 +140,25 @@
     entries
 }
 
+/// Draws one or two restores of the store; they may follow one another at once, or overlap.
+fn restores(seed: u64) -> Vec<Entry> {
+    let mut random = StdRng::seed_from_u64(seed ^ RESTORE_SEED);
+    let count = match seed < FIRST_RESTORE {
+        true => 0,
+        false => random.random_range(1..3),
+    };
+    let restore = |number| {
+        let from = SPAN.mul_f64(random.random_range(0.0..0.8));
+        let until = from + SPAN.mul_f64(random.random_range(0.1..0.8));
+        Entry {
+            fault: Fault::Restore(number),
+            from,
+            until,
+        }
+    };
+    (0..count).map(restore).collect()
+}
+
 /// Draws the upstream that leaves in some runs; apart from the other faults, so that these stay the
 /// same for a seed.
 fn leave(seed: u64, upstreams: usize) -> Option<Entry> {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -19,6 +19,7 @@
 use pistachiohall::standin::fleet::replica::ReceivedRequest;
 use pistachiohall::standin::fleet::replica::Replica;
 use pistachiohall::standin::fleet::store::Fault as StoreFault;
+use pistachiohall::standin::fleet::store::Snapshot;
 use pistachiohall::standin::fleet::store::Store;
 use serde_json::json;
 
@@ -52,6 +53,8 @@
 const FRAIL_ENGINES: [&str; 4] = ["e1", "e2", "e3", "e4"];
 /// Pause between two events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
+/// Time for which the store is away before it is back from a copy.
+const RESTORE_OUTAGE: Duration = Duration::from_millis(300);
 /// Time in which callers go on after the last fault.
 const AFTERMATH: Duration = Duration::from_millis(300);
 /// The same where an upstream has left; longer than it may get new work.
@@ -120,7 +123,9 @@
     was_frozen: [bool; GATEWAYS],
     was_killed: [bool; GATEWAYS],
     disturbances: Vec<Disturbance>,
-    left: Option<usize>,
+    /// Copies of the store that it is restored from later.
+    copies: BTreeMap<usize, Snapshot>,
+    left: Option<(usize, Departure)>,
     /// Upstream that names a limit, and the limit.
     limit: Option<(usize, &'static str)>,
     says_leaving: Option<usize>,
@@ -149,7 +154,7 @@
         }
         world.suffer(&entries, &addresses);
         world.calm = Instant::now();
-        let leaves = world.left.or(world.says_leaving).is_some();
+        let leaves = world.left.is_some() || world.says_leaving.is_some();
         let is_long = leaves || world.limit.is_some() || !world.frail.is_empty();
         thread::sleep(if is_long { LONG_AFTERMATH } else { AFTERMATH });
         drop(ends);
@@ -233,6 +238,7 @@
             was_frozen: [false; GATEWAYS],
             was_killed: [false; GATEWAYS],
             disturbances: Vec::new(),
+            copies: BTreeMap::new(),
             left: None,
             limit,
             says_leaving: None,
@@ -313,15 +319,12 @@
                 replica.set_retry_after(Some(check::PAUSE_TEXT));
                 replica.set_behavior(Behavior::Shed);
             }
+            Fault::Restore(number) => {
+                self.copies.insert(number, self.store.snapshot());
+            }
             Fault::Leave(index, departure) => {
-                let (name, ..) = UPSTREAMS[index];
-                self.left = Some(index);
-                match departure {
-                    Departure::Drains => {
-                        self.upstreams[index].register(name, "draining", &self.store)
-                    }
-                    Departure::Removed => self.store.remove(store::UPSTREAM_TOPIC, name),
-                }
+                self.left = Some((index, departure));
+                self.write_entry(index);
             }
         }
     }
@@ -359,12 +362,42 @@
             Fault::Behavior(index, _) => {
                 self.upstreams[index].replica.set_behavior(Behavior::Sound)
             }
-            Fault::Lapse(index) if self.left == Some(index) => (),
-            Fault::Lapse(index) => {
-                let (name, ..) = UPSTREAMS[index];
-                self.upstreams[index].register(name, "ready", &self.store);
+            Fault::Restore(number) => self.restore(number),
+            Fault::Lapse(index) => self.write_entry(index),
+        }
+    }
+
+    /// Writes what an upstream says of itself.
+    fn write_entry(&self, index: usize) {
+        let (name, ..) = UPSTREAMS[index];
+        let upstream = &self.upstreams[index];
+        match self.left.filter(|(left, _)| *left == index) {
+            None => upstream.register(name, "ready", &self.store),
+            Some((_, Departure::Drains)) => upstream.register(name, "draining", &self.store),
+            Some((_, Departure::Removed)) => self.store.remove(store::UPSTREAM_TOPIC, name),
+        }
+    }
+
+    /// Restores the store; the operator and the upstreams write again what was lost, and entries of
+    /// upstreams that have ended expire.
+    fn restore(&mut self, number: usize) {
+        let Some(copy) = self.copies.remove(&number) else {
+            return;
+        };
+        self.store.set_fault(StoreFault::Down);
+        thread::sleep(RESTORE_OUTAGE);
+        let before = self.store.keys(store::UPSTREAM_TOPIC);
+        self.store.restore(&copy);
+        self.store.put_config(&fleet::config(self.version));
+        for name in self.store.keys(store::UPSTREAM_TOPIC) {
+            if !before.contains(&name) {
+                self.store.remove(store::UPSTREAM_TOPIC, &name);
             }
         }
+        for index in 0..UPSTREAMS.len() {
+            self.write_entry(index);
+        }
+        self.store.set_fault(StoreFault::None);
     }
 
     fn disturb(&mut self, gateway: usize) {
@@ -458,7 +491,7 @@
             .collect();
         self.broken
             .extend(check::calls(calls, &seen, &self.disturbances));
-        if let Some(left) = self.left {
+        if let Some((left, _)) = self.left {
             let (name, ..) = UPSTREAMS[left];
             let seen = self.upstreams[left].replica.received();
             self.broken.extend(check::departure(name, &seen, self.calm));
