Keep a configuration that a restored store lacks

A confirmed configuration was lost when all hosts started anew after a restore and before the operator had written it again: only the copy's older one was left.

Cause: hosts took over what peers serve, but nothing outlasts all of them.

Hosts that start in a store that was ever restored read that topic as well. It costs one read a host and one write a restore, none where the operator is faster, and nothing in a store that was never restored.

a_configuration_that_the_copy_lacks_survives_a_restart_of_all_hosts is new; without the topic no host has the version after the restart.

--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -1,16 +1,28 @@
 //! Follows the operator's configuration.
+//!
+//! A store that was restored from a copy may lack the newest configuration until the operator writes it
+//! again. Hosts that serve it keep it in a topic of their own, for hosts that start meanwhile.
 
 use std::time::Duration;
+use std::time::Instant;
+
+use log::info;
+use log::warn;
 
 use super::reader::Reader;
 use super::reader::SegmentOutcome;
 use super::reader::Update;
+use super::share;
 use super::share::Endpoint;
 use super::share::Schedule;
 use super::view::ViewPublisher;
+use crate::catalog::Version;
 use crate::clock::Clock;
+use crate::id::HostId;
 use crate::log::keyed::Keyed;
+use crate::log::keyed::Pair;
 use crate::log::keyed::Record;
+use crate::platform::config;
 use crate::platform::store;
 
 /// Timeout of a long poll for configuration changes. A silent connection is detected after this
@@ -23,15 +35,26 @@
 const MAX_AGE: Duration = Duration::from_millis(1600);
 
 /// Keeps the configuration up to date, sharing the reads with peers; never returns.
-pub fn follow<C, K>(publisher: &ViewPublisher, clock: &C, store: &K, endpoint: &Endpoint)
-where
+pub fn follow<C, K>(
+    host: &HostId,
+    publisher: &ViewPublisher,
+    clock: &C,
+    store: &K,
+    endpoint: &Endpoint,
+) where
     C: Clock,
     K: Keyed,
 {
     let mut reader = Reader::new(store::CONFIG_TOPIC);
     let mut schedule = Schedule::new(LONG_POLL_TIMEOUT, FAILURE_BACKOFF, MAX_AGE, clock.now());
+    let mut keep_at: Option<Instant> = None;
     loop {
-        if let Some(incoming) = endpoint.wait(schedule.due()) {
+        if keep_at.is_some_and(|at| at <= clock.now()) {
+            keep_at = None;
+            keep(publisher, store);
+        }
+        let wake = keep_at.map_or(schedule.due(), |at| at.min(schedule.due()));
+        if let Some(incoming) = endpoint.wait(wake) {
             let now = clock.now();
             match reader.apply(incoming.segment) {
                 SegmentOutcome::Next(records) => {
@@ -40,6 +63,7 @@
                         reader.record_success();
                         publisher.record_config_read(queried_at);
                     }
+                    keep_at = keep_at.filter(|_| !has_active(publisher, &records));
                     adopt_newest(publisher, records, "peer-reading");
                     schedule.record_peer_read(incoming.asked, now, endpoint.rank());
                 }
@@ -52,6 +76,9 @@
             }
             continue;
         }
+        if schedule.due() > clock.now() {
+            continue;
+        }
         let from = reader.next();
         let (mut freshness, queried_at) = (endpoint.freshness(), clock.now());
         let update = match reader.is_restored() {
@@ -64,7 +91,15 @@
                 reader.record_success();
                 let took = clock.now().saturating_duration_since(queried_at);
                 freshness.waited = waited(&update, took);
+                if from.is_none() && store.newest_era() > store::FIRST_ERA {
+                    adopt_kept(publisher, store);
+                }
+                let is_restored = matches!(update, Update::Restored(_));
                 let records = update.into_records();
+                keep_at = keep_at.filter(|_| !has_active(publisher, &records));
+                if is_restored && !has_active(publisher, &records) {
+                    keep_at = Some(clock.now() + share::refresh_delay(host));
+                }
                 publisher.record_config_read(queried_at + freshness.waited);
                 if let (Some(from), Some(next)) = (from, reader.next()) {
                     endpoint.send(from, next, records.clone(), freshness);
@@ -95,6 +130,74 @@
     }
 }
 
+/// Writes the active configuration to the hosts' own topic unless that has it or a newer one.
+fn keep<K>(publisher: &ViewPublisher, store: &K)
+where
+    K: Keyed,
+{
+    if adopt_kept(publisher, store) >= publisher.config_version() {
+        return;
+    }
+    let (version, text) = publisher.config();
+    let pair = Pair {
+        key: store::CONFIG_KEY,
+        value: &text,
+    };
+    match store.put(store::KEPT_CONFIG_TOPIC, pair) {
+        Ok(_) => info!(
+            config = version,
+            outcome = "kept";
+            "configuration kept, since the restored store lacks it"
+        ),
+        Err(cause) => warn!(
+            config = version,
+            outcome = "not-kept",
+            cause:% = cause;
+            "configuration not kept in the store"
+        ),
+    }
+}
+
+/// Adopts the configuration that hosts have kept, if it is newer; returns its version, 0 if there is none.
+fn adopt_kept<K>(publisher: &ViewPublisher, store: &K) -> Version
+where
+    K: Keyed,
+{
+    match store.newest(store::KEPT_CONFIG_TOPIC) {
+        Ok(kept) => {
+            let version = newest_version(&kept.records);
+            if version > publisher.config_version() {
+                adopt_newest(publisher, kept.records, "hosts");
+            }
+            version
+        }
+        Err(cause) => {
+            warn!(
+                topic = store::KEPT_CONFIG_TOPIC,
+                outcome = "not-read",
+                cause:% = cause;
+                "kept configuration not read"
+            );
+            0
+        }
+    }
+}
+
+/// Returns `true` if the active configuration or a newer one is among `records`.
+fn has_active(publisher: &ViewPublisher, records: &[Record]) -> bool {
+    newest_version(records) >= publisher.config_version()
+}
+
+/// Returns the version of the newest configuration among `records`; 0 if there is none.
+fn newest_version(records: &[Record]) -> Version {
+    let texts = records
+        .iter()
+        .filter(|record| record.key == store::CONFIG_KEY)
+        .filter_map(|record| record.value.as_deref());
+    let catalogs = texts.filter_map(|text| config::decode(text).ok());
+    catalogs.map(|catalog| catalog.version()).max().unwrap_or(0)
+}
+
 fn adopt_newest(publisher: &ViewPublisher, records: Vec<Record>, source: &str) {
     let contents = records
         .into_iter()
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -49,10 +49,17 @@
     let (thread_publisher, thread_clock, thread_store) =
         (Arc::clone(publisher), clock.clone(), store.clone());
     let endpoint = exchange.open(store::CONFIG_TOPIC);
+    let host = local.name.clone();
     thread::Builder::new()
         .name("config".into())
         .spawn(move || {
-            config::follow(&thread_publisher, &thread_clock, &thread_store, &endpoint)
+            config::follow(
+                &host,
+                &thread_publisher,
+                &thread_clock,
+                &thread_store,
+                &endpoint,
+            )
         })?;
     let (thread_publisher, thread_clock, thread_store) =
         (Arc::clone(publisher), clock.clone(), store.clone());
--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -145,6 +145,13 @@
         });
     }
 
+    /// Returns the version and the text of the active configuration; 0 and nothing if there is none.
+    pub fn config(&self) -> (Version, Arc<Vec<u8>>) {
+        let view = self.view.lock().expect("view lock");
+        let version = view.catalog.as_ref().map_or(0, |catalog| catalog.version());
+        (version, Arc::clone(&view.config))
+    }
+
     /// Returns the version of the active configuration; 0 if there is none.
     pub fn config_version(&self) -> Version {
         let view = self.view.lock().expect("view lock");
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -35,6 +35,9 @@
 pub const CONFIG_TOPIC: &str = "keyed.op";
 /// Key of the operator's configuration.
 pub const CONFIG_KEY: &str = "config";
+/// Topic in which hosts keep the configuration that they serve while a restored store lacks it, under
+/// [`CONFIG_KEY`].
+pub const KEPT_CONFIG_TOPIC: &str = "keyed.config";
 /// Topic that contains the entry of each upstream.
 pub const UPSTREAM_TOPIC: &str = "keyed.servers";
 /// Topic that contains the entry of each host.
--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -227,3 +227,21 @@
     site.store.put_config(&without_read(9));
     cut_off.wait_line(&["config=9", "source=peer"]);
 }
+
+/// Guards against a confirmed configuration that is lost when all hosts start anew before the operator
+/// has written it again.
+#[test]
+fn a_configuration_that_the_copy_lacks_survives_a_restart_of_all_hosts() {
+    let mut site = Site::desks(&["c1"]);
+    let copy = site.store.snapshot();
+    site.store.put_config(&without_read(9));
+    site.gateway.wait_line(&["config=9", "outcome=in-force"]);
+    restore(&site.store, &site.gateway, &copy, || ());
+    site.gateway.wait_line(&["config=9", "outcome=kept"]);
+    site.gateway.restart();
+    site.gateway.wait_line(&["config=9", "outcome=in-force"]);
+    site.gateway.wait_ready();
+    assert_eq!(site.gateway.call("GET", "/read/a", "r", &[]).status, 404);
+    site.store.put_config(&fleet::config(12));
+    site.gateway.wait_line(&["config=12", "outcome=in-force"]);
+}
