--- a/tests/gateway/model.rs
+++ b/tests/gateway/model.rs
@@ -211,8 +211,8 @@
     );
 }
 
-/// The role policy assigns two of three engines to prefill; the lease's offset is the fencing
-/// token.
+/// The role policy assigns two of three engines to prefill; the position of the lease's record is the
+/// fencing token.
 #[test]
 fn orders_engines_to_change_to_prefill() {
     let engines = [("e1", "decode"), ("e2", "decode"), ("e3", "decode")];
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -296,10 +296,7 @@
             Fault::StoreLink(index, link) => self.store_links[index].set(link),
             Fault::Upstream(index, link) => self.upstreams[index].proxy.set(link),
             Fault::Behavior(index, manner) => self.upstreams[index].replica.set_behavior(manner),
-            Fault::Configure => {
-                self.version += 1;
-                self.store.put_config(&fleet::config(self.version));
-            }
+            Fault::Configure => self.configure(),
             Fault::Compact => {
                 // Removing a key that is not there leaves the deletion of old records.
                 for topic in [store::CONFIG_TOPIC, store::UPSTREAM_TOPIC] {
@@ -321,6 +318,7 @@
             }
             Fault::Restore(number) => {
                 self.copies.insert(number, self.store.snapshot());
+                self.configure();
             }
             Fault::Leave(index, departure) => {
                 self.left = Some((index, departure));
@@ -367,6 +365,12 @@
         }
     }
 
+    /// Puts another configuration into force, as the operator does.
+    fn configure(&mut self) {
+        self.version += 1;
+        self.store.put_config(&fleet::config(self.version));
+    }
+
     /// Writes what an upstream says of itself.
     fn write_entry(&self, index: usize) {
         let (name, ..) = UPSTREAMS[index];
@@ -378,8 +382,8 @@
         }
     }
 
-    /// Restores the store; the operator and the upstreams write again what was lost, and entries of
-    /// upstreams that have ended expire.
+    /// Restores the store; the operator's next change comes before it has written again what was lost,
+    /// upstreams write their entries again, and those of upstreams that have ended expire.
     fn restore(&mut self, number: usize) {
         let Some(copy) = self.copies.remove(&number) else {
             return;
@@ -388,7 +392,7 @@
         thread::sleep(RESTORE_OUTAGE);
         let before = self.store.keys(store::UPSTREAM_TOPIC);
         self.store.restore(&copy);
-        self.store.put_config(&fleet::config(self.version));
+        self.configure();
         for name in self.store.keys(store::UPSTREAM_TOPIC) {
             if !before.contains(&name) {
                 self.store.remove(store::UPSTREAM_TOPIC, &name);
