Bound what a wrong era and a pending full read cost

Found in reading the change, not seen: a peer that names an era which the store doesn't have stopped a reader for good; each read of a host that waits for its turn to read in full extended the time for which missing entries are used.

The second answer of the store in a row wins over a peer, and the fleet is told of each restore once.

a_peer_that_names_a_wrong_era_stops_no_reader fails without the change.

--- a/src/follow/reader.rs
+++ b/src/follow/reader.rs
@@ -122,7 +122,9 @@
     ///
     /// # Errors
     ///
-    /// Fails if the store gives no usable response, or one of an older era than it has named before.
+    /// Fails if the store gives no usable response, or one of an older era than was named before. If the
+    /// next one is of that era too, it is adopted: the store knows better than the peer that named
+    /// the newer one.
     pub fn read_in_full<K>(&mut self, store: &K) -> Result<Update, ReadError>
     where
         K: Keyed,
@@ -130,9 +132,9 @@
         let newest = store.newest(self.topic)?;
         let era = newest.next.era();
         if era < self.era {
+            let expected = std::mem::replace(&mut self.era, era);
             return Err(ReadError(format!(
-                "the store answered as of era {era}, expected {}",
-                self.era
+                "the store answered as of era {era}, expected {expected}"
             )));
         }
         self.record_era(era, "store");
@@ -200,6 +202,11 @@
         self.is_restored
     }
 
+    /// Returns the newest era that was named; 0 before the first read.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
     /// Returns `true` if the last read was of an era before `era`.
     pub fn is_older_than(&self, era: Era) -> bool {
         self.next.is_some_and(|next| next.era() < era)
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -18,6 +18,7 @@
 use crate::clock::Clock;
 use crate::fleet::Change;
 use crate::fleet::Fleet;
+use crate::id::Era;
 use crate::id::UpstreamId;
 use crate::log::ReadError;
 use crate::log::keyed::Keyed;
@@ -69,6 +70,8 @@
     schedule: Schedule,
     /// Time of the full read that a restore of the store requires.
     full_read_at: Option<Instant>,
+    /// Era of the last restore that the fleet knows of.
+    restored_era: Era,
     /// Origin of the newest data.
     origin: Origin,
     /// Latest time at which the store is known to have answered this host or a peer.
@@ -83,6 +86,7 @@
             fleet: Fleet::default(),
             schedule: Schedule::new(READ_INTERVAL, FAILURE_BACKOFF, MAX_AGE, now),
             full_read_at: None,
+            restored_era: 0,
             origin: Origin {
                 source: "store",
                 queried_at: None,
@@ -120,7 +124,10 @@
     /// Plans the full read that a restore of the store requires. The hosts of a failure domain read
     /// one after another, and until then the records that others read are enough.
     fn plan_full_read(&mut self, rank: usize, now: Instant) {
-        self.fleet.record_restore(now);
+        if self.reader.era() > self.restored_era {
+            self.restored_era = self.reader.era();
+            self.fleet.record_restore(now);
+        }
         let delay = share::full_read_delay(rank, self.fleet.count());
         self.full_read_at.get_or_insert(now + delay);
     }
--- a/tests/decisions/share.rs
+++ b/tests/decisions/share.rs
@@ -214,6 +214,22 @@
     assert!(reader.read_in_full(&Ending(ERA + 2, 9)).is_ok());
 }
 
+/// Guards against a host that reads nothing any more, since a peer has named an era that the store
+/// doesn't have.
+#[test]
+fn a_peer_that_names_a_wrong_era_stops_no_reader() {
+    let mut reader = reader_at(5);
+    let wrong = Segment {
+        era: ERA + 9,
+        ..segment(5, 6)
+    };
+    reader.apply(wrong);
+    assert!(reader.read_in_full(&ending_at(7)).is_err());
+    assert!(reader.read_in_full(&ending_at(7)).is_ok());
+    let read = reader.read(&ending_at(8), Duration::ZERO).unwrap();
+    assert_eq!(read, Update::Changes(vec![record(7)]));
+}
+
 /// Guards against the load of all hosts that read everything at once after a restore: half of the
 /// calls that the store allows a second, and of the bytes.
 #[test]
