Make a test wait until the host that it stops has stood still

The second host had lost sight of the first before, so that its line stood already and the first was continued at once. Stopping the second host for 2.5 s before reproduces that. The test now leaves the host stopped for a second in any case.

--- a/tests/gateway/belief.rs
+++ b/tests/gateway/belief.rs
@@ -2,6 +2,7 @@
 //! received from peers during an outage.
 
 use std::net::UdpSocket;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -155,6 +156,8 @@
     let second = Gateway::start("h2", site.store.address(), NO_ORDERS);
     second.wait_line(&["peers=1"]);
     site.gateway.signal("-STOP");
+    // On a busy machine the second host may have lost sight of the first before.
+    thread::sleep(Duration::from_secs(1));
     second.wait_line(&["peers=0"]);
     site.gateway.signal("-CONT");
     site.gateway.wait_line(&["request loop stood still"]);
