--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,8 @@
 mod caller;
 mod check;
 mod fault;
+mod recover;
+mod report;
 #[path = "../gateway/site.rs"]
 #[allow(dead_code, reason = "shared with the gateway tests")]
 mod site;
@@ -16,7 +18,7 @@
 
 use rstest::rstest;
 
-use self::world::Report;
+use self::report::Report;
 
 /// Plays one seed and prints what happened if a promise was broken.
 fn play(seed: u64) -> Report {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -1,7 +1,6 @@
 //! A deployment of real gateway processes among stand-ins, and one run of faults.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -30,12 +29,11 @@
 use super::fault;
 use super::fault::Departure;
 use super::fault::Fault;
+use super::report::Report;
 use super::site::Gateway;
-use super::site::LONG;
-use super::site::wait_for;
 
 /// Gateways of a deployment.
-const GATEWAYS: usize = 3;
+pub const GATEWAYS: usize = 3;
 /// Upstreams: name, service, stage of an engine.
 const UPSTREAMS: [(&str, &str, Option<&str>); 6] = [
     ("c1", "desk", None),
@@ -62,36 +60,6 @@
 /// Settings; short times to leave, so that several fit into a run.
 const SETTINGS: &str = "[orders]\nread_share = 0\n[repeats]\nratio = 1000\n[shutdown]\nbalancer_lag = 100ms\nlimit = 4s\n";
 
-/// What a run showed.
-#[derive(Debug, Default)]
-pub struct Report {
-    /// Promises that were broken.
-    pub broken: Vec<String>,
-    /// Faults as they came.
-    pub script: Vec<String>,
-    /// Requests that were answered.
-    pub answers: usize,
-    /// Answers by status; 0 counts requests without one.
-    pub statuses: BTreeMap<u16, usize>,
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let kinds: Vec<String> = self
-            .statuses
-            .iter()
-            .map(|(status, count)| format!("{status}: {count}"))
-            .collect();
-        write!(
-            formatter,
-            "{} faults, {}, {} broken",
-            self.script.len(),
-            kinds.join(", "),
-            self.broken.len()
-        )
-    }
-}
-
 struct Upstream {
     replica: Replica,
     proxy: Proxy,
@@ -106,20 +74,20 @@
     }
 }
 
-struct World {
+pub struct World {
     /// Upstreams that a request ends, in runs that have one.
-    frail: Vec<CrashingUpstream>,
+    pub frail: Vec<CrashingUpstream>,
     /// Engines that a prompt block ends, in runs that have one.
-    frail_engines: Vec<CrashingUpstream>,
-    store: Store,
+    pub frail_engines: Vec<CrashingUpstream>,
+    pub store: Store,
     store_links: Vec<Proxy>,
     upstreams: Vec<Upstream>,
     names: Vec<String>,
-    gateways: Vec<Gateway>,
+    pub gateways: Vec<Gateway>,
     addresses: Vec<Mutex<Option<SocketAddr>>>,
-    version: u64,
+    pub version: u64,
     freezes: [usize; GATEWAYS],
-    gone: [Option<Instant>; GATEWAYS],
+    pub gone: [Option<Instant>; GATEWAYS],
     was_frozen: [bool; GATEWAYS],
     was_killed: [bool; GATEWAYS],
     disturbances: Vec<Disturbance>,
@@ -130,7 +98,7 @@
     limit: Option<(usize, &'static str)>,
     says_leaving: Option<usize>,
     calm: Instant,
-    broken: Vec<String>,
+    pub broken: Vec<String>,
 }
 
 /// Plays the faults of a seed.
@@ -414,7 +382,7 @@
     }
 
     /// Waits for a gateway's end and starts it again.
-    fn restart(&mut self, index: usize, addresses: &[Mutex<Option<SocketAddr>>]) {
+    pub fn restart(&mut self, index: usize, addresses: &[Mutex<Option<SocketAddr>>]) {
         self.freezes[index] = 0;
         self.gateways[index].signal("-CONT");
         let code = self.gateways[index].wait();
@@ -443,50 +411,6 @@
         });
     }
 
-    /// Ends all faults and waits until every gateway serves every kind of request.
-    fn recover(&mut self, addresses: &[Mutex<Option<SocketAddr>>]) {
-        self.store.set_fault(StoreFault::None);
-        for index in 0..GATEWAYS {
-            if self.gone[index].is_some() {
-                self.restart(index, addresses);
-            }
-        }
-        for (index, gateway) in self.gateways.iter().enumerate() {
-            gateway.wait_ready();
-            for (path, kind) in [("/read/a", "GET"), ("/act/a", "POST")] {
-                let is_served = serves(gateway, index, kind, path, &[]);
-                if !is_served {
-                    self.broken
-                        .push(format!("gateway {index} does not serve {path} again"));
-                }
-            }
-            if !self.frail.is_empty() && !serves(gateway, index, "POST", "/risky/sound", &[]) {
-                self.broken.push(format!(
-                    "gateway {index} does not serve frail upstreams again"
-                ));
-            }
-            let mut streams = vec![("/ask/a", "9000,6"), ("/draft/a", "200,6")];
-            if !self.frail_engines.is_empty() {
-                streams.push(("/chat/a", "100,6"));
-            }
-            for (path, sizes) in streams {
-                let fields = [
-                    ("Pistachiohall-Token-Count", sizes),
-                    ("Pistachiohall-Prompt-Prefix", "a1:50,b2:50"),
-                ];
-                let is_served = serves(gateway, index, "POST", path, &fields);
-                if !is_served {
-                    self.broken
-                        .push(format!("gateway {index} does not serve {path} again"));
-                }
-            }
-            let newest = format!("config={}", self.version);
-            wait_for("the newest configuration", || {
-                gateway.line(&[&newest, "outcome=in-force"]).is_some()
-            });
-        }
-    }
-
     fn finish(mut self, calls: &[Call], entries: &[fault::Entry]) -> Report {
         let seen: Vec<ReceivedRequest> = self
             .upstreams
@@ -536,24 +460,3 @@
         }
     }
 }
-
-/// Returns whether a gateway serves a request well within a while.
-fn serves(
-    gateway: &Gateway,
-    index: usize,
-    method: &str,
-    path: &str,
-    fields: &[(&str, &str)],
-) -> bool {
-    let begun = Instant::now();
-    let mut number = 0;
-    while begun.elapsed() < LONG {
-        number += 1;
-        let id = format!("after-{index}-{number}{}", path.replace('/', "-"));
-        if gateway.call(method, path, &id, fields).status == 200 {
-            return true;
-        }
-        thread::sleep(Duration::from_millis(50));
-    }
-    false
-}
