Wait for an address that a process being started still holds

What is left is a copy of the listener in a process that a parallel test starts, until that executes its program; this was not shown by a trace.

Two public functions get examples.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -122,6 +122,14 @@
 
     /// Records that the registry was restored from a copy: entries written since the copy was made are
     /// missing, however short the outage was, and live upstreams rewrite them.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::fleet::Fleet;
+    /// let mut fleet = Fleet::default();
+    /// fleet.record_restore(Instant::now());
+    /// assert!(fleet.replace(Vec::new(), Instant::now()).is_empty());
+    /// ```
     pub fn record_restore(&mut self, now: Instant) {
         self.rewrite_until = self.rewrite_until.max(Some(now + REWRITE_WINDOW));
     }
--- a/src/follow/share.rs
+++ b/src/follow/share.rs
@@ -67,6 +67,12 @@
 
 /// Returns the delay after which a host reads and writes its own topics again after a restore of the
 /// store; the delays of all hosts are spread evenly.
+///
+/// ```
+/// use std::time::Duration;
+/// use pistachiohall::follow::share;
+/// assert!(share::refresh_delay(&"front-derby-1".into()) <= Duration::from_secs(2));
+/// ```
 pub fn refresh_delay(host: &HostId) -> Duration {
     let share = f64::from(gossip::digest(host)) / f64::from(u32::MAX);
     REFRESH_SPREAD.mul_f64(share)
--- a/src/standin/fleet/wire.rs
+++ b/src/standin/fleet/wire.rs
@@ -18,6 +18,28 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
+
+/// Time for which a server waits for its address. A process that another thread starts holds a copy of
+/// each listener until it executes its program.
+const BIND_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause between two attempts to listen.
+const BIND_PAUSE: Duration = Duration::from_millis(10);
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let started_at = Instant::now();
+    loop {
+        match TcpListener::bind(address) {
+            Err(cause)
+                if cause.kind() == io::ErrorKind::AddrInUse
+                    && started_at.elapsed() < BIND_TIMEOUT =>
+            {
+                thread::sleep(BIND_PAUSE);
+            }
+            bound => return bound,
+        }
+    }
+}
 
 /// Returns an address on the loopback for a server, with a port that the system picks. No other server of
 /// this or of another process has its IP address, and no connection goes out from it, so that the
@@ -86,7 +108,7 @@
     where
         F: Fn(Request, &mut TcpStream) -> io::Result<Next> + Send + Sync + 'static,
     {
-        let listener = TcpListener::bind(address)?;
+        let listener = bind(address)?;
         let mut server = Server {
             address: listener.local_addr()?,
             is_stopped: Arc::default(),
