--- a/review/standin/flood.rs
+++ b/review/standin/flood.rs
@@ -28,10 +28,10 @@
 /// Requests that reach the engine in this time get no answer, only interim responses.
 const FLOOD_FROM: Duration = Duration::from_secs(6);
 const FLOOD_FOR: Duration = Duration::from_millis(6500);
-/// Bytes per second that the engine sends in all: half of what a machine's link of 1,000 Mbit/s carries.
-const FLOOD_BYTES_PER_S: u64 = 62_500_000;
+/// Bytes per second that the engine sends in all: four fifths of what a machine's link of 1,000 Mbit/s carries.
+const FLOOD_BYTES_PER_S: u64 = 100_000_000;
 /// Header lines of each interim response.
-const HEADER_LINES: usize = 20;
+const HEADER_LINES: usize = 90;
 /// Redrafts per second of one zone.
 const REDRAFTS_PER_S: f64 = 5.3;
 /// Cue requests per second of one zone.
@@ -118,7 +118,7 @@
     let sent = Arc::new(AtomicU64::new(0));
     for index in 0..DECODE_ENGINES {
         let (record, sent, is_disturbed) = (Arc::clone(&case.record), Arc::clone(&sent), case.is_disturbed);
-        let piece = format!("HTTP/1.1 102 Processing\r\n{}\r\n", "a:\r\n".repeat(HEADER_LINES)).repeat(512);
+        let piece = format!("HTTP/1.1 102 Processing\r\n{}\r\n", "a:\r\n".repeat(HEADER_LINES)).repeat(160);
         let id = format!("d-{index}");
         replicas.push(Replica::start_at_stage(&store, &id, "libretto-lm", 64, Some("decode"), move |request, stream| {
             let now = started_at.elapsed();
