--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod flood;
 mod kit;
 mod order;
+mod poison;
 mod process;
 mod refused;
 
@@ -51,6 +52,7 @@
     };
     let verdict = match name.as_str() {
         "order" => order::run(&case),
+        "poison" => poison::run(&case),
         "refused" => refused::run(&case),
         "flood" => flood::run(&case),
         _ => Verdict::NotRun(format!("no case {name:?}")),
--- a/review/standin/order.rs
+++ b/review/standin/order.rs
@@ -33,7 +33,7 @@
 const KILLS: [u64; 4] = [6, 11, 16, 21];
 const DOWN: Duration = Duration::from_secs(3);
 
-const CONFIG: &str = r#"{"version": 3, "routes": [
+pub const CONFIG: &str = r#"{"version": 3, "routes": [
 {"name": "dealer-quote", "host": "shop.example", "path_prefix": "/quote/", "type": "stream", "timeout_ms": 15000,
  "target_latency_ms": 500, "target_gap_ms": 200, "priority": 1, "service": "appraiser", "max_attempts": 2, "resumable": true}],
 "services": [{"name": "appraiser", "health_path": "/healthz", "max_connections": 360}],
@@ -49,6 +49,11 @@
     }
     stream.write_all(format!("{head}\r\n").as_bytes())?;
     thread::sleep(FIRST_EVENT);
+    if request.path.ends_with("/crash") {
+        println!("crashes as it begins to write the answer to {}", request.id());
+        // The connection ends with the process.
+        std::process::exit(1);
+    }
     for event in resumed_after + 1..=EVENTS {
         stream.write_all(format!("id: {event}\ndata: word\n\n").as_bytes())?;
         thread::sleep(GAP);
--- a/review/standin/process.rs
+++ b/review/standin/process.rs
@@ -91,6 +91,15 @@
         Process { id: id.into(), address, child, is_alive }
     }
 
+    /// Returns `true` once if the process has ended by itself; its entry is removed later.
+    pub fn has_ended(&mut self, store: &Store) -> bool {
+        let has_ended = *self.is_alive.lock().unwrap() && matches!(self.child.try_wait(), Ok(Some(_)));
+        if has_ended {
+            self.kill(store);
+        }
+        has_ended
+    }
+
     /// Kills the process with SIGKILL; its entry is removed after three intervals of silence.
     pub fn kill(&mut self, store: &Store) {
         *self.is_alive.lock().unwrap() = false;
