--- a/review/standin/flood.rs
+++ b/review/standin/flood.rs
@@ -56,7 +56,9 @@
 
 /// Serves a redraft: 89 tokens, 10 ms each.
 fn generate(request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
-    let mut head = String::from("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n");
+    let mut head = String::from(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n",
+    );
     for (name, value) in kit::signed(request) {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -99,7 +101,11 @@
 
 impl Outcome {
     fn timeout(&self) -> Duration {
-        if self.is_cue { CUE_TIMEOUT } else { REDRAFT_TIMEOUT }
+        if self.is_cue {
+            CUE_TIMEOUT
+        } else {
+            REDRAFT_TIMEOUT
+        }
     }
 }
 
@@ -110,32 +116,69 @@
     let mut replicas = Vec::new();
     for index in 0..PREFILL_ENGINES {
         let id = format!("p-{index}");
-        replicas.push(Replica::start_at_stage(&store, &id, "libretto-lm", 64, Some("prefill"), |request, stream| {
-            kit::answer(stream, 421, &[("Pistachiohall-Request-Id", request.id())], b"")?;
-            Ok(true)
-        }));
+        replicas.push(Replica::start_at_stage(
+            &store,
+            &id,
+            "libretto-lm",
+            64,
+            Some("prefill"),
+            |request, stream| {
+                kit::answer(
+                    stream,
+                    421,
+                    &[("Pistachiohall-Request-Id", request.id())],
+                    b"",
+                )?;
+                Ok(true)
+            },
+        ));
     }
     let sent = Arc::new(AtomicU64::new(0));
     for index in 0..DECODE_ENGINES {
-        let (record, sent, is_disturbed) = (Arc::clone(&case.record), Arc::clone(&sent), case.is_disturbed);
-        let piece = format!("HTTP/1.1 102 Processing\r\n{}\r\n", "a:\r\n".repeat(HEADER_LINES)).repeat(160);
+        let (record, sent, is_disturbed) = (
+            Arc::clone(&case.record),
+            Arc::clone(&sent),
+            case.is_disturbed,
+        );
+        let piece = format!(
+            "HTTP/1.1 102 Processing\r\n{}\r\n",
+            "a:\r\n".repeat(HEADER_LINES)
+        )
+        .repeat(160);
         let id = format!("d-{index}");
-        replicas.push(Replica::start_at_stage(&store, &id, "libretto-lm", 64, Some("decode"), move |request, stream| {
-            let now = started_at.elapsed();
-            if is_disturbed && index == 0 && now >= FLOOD_FROM && now < FLOOD_FROM + FLOOD_FOR {
-                let bytes = flood(piece.as_bytes(), &sent, started_at + FLOOD_FROM, stream);
-                record.line(format!("engine d-{index} sent {} MB of interim responses to {}", bytes >> 20, request.id()));
-                return Ok(false);
-            }
-            generate(request, stream)
-        }));
+        replicas.push(Replica::start_at_stage(
+            &store,
+            &id,
+            "libretto-lm",
+            64,
+            Some("decode"),
+            move |request, stream| {
+                let now = started_at.elapsed();
+                if is_disturbed && index == 0 && now >= FLOOD_FROM && now < FLOOD_FROM + FLOOD_FOR {
+                    let bytes = flood(piece.as_bytes(), &sent, started_at + FLOOD_FROM, stream);
+                    record.line(format!(
+                        "engine d-{index} sent {} MB of interim responses to {}",
+                        bytes >> 20,
+                        request.id()
+                    ));
+                    return Ok(false);
+                }
+                generate(request, stream)
+            },
+        ));
     }
     for index in 0..DESKS {
-        replicas.push(Replica::start(&store, &format!("c-{index}"), "cue-desk", 6, |request, stream| {
-            thread::sleep(Duration::from_millis(30));
-            kit::answer(stream, 200, &kit::signed(request), &[b'x'; 800])?;
-            Ok(true)
-        }));
+        replicas.push(Replica::start(
+            &store,
+            &format!("c-{index}"),
+            "cue-desk",
+            6,
+            |request, stream| {
+                thread::sleep(Duration::from_millis(30));
+                kit::answer(stream, 200, &kit::signed(request), &[b'x'; 800])?;
+                Ok(true)
+            },
+        ));
     }
     let gateway = Gateway::start(&case.temporary, "front-1", &store);
     if !gateway.wait_ready() {
@@ -153,20 +196,55 @@
             }
             next[kind] += Duration::from_secs_f64(1.0 / rate);
             number += 1;
-            let (front, record, outcomes) = (gateway.front, Arc::clone(&case.record), Arc::clone(&outcomes));
+            let (front, record, outcomes) = (
+                gateway.front,
+                Arc::clone(&case.record),
+                Arc::clone(&outcomes),
+            );
             running.push(thread::spawn(move || {
                 let id = kit::new_id();
                 let mut client = Client::new(front, Duration::from_secs(20));
                 let sent = started_at.elapsed();
                 let answered = match (kind, number % 7) {
-                    (0, _) => client.call("POST", "/redraft/a", &id, &[("Pistachiohall-Deadline-Ms", "15000"), ("Pistachiohall-Model", "m"), ("Pistachiohall-Token-Count", "220,89"), ("Pistachiohall-Prompt-Prefix", "a1:79,b2:141")], b"redraft"),
-                    (_, 0 | 1) => client.call("GET", &format!("/read/{number}"), &id, &[("Pistachiohall-Deadline-Ms", "1000")], b""),
-                    _ => client.call("POST", "/advance/a", &id, &[("Pistachiohall-Deadline-Ms", "1000")], id.as_bytes()),
+                    (0, _) => client.call(
+                        "POST",
+                        "/redraft/a",
+                        &id,
+                        &[
+                            ("Pistachiohall-Deadline-Ms", "15000"),
+                            ("Pistachiohall-Model", "m"),
+                            ("Pistachiohall-Token-Count", "220,89"),
+                            ("Pistachiohall-Prompt-Prefix", "a1:79,b2:141"),
+                        ],
+                        b"redraft",
+                    ),
+                    (_, 0 | 1) => client.call(
+                        "GET",
+                        &format!("/read/{number}"),
+                        &id,
+                        &[("Pistachiohall-Deadline-Ms", "1000")],
+                        b"",
+                    ),
+                    _ => client.call(
+                        "POST",
+                        "/advance/a",
+                        &id,
+                        &[("Pistachiohall-Deadline-Ms", "1000")],
+                        id.as_bytes(),
+                    ),
                 };
                 let took = started_at.elapsed() - sent;
                 let status = answered.map_or(0, |answer| answer.status);
-                record.line(format!("client: {} {id} sent at {sent:?}: {status} after {took:?}", if kind == 0 { "redraft" } else { "cue" }));
-                outcomes.lock().unwrap().push(Outcome { is_cue: kind == 1, sent, took, status });
+                record.line(format!(
+                    "client: {} {id} sent at {sent:?}: {status} after {took:?}",
+                    if kind == 0 { "redraft" } else { "cue" }
+                ));
+                outcomes.lock().unwrap().push(Outcome {
+                    is_cue: kind == 1,
+                    sent,
+                    took,
+                    status,
+                });
             }));
         }
     }
@@ -175,7 +253,9 @@
     }
     let outcomes = outcomes.lock().unwrap();
     for second in 0..DURATION.as_secs() {
-        let of = outcomes.iter().filter(|outcome| outcome.is_cue && outcome.sent.as_secs() == second);
+        let of = outcomes
+            .iter()
+            .filter(|outcome| outcome.is_cue && outcome.sent.as_secs() == second);
         let mut of: Vec<&Outcome> = of.collect();
         of.sort_by_key(|outcome| outcome.took);
         let served = of.iter().filter(|outcome| outcome.status == 200).count();
@@ -187,8 +267,14 @@
             longest.map(|outcome| outcome.took)
         ));
     }
-    let unanswered = outcomes.iter().filter(|outcome| outcome.took >= outcome.timeout()).count();
-    let late = outcomes.iter().filter(|outcome| outcome.took >= outcome.timeout() + SLACK).count();
+    let unanswered = outcomes
+        .iter()
+        .filter(|outcome| outcome.took >= outcome.timeout())
+        .count();
+    let late = outcomes
+        .iter()
+        .filter(|outcome| outcome.took >= outcome.timeout() + SLACK)
+        .count();
     let text = format!(
         "of {} requests {unanswered} were unanswered at their route's timeout, {late} of these half a second later",
         outcomes.len()
--- a/review/standin/kit.rs
+++ b/review/standin/kit.rs
@@ -8,10 +8,11 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Write;
-use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -35,7 +36,9 @@
 
 /// Returns the wall time in milliseconds since the Unix epoch.
 pub fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
 }
 
 /// Log of what was sent, answered and run.
@@ -46,7 +49,10 @@
 
 impl Record {
     pub fn create(path: &Path) -> io::Result<Arc<Self>> {
-        Ok(Arc::new(Record { started_at: Instant::now(), out: Mutex::new(File::create(path)?) }))
+        Ok(Arc::new(Record {
+            started_at: Instant::now(),
+            out: Mutex::new(File::create(path)?),
+        }))
     }
 
     pub fn line<T: AsRef<str>>(&self, text: T) {
@@ -97,15 +103,23 @@
     }
 }
 
-fn read_body<R: BufRead>(reader: &mut R, fields: &HashMap<String, String>, to_end: bool) -> io::Result<Vec<u8>> {
+fn read_body<R: BufRead>(
+    reader: &mut R,
+    fields: &HashMap<String, String>,
+    to_end: bool,
+) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
-    if fields.get("transfer-encoding").is_some_and(|value| value == "chunked") {
+    if fields
+        .get("transfer-encoding")
+        .is_some_and(|value| value == "chunked")
+    {
         loop {
             let mut line = String::new();
             if reader.read_line(&mut line)? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
-            let length = usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+            let length =
+                usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
             let mut chunk = vec![0; length + 2];
             reader.read_exact(&mut chunk)?;
             if length == 0 {
@@ -139,15 +153,25 @@
     Ok(Some(Request {
         method: method.into(),
         path: path.into(),
-        query: pairs.map(|(name, value)| (name.into(), value.into())).collect(),
+        query: pairs
+            .map(|(name, value)| (name.into(), value.into()))
+            .collect(),
         fields,
         body,
     }))
 }
 
 /// Writes an answer with its length.
-pub fn answer(out: &mut TcpStream, status: u16, fields: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
-    let mut head = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+pub fn answer(
+    out: &mut TcpStream,
+    status: u16,
+    fields: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut head = format!(
+        "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in fields {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -157,9 +181,30 @@
     out.write_all(&bytes)
 }
 
-/// Returns a port that is free at `ip` now.
-pub fn free_port(ip: IpAddr) -> u16 {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port()
+/// Returns an address on the loopback with a port that is free. No other process of a case has its
+/// IP address and no connection goes out from it, so that the port stays free.
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let process = std::process::id();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed) as u8;
+    let ip = Ipv4Addr::new(127, 64 + (process >> 8 & 63) as u8, process as u8, number);
+    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+}
+
+/// Has the system end a process together with the case, also if that is killed.
+pub fn end_with_parent(command: &mut Command) {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: usize = 9;
+    unsafe extern "C" {
+        fn prctl(option: i32, argument: usize) -> i32;
+    }
+    // SAFETY: `prctl` may be called between `fork` and `exec`.
+    unsafe {
+        command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+            0 => Ok(()),
+            _ => Err(io::Error::last_os_error()),
+        });
+    }
 }
 
 /// Serves connections, a thread each, until the process ends. `handle` returns `false` to close.
@@ -199,7 +244,9 @@
         let key = String::from_utf8_lossy(&content[1..1 + length]).into_owned();
         match content[1 + length..].is_empty() {
             true => self.newest.remove(&key),
-            false => self.newest.insert(key, (offset, content[1 + length..].to_vec())),
+            false => self
+                .newest
+                .insert(key, (offset, content[1 + length..].to_vec())),
         };
         self.records.push(content);
         offset
@@ -220,7 +267,9 @@
         let shared = Arc::new((Mutex::new(HashMap::new()), Condvar::new()));
         let store = Store { address, shared };
         let own = store.clone();
-        serve(listener, move |request, stream| own.handle(&request, stream));
+        serve(listener, move |request, stream| {
+            own.handle(&request, stream)
+        });
         store
     }
 
@@ -237,7 +286,12 @@
 
     fn handle(&self, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
         let name = request.query.get("topic").cloned().unwrap_or_default();
-        let number = |name: &str| request.query.get(name).and_then(|value| value.parse::<u64>().ok());
+        let number = |name: &str| {
+            request
+                .query
+                .get(name)
+                .and_then(|value| value.parse::<u64>().ok())
+        };
         let era = ("Store-Era", "1");
         let json = [era, ("Content-Type", "application/json")];
         match (request.method.as_str(), request.path.as_str()) {
@@ -254,7 +308,10 @@
                     Some(at) if at != end => (412, format!("{{\"end_offset\":{end}}}")),
                     _ => {
                         let offset = topic.append(request.body[4..].to_vec());
-                        (200, format!("{{\"offset\":{offset},\"end_offset\":{}}}", offset + 1))
+                        (
+                            200,
+                            format!("{{\"offset\":{offset},\"end_offset\":{}}}", offset + 1),
+                        )
                     }
                 };
                 drop(topics);
@@ -265,9 +322,14 @@
                 let from = number("from").unwrap_or(0) as usize;
                 let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
                 let topics = self.shared.0.lock().unwrap();
-                let end = |topics: &HashMap<String, Topic>| topics.get(&name).map_or(0, |topic| topic.records.len());
-                let (topics, _) =
-                    self.shared.1.wait_timeout_while(topics, wait, |topics| end(topics) == from).unwrap();
+                let end = |topics: &HashMap<String, Topic>| {
+                    topics.get(&name).map_or(0, |topic| topic.records.len())
+                };
+                let (topics, _) = self
+                    .shared
+                    .1
+                    .wait_timeout_while(topics, wait, |topics| end(topics) == from)
+                    .unwrap();
                 if from > end(&topics) {
                     drop(topics);
                     answer(stream, 410, &json, b"{\"first_offset\":0}")?;
@@ -275,7 +337,11 @@
                 }
                 let mut body = (end(&topics) as u64).to_be_bytes().to_vec();
                 body.extend_from_slice(&0_u64.to_be_bytes());
-                for record in topics.get(&name).into_iter().flat_map(|topic| &topic.records[from..]) {
+                for record in topics
+                    .get(&name)
+                    .into_iter()
+                    .flat_map(|topic| &topic.records[from..])
+                {
                     body.extend_from_slice(&(record.len() as u32).to_be_bytes());
                     body.extend_from_slice(record);
                 }
@@ -287,7 +353,10 @@
                 let empty = Topic::default();
                 let topic = topics.get(&name).unwrap_or(&empty);
                 let items = topic.newest.iter().map(|(key, (offset, value))| {
-                    format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+                    format!(
+                        "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                        base64(value)
+                    )
                 });
                 let items = items.collect::<Vec<_>>().join(",");
                 let end = topic.records.len();
@@ -305,7 +374,10 @@
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let number = chunk.iter().fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte)) << (8 * (3 - chunk.len()));
+        let number = chunk
+            .iter()
+            .fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte))
+            << (8 * (3 - chunk.len()));
         for index in 0..4 {
             match index <= chunk.len() {
                 true => text.push(DIGITS[(number >> (18 - 6 * index)) as usize & 63] as char),
@@ -355,7 +427,12 @@
                      \"kv_used\":0,\"kv_total\":685000,\"kv_handles\":0,\"born\":{born}}}",
                     stage.unwrap_or_default()
                 );
-                answer(stream, 200, &[("Content-Type", "application/json")], body.as_bytes())?;
+                answer(
+                    stream,
+                    200,
+                    &[("Content-Type", "application/json")],
+                    body.as_bytes(),
+                )?;
                 return Ok(true);
             }
             if request.path == "/healthz" {
@@ -364,7 +441,12 @@
             }
             let expected = request.field("pistachiohall-expect-instance");
             if !expected.is_empty() && expected != own {
-                answer(stream, 421, &[("Pistachiohall-Request-Id", request.id())], b"")?;
+                answer(
+                    stream,
+                    421,
+                    &[("Pistachiohall-Request-Id", request.id())],
+                    b"",
+                )?;
                 return Ok(true);
             }
             run(&request, stream)
@@ -385,13 +467,19 @@
                 write(sequence);
             }
         });
-        Replica { id: id.into(), address }
+        Replica {
+            id: id.into(),
+            address,
+        }
     }
 }
 
 /// Returns the signed fields of a replica's own answer to a request.
 pub fn signed(request: &Request) -> [(&str, &str); 2] {
-    [("Pistachiohall-Request-Id", request.id()), ("Pistachiohall-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")]
+    [
+        ("Pistachiohall-Request-Id", request.id()),
+        ("Pistachiohall-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1"),
+    ]
 }
 
 /// A gateway process, killed when dropped.
@@ -405,9 +493,8 @@
 impl Gateway {
     /// Starts the program of the deploy file with the settings of a small deployment.
     pub fn start(folder: &Path, name: &str, store: &Store) -> Self {
-        let ip: IpAddr = "127.0.0.1".parse().unwrap();
-        let ports: Vec<u16> = (0..4).map(|_| free_port(ip)).collect();
-        let address = |index: usize| SocketAddr::new(ip, ports[index]);
+        let addresses: Vec<SocketAddr> = (0..4).map(|_| free_address()).collect();
+        let address = |index: usize| addresses[index];
         let text = format!(
             "[gateway]\nname = {name}\ndomain = derby\nlisten = {}\nready_listen = {}\npeer_listen = {}\n\
              metrics_listen = {}\nstore = {}\n[repeats]\nratio = 0.2\nslack = 52\nwindow = 10s\n\
@@ -421,19 +508,28 @@
         let settings = folder.join(format!("{name}.ini"));
         std::fs::write(&settings, text).unwrap();
         let child = Gateway::spawn(&settings);
-        Gateway { child, settings, front: address(0), ready: address(1) }
+        Gateway {
+            child,
+            settings,
+            front: address(0),
+            ready: address(1),
+        }
     }
 
     fn spawn(settings: &Path) -> Child {
-        let log = File::options().create(true).append(true).open(settings.with_extension("log")).unwrap();
-        Command::new("target/release/pistachiohall")
-            .arg("serve")
-            .env("PISTACHIOHALL_SETTINGS", settings)
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(settings.with_extension("log"))
+            .unwrap();
+        let mut command = Command::new("target/release/pistachiohall");
+        command.arg("serve").env("PISTACHIOHALL_SETTINGS", settings);
+        command
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn()
-            .unwrap()
+            .stderr(log);
+        end_with_parent(&mut command);
+        command.spawn().unwrap()
     }
 
     /// Starts the process again, with the same settings.
@@ -457,7 +553,10 @@
         let started_at = Instant::now();
         while started_at.elapsed() < Duration::from_secs(15) {
             let mut client = Client::new(self.ready, Duration::from_secs(1));
-            if client.call("GET", "/v1/readyz", "ready", &[], b"").is_ok_and(|answer| answer.status == 200) {
+            if client
+                .call("GET", "/v1/readyz", "ready", &[], b"")
+                .is_ok_and(|answer| answer.status == 200)
+            {
                 return true;
             }
             thread::sleep(Duration::from_millis(100));
@@ -489,7 +588,11 @@
 
 impl Client {
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        Client { address, timeout, stream: None }
+        Client {
+            address,
+            timeout,
+            stream: None,
+        }
     }
 
     /// Returns `true` if the next request goes over a connection that has served one before.
@@ -503,7 +606,14 @@
     }
 
     /// Sends a request and reads the whole answer.
-    pub fn call(&mut self, method: &str, path: &str, id: &str, fields: &[(&str, &str)], body: &[u8]) -> io::Result<Answer> {
+    pub fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        fields: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<Answer> {
         if self.stream.is_none() {
             let stream = TcpStream::connect_timeout(&self.address, Duration::from_secs(1))?;
             stream.set_nodelay(true)?;
@@ -524,21 +634,34 @@
         reader.get_mut().write_all(head.as_bytes())?;
         reader.get_mut().write_all(body)?;
         let (first, fields) = read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
-        let status = first.split(' ').nth(1).and_then(|word| word.parse().ok()).ok_or(io::ErrorKind::InvalidData)?;
+        let status = first
+            .split(' ')
+            .nth(1)
+            .and_then(|word| word.parse().ok())
+            .ok_or(io::ErrorKind::InvalidData)?;
         let body = match status {
             204 => Vec::new(),
             _ => read_body(&mut reader, &fields, true)?,
         };
-        if !fields.get("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+        if !fields
+            .get("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+        {
             self.stream = Some(reader);
         }
-        Ok(Answer { status, fields, body })
+        Ok(Answer {
+            status,
+            fields,
+            body,
+        })
     }
 }
 
 /// Returns a new identifier of a client attempt.
 pub fn new_id() -> String {
     static NEXT: AtomicU64 = AtomicU64::new(1);
-    let number = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let number = NEXT
+        .fetch_add(1, Ordering::Relaxed)
+        .wrapping_mul(0x9e37_79b9_7f4a_7c15);
     format!("{number:016x}")
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)]
 
 mod flood;
+mod forgotten;
 mod kit;
 mod order;
 mod poison;
@@ -51,6 +52,7 @@
         is_disturbed: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
     let verdict = match name.as_str() {
+        "forgotten" => forgotten::run(&case),
         "order" => order::run(&case),
         "poison" => poison::run(&case),
         "refused" => refused::run(&case),
--- a/review/standin/order.rs
+++ b/review/standin/order.rs
@@ -41,6 +41,10 @@
 
 /// Answers with a stream that has neither a length nor chunks and ends with its connection.
 pub fn generate(request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
+    if request.path.ends_with("/run-crash") {
+        println!("crashes as it begins to run {}", request.id());
+        std::process::exit(1);
+    }
     let resumed_after = request.field("last-event-id").parse().unwrap_or(0_usize);
     println!("runs {} from event {}", request.id(), resumed_after + 1);
     let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
@@ -50,7 +54,10 @@
     stream.write_all(format!("{head}\r\n").as_bytes())?;
     thread::sleep(FIRST_EVENT);
     if request.path.ends_with("/crash") {
-        println!("crashes as it begins to write the answer to {}", request.id());
+        println!(
+            "crashes as it begins to write the answer to {}",
+            request.id()
+        );
         // The connection ends with the process.
         std::process::exit(1);
     }
@@ -66,8 +73,9 @@
 pub fn run(case: &Case) -> Verdict {
     let store = Store::start();
     store.put("keyed.op", "config", CONFIG);
-    let mut replicas: Vec<Process> =
-        (0..REPLICAS).map(|index| Process::start(&store, &case.record, "appraiser", &format!("i-{index}"))).collect();
+    let mut replicas: Vec<Process> = (0..REPLICAS)
+        .map(|index| Process::start(&store, &case.record, "appraiser", &format!("i-{index}")))
+        .collect();
     let gateway = Gateway::start(&case.temporary, "front-1", &store);
     if !gateway.wait_ready() {
         return Verdict::NotRun("the gateway did not get ready".into());
@@ -84,12 +92,19 @@
         let now = started_at.elapsed();
         if now >= next {
             next += Duration::from_secs_f64(1.0 / STREAMS_PER_S);
-            let (front, record, complete) = (gateway.front, Arc::clone(&case.record), Arc::clone(&complete));
+            let (front, record, complete) = (
+                gateway.front,
+                Arc::clone(&case.record),
+                Arc::clone(&complete),
+            );
             running.push(thread::spawn(move || ask(front, &record, &complete)));
         }
         if case.is_disturbed && killed < KILLS.len() && now.as_secs() >= KILLS[killed] {
             let index = killed % REPLICAS;
-            case.record.line(format!("replica {} at {} is killed", replicas[index].id, replicas[index].address));
+            case.record.line(format!(
+                "replica {} at {} is killed",
+                replicas[index].id, replicas[index].address
+            ));
             replicas[index].kill(&store);
             killed += 1;
             back = Some((index, now + DOWN));
@@ -97,8 +112,14 @@
         if let Some((index, at)) = back
             && now >= at
         {
-            replicas[index] = Process::start(&store, &case.record, "appraiser", &format!("i-{index}-{killed}"));
-            case.record.line(format!("replica {} is started", replicas[index].id));
+            replicas[index] = Process::start(
+                &store,
+                &case.record,
+                "appraiser",
+                &format!("i-{index}-{killed}"),
+            );
+            case.record
+                .line(format!("replica {} is started", replicas[index].id));
             back = None;
         }
     }
@@ -110,7 +131,9 @@
     let empty = complete.iter().filter(|events| **events == 0).count();
     let short = complete.len() - whole - empty;
     case.record.line(format!("{whole} streams complete and whole, {empty} complete without an event, {short} complete with some events missing"));
-    println!("{whole} streams complete and whole, {empty} complete without an event, {short} complete with some events missing");
+    println!(
+        "{whole} streams complete and whole, {empty} complete without an event, {short} complete with some events missing"
+    );
     match (whole, empty) {
         (0, _) => Verdict::NotRun("no stream was served".into()),
         (_, 0) => Verdict::Held,
@@ -127,7 +150,9 @@
         Ok(answer) if answer.status == 200 => {
             let text = String::from_utf8_lossy(&answer.body);
             let events = text.matches("id: ").count();
-            record.line(format!("client gets 200 to {id}: a complete stream of {events} events of {EVENTS}"));
+            record.line(format!(
+                "client gets 200 to {id}: a complete stream of {events} events of {EVENTS}"
+            ));
             complete.lock().unwrap().push(events);
         }
         Ok(answer) => record.line(format!("client gets {} to {id}", answer.status)),
--- a/review/standin/poison.rs
+++ b/review/standin/poison.rs
@@ -35,13 +35,19 @@
     let store = Store::start();
     store.put("keyed.op", "config", crate::order::CONFIG);
     let start = |id: &str| Process::start(&store, &case.record, "appraiser", id);
-    let mut replicas: Vec<Process> = (0..REPLICAS).map(|index| start(&format!("i-{index}"))).collect();
+    let mut replicas: Vec<Process> = (0..REPLICAS)
+        .map(|index| start(&format!("i-{index}")))
+        .collect();
     let gateway = Gateway::start(&case.temporary, "front-1", &store);
     if !gateway.wait_ready() {
         return Verdict::NotRun("the gateway did not get ready".into());
     }
     let started_at = Instant::now();
-    let path = if case.is_disturbed { "/quote/crash" } else { "/quote/again" };
+    let path = if case.is_disturbed {
+        "/quote/crash"
+    } else {
+        "/quote/again"
+    };
     let tally: Arc<Mutex<[usize; 2]>> = Arc::default();
     let mut running = Vec::new();
     let (mut next, mut again) = (Duration::ZERO, Duration::from_secs(4));
@@ -53,7 +59,8 @@
         let now = started_at.elapsed();
         if now >= next {
             next += Duration::from_secs_f64(1.0 / STREAMS_PER_S);
-            let (front, record, tally) = (gateway.front, Arc::clone(&case.record), Arc::clone(&tally));
+            let (front, record, tally) =
+                (gateway.front, Arc::clone(&case.record), Arc::clone(&tally));
             running.push(thread::spawn(move || {
                 let is_whole = ask(front, &record, "/quote/a", b"quote") == Some(EVENTS);
                 tally.lock().unwrap()[usize::from(is_whole)] += 1;
@@ -68,7 +75,8 @@
         }
         for (index, replica) in replicas.iter_mut().enumerate() {
             if replica.has_ended(&store) {
-                case.record.line(format!("replica {} has crashed", replica.id));
+                case.record
+                    .line(format!("replica {} has crashed", replica.id));
                 crashes.push(now);
                 back.push((index, now + DOWN));
             }
@@ -108,8 +116,13 @@
     let fields = [("Pistachiohall-Deadline-Ms", "15000")];
     match client.call("POST", path, &id, &fields, body) {
         Ok(answer) => {
-            let events = String::from_utf8_lossy(&answer.body).matches("id: ").count();
-            record.line(format!("client gets {} to {id} with {events} events", answer.status));
+            let events = String::from_utf8_lossy(&answer.body)
+                .matches("id: ")
+                .count();
+            record.line(format!(
+                "client gets {} to {id} with {events} events",
+                answer.status
+            ));
             (answer.status == 200).then_some(events)
         }
         Err(cause) => {
--- a/review/standin/process.rs
+++ b/review/standin/process.rs
@@ -29,7 +29,12 @@
             return Ok(true);
         }
         if request.field("pistachiohall-expect-instance") != own {
-            kit::answer(stream, 421, &[("Pistachiohall-Request-Id", request.id())], b"")?;
+            kit::answer(
+                stream,
+                421,
+                &[("Pistachiohall-Request-Id", request.id())],
+                b"",
+            )?;
             return Ok(true);
         }
         order::generate(&request, stream)
@@ -51,13 +56,12 @@
 impl Process {
     /// Starts a replica of `service`.
     pub fn start(store: &Store, record: &Arc<Record>, service: &str, id: &str) -> Self {
-        let address = SocketAddr::new("127.0.0.1".parse().unwrap(), kit::free_port("127.0.0.1".parse().unwrap()));
-        let mut child = Command::new(std::env::current_exe().unwrap())
-            .args(["replica", id, &address.to_string()])
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let address = kit::free_address();
+        let mut command = Command::new(std::env::current_exe().unwrap());
+        command.args(["replica", id, &address.to_string()]);
+        command.stdin(Stdio::null()).stdout(Stdio::piped());
+        kit::end_with_parent(&mut command);
+        let mut child = command.spawn().unwrap();
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let _listening = lines.next();
         let (record, own) = (Arc::clone(record), id.to_owned());
@@ -88,18 +92,29 @@
                 thread::sleep(HEARTBEAT);
             }
         });
-        Process { id: id.into(), address, child, is_alive }
+        Process {
+            id: id.into(),
+            address,
+            child,
+            is_alive,
+        }
     }
 
     /// Returns `true` once if the process has ended by itself; its entry is removed later.
     pub fn has_ended(&mut self, store: &Store) -> bool {
-        let has_ended = *self.is_alive.lock().unwrap() && matches!(self.child.try_wait(), Ok(Some(_)));
+        let has_ended =
+            *self.is_alive.lock().unwrap() && matches!(self.child.try_wait(), Ok(Some(_)));
         if has_ended {
             self.kill(store);
         }
         has_ended
     }
 
+    /// Returns `true` if the process has ended or was killed.
+    pub fn is_down(&self) -> bool {
+        !*self.is_alive.lock().unwrap()
+    }
+
     /// Kills the process with SIGKILL; its entry is removed after three intervals of silence.
     pub fn kill(&mut self, store: &Store) {
         *self.is_alive.lock().unwrap() = false;
@@ -119,4 +134,3 @@
         let _ = self.child.wait();
     }
 }
-
--- a/review/standin/refused.rs
+++ b/review/standin/refused.rs
@@ -45,21 +45,48 @@
     let runs: Arc<Mutex<HashMap<String, usize>>> = Arc::default();
     let _replicas: Vec<Replica> = (0..REPLICAS)
         .map(|index| {
-            let (runs, record, is_disturbed) = (Arc::clone(&runs), Arc::clone(&case.record), case.is_disturbed);
+            let (runs, record, is_disturbed) = (
+                Arc::clone(&runs),
+                Arc::clone(&case.record),
+                case.is_disturbed,
+            );
             let served = AtomicU64::new(0);
-            Replica::start(&store, &format!("i-{index:02}"), "listings-app", 6, move |request, stream| {
-                let payment = String::from_utf8_lossy(&request.body).into_owned();
-                *runs.lock().unwrap().entry(request.id().to_owned()).or_default() += 1;
-                record.line(format!("replica i-{index:02} runs {} ({payment})", request.id()));
-                thread::sleep(WORK);
-                let is_grey = is_disturbed && index == 0 && (GREY_FROM..grey_until).contains(&started_at.elapsed());
-                let is_failed = is_grey && served.fetch_add(1, Ordering::Relaxed) % 10 < FAILED_OF_TEN;
-                // The replica's own failure, signed, and without `Pistachiohall-Not-Executed`: it has run.
-                let (status, body) = if is_failed { (503, "ledger not reached\n") } else { (200, "posted\n") };
-                record.line(format!("replica i-{index:02} answers {} with {status}", request.id()));
-                kit::answer(stream, status, &kit::signed(request), body.as_bytes())?;
-                Ok(true)
-            })
+            Replica::start(
+                &store,
+                &format!("i-{index:02}"),
+                "listings-app",
+                6,
+                move |request, stream| {
+                    let payment = String::from_utf8_lossy(&request.body).into_owned();
+                    *runs
+                        .lock()
+                        .unwrap()
+                        .entry(request.id().to_owned())
+                        .or_default() += 1;
+                    record.line(format!(
+                        "replica i-{index:02} runs {} ({payment})",
+                        request.id()
+                    ));
+                    thread::sleep(WORK);
+                    let is_grey = is_disturbed
+                        && index == 0
+                        && (GREY_FROM..grey_until).contains(&started_at.elapsed());
+                    let is_failed =
+                        is_grey && served.fetch_add(1, Ordering::Relaxed) % 10 < FAILED_OF_TEN;
+                    // The replica's own failure, signed, and without `Pistachiohall-Not-Executed`: it has run.
+                    let (status, body) = if is_failed {
+                        (503, "ledger not reached\n")
+                    } else {
+                        (200, "posted\n")
+                    };
+                    record.line(format!(
+                        "replica i-{index:02} answers {} with {status}",
+                        request.id()
+                    ));
+                    kit::answer(stream, status, &kit::signed(request), body.as_bytes())?;
+                    Ok(true)
+                },
+            )
         })
         .collect();
     let gateway = Gateway::start(&case.temporary, "front-1", &store);
@@ -70,7 +97,8 @@
     let served = Arc::new(AtomicU64::new(0));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
-            let (runs, record, front) = (Arc::clone(&runs), Arc::clone(&case.record), gateway.front);
+            let (runs, record, front) =
+                (Arc::clone(&runs), Arc::clone(&case.record), gateway.front);
             let (broken, served) = (Arc::clone(&broken), Arc::clone(&served));
             thread::spawn(move || {
                 let mut connection = Client::new(front, Duration::from_secs(5));
@@ -78,7 +106,14 @@
                     if started_at.elapsed() > DURATION {
                         return;
                     }
-                    pay(&mut connection, &format!("payment {client}-{number}"), &runs, &record, &broken, &served);
+                    pay(
+                        &mut connection,
+                        &format!("payment {client}-{number}"),
+                        &runs,
+                        &record,
+                        &broken,
+                        &served,
+                    );
                     thread::sleep(Duration::from_millis(60));
                 }
             })
@@ -89,8 +124,13 @@
             return Verdict::NotRun("a client failed".into());
         }
     }
-    let (broken, served) = (broken.load(Ordering::Relaxed), served.load(Ordering::Relaxed));
-    case.record.line(format!("{served} payments answered 200, {broken} requests refused though they had run"));
+    let (broken, served) = (
+        broken.load(Ordering::Relaxed),
+        served.load(Ordering::Relaxed),
+    );
+    case.record.line(format!(
+        "{served} payments answered 200, {broken} requests refused though they had run"
+    ));
     match (broken, served) {
         (_, 0) => Verdict::NotRun("no payment was served".into()),
         (0, _) => Verdict::Held,
@@ -117,7 +157,11 @@
             return connection.close();
         };
         let has_run = runs.lock().unwrap().contains_key(&id);
-        record.line(format!("client gets {} to {id}, which {}", answer.status, if has_run { "has run" } else { "has not run" }));
+        record.line(format!(
+            "client gets {} to {id}, which {}",
+            answer.status,
+            if has_run { "has run" } else { "has not run" }
+        ));
         if answer.status == 200 {
             served.fetch_add(1, Ordering::Relaxed);
         }
@@ -125,7 +169,10 @@
             return;
         }
         if has_run {
-            record.line(format!("REFUSED broken: {id} is answered {} and has run; the client sends {payment} again", answer.status));
+            record.line(format!(
+                "REFUSED broken: {id} is answered {} and has run; the client sends {payment} again",
+                answer.status
+            ));
             broken.fetch_add(1, Ordering::Relaxed);
         }
         connection.close();
