--- a/review/standin/forgotten.rs
+++ b/review/standin/forgotten.rs
@@ -19,7 +19,7 @@
 const REPLICAS: usize = 6;
 const HOSTS: usize = 2;
 /// Times at which all hosts are killed, and how often each time, one start after the other.
-const ROUNDS: u32 = 7;
+const ROUNDS: u32 = 9;
 const KILLS: u32 = 4;
 /// Time from a host's start to the next kill.
 const AGAIN: Duration = Duration::from_millis(600);
