Don't pass on a status that denies a run which took place

Cause: signed answers were delivered whatever their status promises. Now exchange::Provenance::permits_delivery decides, on all ways by which a full response reaches a caller (plain, a stream's first answer, whole or split). A request that must not run twice gets 502, without the signature and Retry-After; idempotent ones get the upstream's answer as before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -88,6 +88,28 @@
     Signed,
 }
 
+impl Provenance {
+    /// Returns `true` if a response of this provenance may be passed on with its status to the caller
+    /// of a request that is idempotent or not.
+    ///
+    /// An upstream's own status may tell the caller that its request has not run although the upstream
+    /// has run it. The caller then sends it again, which only an idempotent request allows.
+    ///
+    /// ```
+    /// use http::StatusCode;
+    /// use pistachiohall::gateway::exchange::Provenance;
+    /// let busy = StatusCode::SERVICE_UNAVAILABLE;
+    /// assert!(Provenance::Signed.permits_delivery(busy, true));
+    /// assert!(!Provenance::Signed.permits_delivery(busy, false));
+    /// ```
+    pub fn permits_delivery(self, status: StatusCode, is_idempotent: bool) -> bool {
+        match self {
+            Provenance::Signed => is_idempotent || !egress::states_not_run(status),
+            Provenance::NotRun | Provenance::Foreign | Provenance::Unsigned => false,
+        }
+    }
+}
+
 /// Reason for which an exchange brought no response.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum Failure {
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -16,7 +16,6 @@
 use super::open::Progress;
 use super::open::Start;
 use super::plain;
-use super::record::Outcome;
 use super::record::Trace;
 use super::reply;
 use super::reply::Reply;
@@ -83,8 +82,7 @@
             Ok(Start::Stream(stream)) => return deliver(gateway, *stream, progress),
             Ok(Start::Full(response)) => {
                 progress.trace.record_first();
-                progress.trace.end(Outcome::Delivered);
-                return reply::deliver(response);
+                return plain::deliver(response, &progress.call, &mut progress.trace);
             }
             Err(_) => {
                 let is_idempotent = progress.call.route.is_idempotent();
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -48,27 +48,23 @@
     loop {
         if let Some(retry_after) = suspect::refusal(gateway, call).await {
             trace.decide(suspect::REFUSAL_REASON);
-            return give_up(&attempt_budget, buffered, retry_after, trace);
+            return give_up(call, &attempt_budget, buffered, retry_after, trace);
         }
         let now = Instant::now();
         if now >= call.deadline {
-            return give_up(&attempt_budget, buffered, RETRY_AFTER, trace);
+            return give_up(call, &attempt_budget, buffered, RETRY_AFTER, trace);
         }
         let other = pick(gateway, call, &tried, now);
         let is_second = tried.len() == 1;
         let same = || pick_again(gateway, call, &last, now).filter(|_| is_second);
         let Some(target) = other.or_else(same) else {
             trace.decide("no-upstream");
-            return give_up(
-                &attempt_budget,
-                buffered,
-                retry_after(gateway, call, now),
-                trace,
-            );
+            let after = retry_after(gateway, call, now);
+            return give_up(call, &attempt_budget, buffered, after, trace);
         };
         if attempt_budget.retries(false) > 0 && !gateway.try_spend_retries(&call.service, 1, now) {
             trace.decide("no-budget");
-            return give_up(&attempt_budget, buffered, RETRY_AFTER, trace);
+            return give_up(call, &attempt_budget, buffered, RETRY_AFTER, trace);
         }
         attempt_budget.record_send();
         tried.push(target.entry.id.clone());
@@ -89,8 +85,7 @@
                 let may_improve = call.route.kind == Kind::Safe && attempt_budget.allows_more(true);
                 if !is_failure || !may_improve || buffered.is_some() {
                     trace.record_first();
-                    trace.end(Outcome::Delivered);
-                    return reply::deliver(response);
+                    return deliver(response, call, trace);
                 }
                 buffered = Some(response);
             }
@@ -100,7 +95,7 @@
                 last = Some(failure);
                 if !attempt_budget.allows_more(call.route.is_idempotent()) {
                     let after = retry_after(gateway, call, Instant::now());
-                    return give_up(&attempt_budget, buffered, after, trace);
+                    return give_up(call, &attempt_budget, buffered, after, trace);
                 }
             }
         }
@@ -244,18 +239,35 @@
 /// Returns the reply to a request that no attempt has served: a buffered response, if there is one,
 /// or an error.
 fn give_up(
+    call: &Call,
     attempt_budget: &AttemptBudget,
     buffered: Option<FullResponse>,
     retry_after: Duration,
     trace: &mut Trace,
 ) -> Reply {
     if let Some(response) = buffered {
-        trace.end(Outcome::Delivered);
-        return reply::deliver(response);
+        return deliver(response, call, trace);
     }
     fail(attempt_budget.may_have_run(), retry_after, trace)
 }
 
+/// Passes on an upstream's full response, unless its status would tell the caller of a request that
+/// must not run twice that it has not run.
+pub fn deliver(response: FullResponse, call: &Call, trace: &mut Trace) -> Reply {
+    let status = response.head.status;
+    let is_idempotent = call.route.is_idempotent();
+    if !response.provenance.permits_delivery(status, is_idempotent) {
+        trace.step(format_args!("withheld={}", status.as_u16()));
+        trace.end(Outcome::Failed);
+        return reply::own(
+            StatusCode::BAD_GATEWAY,
+            &format!("the upstream failed with status {status}; the request may have run"),
+        );
+    }
+    trace.end(Outcome::Delivered);
+    reply::deliver(response)
+}
+
 /// Returns a refusal, or a failure if the request may have run.
 pub fn fail(may_have_run: bool, retry_after: Duration, trace: &mut Trace) -> Reply {
     if may_have_run {
--- a/src/platform/egress.rs
+++ b/src/platform/egress.rs
@@ -111,6 +111,26 @@
     }
 }
 
+/// Statuses that tell a caller that its request has not run and will not.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// Returns `true` if a status tells a caller that its request has not run, so that the caller may
+/// send it again.
+///
+/// ```
+/// use pistachiohall::platform::egress;
+/// assert!(egress::states_not_run(http::StatusCode::SERVICE_UNAVAILABLE));
+/// assert!(!egress::states_not_run(http::StatusCode::BAD_GATEWAY));
+/// ```
+pub fn states_not_run(status: StatusCode) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
+
 /// Statuses whose `Retry-After` requests a pause: the upstream has rejected the request.
 const PAUSE_STATUSES: [StatusCode; 2] = [
     StatusCode::SERVICE_UNAVAILABLE,
--- a/src/standin/fleet/replica/answer.rs
+++ b/src/standin/fleet/replica/answer.rs
@@ -310,6 +310,7 @@
         Behavior::Hang => return hang(shared, index, stream),
         Behavior::Reset => return Ok(Next::Reset),
         Behavior::Fail => say(shared, stream, 500, &signed, b"failed")?,
+        Behavior::FailWith(status) => say(shared, stream, status, &signed, b"failed")?,
         Behavior::Foreign => {
             let fields = [("Pistachiohall-Request-Id", "another"), signed[1]];
             say(shared, stream, 200, &fields, body)?;
@@ -430,6 +431,14 @@
     match manner {
         Behavior::Hang => return hang(shared, index, stream),
         Behavior::Reset => return Ok(Next::Reset),
+        Behavior::FailWith(status) => {
+            let signed = [
+                ("Pistachiohall-Request-Id", id),
+                ("Pistachiohall-Server-Stamp", STAMP),
+            ];
+            say(shared, stream, status, &signed, b"failed")?;
+            return Ok(Next::Keep);
+        }
         _ => (),
     }
     if let (Behavior::BreakThen(error), true) =
--- a/src/standin/fleet/replica/mod.rs
+++ b/src/standin/fleet/replica/mod.rs
@@ -34,6 +34,8 @@
     RepeatRefusal,
     /// It runs them and fails, with its signature.
     Fail,
+    /// It runs them and fails with this status and its signature.
+    FailWith(u16),
     /// It runs them and does not answer.
     Hang,
     /// It runs them and resets the connection.
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -4,6 +4,7 @@
 mod blame;
 mod budget;
 mod catalog;
+mod delivery;
 mod doubt;
 mod events;
 mod fleet;
