Bound what an upstream sends before the head of a response

Cause: the HTTP library parses every interim response that has arrived in one poll, on the event loop of all requests; the maximum buffer bounds each message and nothing bounds them together. gateway::inflow now stands between socket and parser on all connections of the pool: 64 KB until the head of a response is complete, with a turn for other tasks after 8 KB.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod generate;
 pub mod health;
+pub mod inflow;
 pub mod limits;
 pub mod listen;
 pub mod metrics;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -21,6 +21,9 @@
 use tokio::time;
 
 use super::exchange::Failure;
+use super::inflow;
+use super::inflow::HeadMeter;
+use super::inflow::Inflow;
 
 /// Maximum wait for a connection; upstreams are at most a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -31,9 +34,6 @@
 /// Maximum idle connections to one upstream. Upstreams limit the connections of all hosts together,
 /// and those of a host that lost power stay open there for a while.
 const MAX_IDLE: usize = 8;
-/// Maximum buffer of a connection; a response with a larger head is invalid. Heads that callers may
-/// send are limited to a quarter of it.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Time by which an idle connection is closed earlier than the upstream would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
 
@@ -44,6 +44,7 @@
 pub struct Connection {
     sender: Sender,
     driver: JoinHandle<()>,
+    head_meter: HeadMeter,
     open: Rc<Cell<usize>>,
 }
 
@@ -60,8 +61,12 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failure> {
+        self.head_meter.start();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.head_meter.stop();
+                Ok(response)
+            }
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 let cause = compact_str::format_compact!("{}", error.error());
@@ -134,9 +139,10 @@
             Ok(Err(cause)) => Err(Failure::Unreachable(compact_str::format_compact!(
                 "connect: {cause}"
             ))),
-            Ok(Ok((sender, driver))) => Ok(Connection {
+            Ok(Ok((sender, driver, head_meter))) => Ok(Connection {
                 sender,
                 driver,
+                head_meter,
                 open: guard.keep(),
             }),
         }
@@ -210,18 +216,19 @@
     }
 }
 
-async fn open(address: SocketAddr) -> anyhow::Result<(Sender, JoinHandle<()>)> {
+async fn open(address: SocketAddr) -> anyhow::Result<(Sender, JoinHandle<()>, HeadMeter)> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    let head_meter = HeadMeter::default();
     let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .max_buf_size(inflow::MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(Inflow::new(stream, head_meter.clone())))
         .await?;
     let driver = task::spawn_local(async move {
         if let Err(cause) = connection.await {
             log::debug!(address:% = address, cause:% = cause; "connection to an upstream ended");
         }
     });
-    Ok((sender, driver))
+    Ok((sender, driver, head_meter))
 }
--- a/src/standin/fleet/endless.rs
+++ b/src/standin/fleet/endless.rs
@@ -16,6 +16,8 @@
 const SLOW_PAUSE: Duration = Duration::from_millis(50);
 /// Pieces that are written at once otherwise.
 const PIECES: usize = 64;
+/// Fields of an interim response; the HTTP library takes a hundred at most.
+const INTERIM_FIELDS: usize = 90;
 /// Chunk of a body that has no end, and of an event that has none.
 const CHUNK: &str = "1d\r\ndata: more and more and more\n\r\n";
 
@@ -23,7 +25,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
     head: String,
-    piece: &'static str,
+    piece: String,
     is_slow: bool,
 }
 
@@ -41,6 +43,7 @@
     pub fn of(manner: Behavior, id: &str) -> Option<Self> {
         let head = match manner {
             Behavior::EndlessHead => "HTTP/1.1 200 OK\r\n".to_owned(),
+            Behavior::EndlessInterim => String::new(),
             Behavior::EndlessRefusal => format!(
                 "HTTP/1.1 503 Status\r\nTransfer-Encoding: chunked\r\n\
                  Pistachiohall-Request-Id: {id}\r\nPistachiohall-Not-Executed: 1\r\n\r\n"
@@ -52,9 +55,13 @@
             _ => return None,
         };
         let piece = match manner {
-            Behavior::EndlessHead => "X-More: more and more and more\r\n",
-            Behavior::Drip => "1\r\nd\r\n",
-            _ => CHUNK,
+            Behavior::EndlessHead => "X-More: more and more and more\r\n".to_owned(),
+            Behavior::EndlessInterim => format!(
+                "HTTP/1.1 102 Processing\r\n{}\r\n",
+                "a:\r\n".repeat(INTERIM_FIELDS)
+            ),
+            Behavior::Drip => "1\r\nd\r\n".to_owned(),
+            _ => CHUNK.to_owned(),
         };
         Some(Answer {
             head,
@@ -72,7 +79,7 @@
         let begun = Instant::now();
         stream.write_all(self.head.as_bytes())?;
         let pieces = match self.is_slow {
-            true => self.piece.to_owned(),
+            true => self.piece.clone(),
             false => self.piece.repeat(PIECES),
         };
         let mut poured = Sent {
--- a/src/standin/fleet/replica/mod.rs
+++ b/src/standin/fleet/replica/mod.rs
@@ -66,6 +66,8 @@
     UnframedBreak(u64),
     /// It sends fields without end in place of an answer's head.
     EndlessHead,
+    /// It sends interim responses without end in place of an answer.
+    EndlessInterim,
     /// It sends a signed answer whose body has no end.
     EndlessBody,
     /// It refuses in a body that has no end and comes slowly.
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -9,6 +9,7 @@
 mod events;
 mod fleet;
 mod gossip;
+mod inflow;
 mod logging;
 mod pace;
 mod placement;
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -1,5 +1,6 @@
 //! Tests of endless heads, bodies and events, at each place that reads from upstreams.
 
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +23,11 @@
 /// Maximum bytes that the buffers of a local connection hold unread.
 const MAX_UNREAD_BYTES: usize = 16 << 20;
 
+/// Header fields of a request that shares nothing with others, so that no suspicion of it concerns them.
+const NO_SHARED_BLOCKS: [(&str, &str); 1] = [("Pistachiohall-Token-Count", "20,6")];
+/// Requests that reach a faulty engine at the same time.
+const FLOODED_REQUESTS: usize = 12;
+
 /// Waits until the gateway has closed the connection of the first request at `id`.
 fn wait_closed(site: &Site, id: &str) -> ReceivedRequest {
     let first = || site.replicas[id].received().into_iter().next();
@@ -47,6 +53,7 @@
 /// sending.
 #[rstest]
 #[case::head(Behavior::EndlessHead)]
+#[case::interim_responses(Behavior::EndlessInterim)]
 #[case::body(Behavior::EndlessBody)]
 fn a_safe_request_is_served_by_another_upstream(#[case] behavior: Behavior) {
     let site = Site::desks(&["c1", "c2"]);
@@ -72,6 +79,7 @@
 
 #[rstest]
 #[case::head(Behavior::EndlessHead)]
+#[case::interim_responses(Behavior::EndlessInterim)]
 #[case::body(Behavior::EndlessBody)]
 fn an_unsafe_request_fails_and_runs_once(#[case] behavior: Behavior) {
     let site = Site::desks(&["c1", "c2"]);
@@ -137,6 +145,7 @@
 /// the request.
 #[rstest]
 #[case::head(Behavior::EndlessHead)]
+#[case::interim_responses(Behavior::EndlessInterim)]
 #[case::body(Behavior::EndlessBody)]
 fn an_endless_prefill_response_is_abandoned(#[case] behavior: Behavior) {
     let engines = [("p1", "prefill"), ("d1", "decode")];
@@ -147,6 +156,43 @@
     assert_closed_early(&site, "p1");
 }
 
+/// Guards against a host that stands still for all its callers while it reads the interim responses of a
+/// faulty engine.
+#[test]
+fn interim_responses_without_end_delay_no_other_request() {
+    let engines = [("d1", "decode"), ("d2", "decode")];
+    let site = Site::start(&["c1"], &engines, NO_ORDERS);
+    for id in ["d1", "d2"] {
+        site.replicas[id].set_behavior(Behavior::EndlessInterim);
+    }
+    let slowest = thread::scope(|scope| {
+        for number in 0..FLOODED_REQUESTS {
+            let gateway = &site.gateway;
+            scope.spawn(move || {
+                let id = format!("flooded-{number}");
+                let path = format!("/draft/{number}");
+                let response = gateway.call("POST", &path, &id, &NO_SHARED_BLOCKS);
+                assert_eq!(response.status, 502, "it may have run");
+            });
+        }
+        wait_for("a flooded request", || site.arrivals() > 0);
+        let latency = |number| {
+            let begun = Instant::now();
+            let id = format!("r{number}");
+            assert_eq!(site.gateway.call("GET", "/read/a", &id, &[]).status, 200);
+            begun.elapsed()
+        };
+        (0..20).map(latency).max().unwrap()
+    });
+    assert!(slowest < SLACK, "{slowest:?}");
+    for id in ["d1", "d2"] {
+        for request in site.replicas[id].received() {
+            let sent_bytes = request.sent_bytes;
+            assert!(sent_bytes < MAX_UNREAD_BYTES, "{sent_bytes} bytes");
+        }
+    }
+}
+
 /// An endless report is abandoned, and the background task continues with the other engines.
 #[test]
 fn an_endless_report_is_abandoned() {
