--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -95,8 +95,8 @@
     pub suspect_log_limiter: suspect::LogLimiter,
     /// Incarnations of upstreams that are being probed for whether they are still running.
     pub probed_incarnations: RefCell<HashSet<IncarnationDigest>>,
-    /// Whether the suspects in the store have been read, or are no longer waited for.
-    pub has_read_suspects: Cell<bool>,
+    /// Whether the suspects in the store have been merged.
+    pub stored_suspects: Cell<suspect::Loading>,
     /// Loads and cached prompt blocks of engines.
     pub board: RefCell<placement::Board>,
     /// Bytes of responses that are buffered until they are complete.
@@ -137,7 +137,7 @@
             suspicion,
             probed_incarnations: RefCell::default(),
             suspect_log_limiter: suspect::LogLimiter::default(),
-            has_read_suspects: Cell::default(),
+            stored_suspects: Cell::default(),
             board: RefCell::default(),
             buffered_bytes: Cell::default(),
             pending_updates: RefCell::default(),
@@ -158,7 +158,8 @@
 
     /// Returns `true` if this host should get new connections.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving.get() && self.has_config_and_upstreams() && self.has_read_suspects.get()
+        let is_waiting = self.stored_suspects.get() == suspect::Loading::Pending;
+        !self.is_leaving() && self.has_config_and_upstreams() && !is_waiting
     }
 
     /// Returns `true` if the configuration and the upstreams are known.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -316,7 +316,9 @@
         let now = Instant::now();
         gateway.sweep(now);
         let persistent = suspect::reconcile(&gateway, views.last_read().upstreams, now);
-        if persist.try_send(persistent).is_err() {
+        if let Some(persistent) = persistent
+            && persist.try_send(persistent).is_err()
+        {
             log::debug!(
                 "suspects not queued for the store: the queue is full; retrying at the next sweep"
             );
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -60,6 +60,18 @@
 /// Reason for which a suspect is refused.
 pub const REFUSAL_REASON: &str = "suspected of ending upstreams";
 
+/// Progress of merging the suspects that hosts have stored.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Loading {
+    /// Nothing has been merged yet, and the host waits for it.
+    #[default]
+    Pending,
+    /// Nothing has been merged yet, and the host no longer waits for it.
+    TimedOut,
+    /// All stored suspects have been merged.
+    Complete,
+}
+
 /// Rate limits of log lines about suspects.
 #[derive(Debug)]
 pub struct LogLimiter {
@@ -412,8 +424,9 @@
     );
 }
 
-/// Resolves losses against the registry as read at `read_at`; returns the reports to persist.
-pub fn reconcile(gateway: &Gateway, read_at: Option<Instant>, now: Instant) -> Vec<Report> {
+/// Resolves losses against the registry as read at `read_at`; returns the reports to persist, or `None`
+/// before those that this host has persisted earlier are merged: they would be overwritten.
+pub fn reconcile(gateway: &Gateway, read_at: Option<Instant>, now: Instant) -> Option<Vec<Report>> {
     let incarnations: HashSet<IncarnationDigest> = match gateway.suspicion.borrow().is_empty() {
         true => HashSet::new(),
         false => {
@@ -441,7 +454,8 @@
     let (suspects, refused) = suspicion.count(now);
     gateway.metrics.set("suspects", suspects as i64);
     gateway.metrics.set("suspects_held", refused as i64);
-    suspicion.persistent_reports(now)
+    let is_complete = gateway.stored_suspects.get() == Loading::Complete;
+    is_complete.then(|| suspicion.persistent_reports(now))
 }
 
 /// Merges the suspects that hosts have persisted in the store, and records when these have first
@@ -451,8 +465,8 @@
     tokio::pin!(timeout);
     loop {
         tokio::select! {
-            () = &mut timeout, if !gateway.has_read_suspects.get() => {
-                gateway.has_read_suspects.set(true);
+            () = &mut timeout, if gateway.stored_suspects.get() == Loading::Pending => {
+                gateway.stored_suspects.set(Loading::TimedOut);
             }
             message = messages.recv() => match message {
                 None => return,
@@ -461,7 +475,7 @@
                     let now = Instant::now();
                     gateway.suspicion.borrow_mut().merge(origin, &suspects, now);
                 }
-                Some(Message::ReadComplete) => gateway.has_read_suspects.set(true),
+                Some(Message::ReadComplete) => gateway.stored_suspects.set(Loading::Complete),
             },
         }
     }
--- a/tests/gateway/deadly.rs
+++ b/tests/gateway/deadly.rs
@@ -1,6 +1,7 @@
 //! Tests of requests that crash the upstreams that run them and return under new identifiers.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use rstest::rstest;
 
@@ -11,6 +12,7 @@
 use pistachiohall::platform::store;
 use pistachiohall::standin::fleet::mortal::CrashBehavior;
 use pistachiohall::standin::fleet::mortal::CrashingUpstream;
+use pistachiohall::standin::fleet::store::Fault;
 
 use super::deployment::ACT;
 use super::deployment::ACT_EMPTY;
@@ -227,6 +229,84 @@
     deployment.assert_few_ended();
 }
 
+/// Order in which hosts are killed and started again.
+#[derive(Clone, Copy)]
+enum Restart {
+    AllAtOnce,
+    InTurn,
+}
+
+/// Guards against a host that writes an empty list over its stored suspects when it starts: killed once
+/// more within a second, it has forgotten them.
+#[rstest]
+#[case::all_at_once(Restart::AllAtOnce)]
+#[case::in_turn(Restart::InTurn)]
+fn suspects_survive_a_second_kill_soon_after_a_start(#[case] restart: Restart) {
+    const PAUSE: Duration = Duration::from_millis(400);
+    let mut deployment = Deployment::new(2, RESET);
+    for host in [0, 1] {
+        deployment.send(host, ACT);
+        deployment.send(host, ACT);
+    }
+    deployment.wait_whole();
+    for _ in 0..3 {
+        for _ in 0..2 {
+            if matches!(restart, Restart::AllAtOnce) {
+                for gateway in &deployment.gateways {
+                    gateway.signal("-KILL");
+                }
+            }
+            for gateway in &mut deployment.gateways {
+                gateway.restart();
+                if matches!(restart, Restart::InTurn) {
+                    std::thread::sleep(PAUSE);
+                }
+            }
+            if matches!(restart, Restart::AllAtOnce) {
+                std::thread::sleep(PAUSE);
+            }
+        }
+        for host in [0, 1] {
+            deployment.wait_ready(host);
+            deployment.send(host, ACT);
+            deployment.send(host, ACT);
+        }
+        deployment.wait_whole();
+    }
+    deployment.assert_few_ended();
+}
+
+/// Guards against a host that stores what it knows before it has read what it stored itself, however
+/// long the store is away after its start.
+#[test]
+fn a_host_stores_no_suspects_before_it_has_read_its_own() {
+    let mut deployment = Deployment::new(1, RESET);
+    deployment.send(0, ACT);
+    deployment.send(0, ACT);
+    let stored = |deployment: &Deployment| {
+        let value = deployment.store.newest(store::SUSPECT_TOPIC, "h1");
+        value.map_or(0, |value| {
+            let losses: Vec<serde_json::Value> = serde_json::from_slice(&value).unwrap();
+            losses.len()
+        })
+    };
+    wait_for("stored losses", || stored(&deployment) == 2);
+    for outage in [Duration::ZERO, Duration::from_secs(3)] {
+        let is_down = !outage.is_zero();
+        if is_down {
+            deployment.store.set_fault(Fault::Down);
+        }
+        deployment.gateways[0].restart();
+        std::thread::sleep(outage);
+        deployment.store.set_fault(Fault::None);
+        let until = Instant::now() + Duration::from_secs(2);
+        while Instant::now() < until {
+            assert_eq!(stored(&deployment), 2);
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
 /// Guards against taking the maximum of two hosts' counts instead of their union: each host sees
 /// one upstream crash.
 #[test]
