Refuse requests that a shutdown leaves no time for

Requests whose head was completed late in a graceful shutdown, on connections on which half of it had been sent before, were passed on and cut off without an answer at its end, among them requests that must not run twice (LOST, reported by operators and seen by the users).

Cause: nothing that a request was taken for was compared with the end of the shutdown. gateway::shutdown::Schedule does: once the balancer sends no more, a request is taken only if its deadline lies before the end, and refused at once otherwise, before each attempt. Requests that still run at the end get 502, or 503 if their body had not arrived, instead of a closed connection.

--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -19,6 +19,7 @@
 use super::record::Trace;
 use super::reply;
 use super::reply::Reply;
+use super::shutdown;
 use super::stream;
 use super::suspect;
 use super::target::Target;
@@ -56,6 +57,10 @@
             return fail(progress, retry_after);
         }
         let now = Instant::now();
+        if gateway.shuts_down_before(progress.call.deadline, now) {
+            progress.trace.decide(shutdown::REFUSAL_REASON);
+            return fail(progress, Duration::ZERO);
+        }
         if now >= progress.call.deadline {
             return fail(progress, RETRY_AFTER);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod record;
 pub mod reply;
 pub mod serve;
+pub mod shutdown;
 pub mod stream;
 pub mod suspect;
 pub mod target;
@@ -110,7 +111,10 @@
     pending_changes: RefCell<HashMap<u32, Instant>>,
     unreachability: RefCell<UnreachabilityReports>,
     retry_bounds: Cell<window::Bounds>,
-    is_leaving: Cell<bool>,
+    /// Times of the shutdown; `None` before it begins.
+    shutdown: Cell<Option<shutdown::Schedule>>,
+    /// Wakes the requests that still run at the end of a shutdown.
+    pub shutdown_end: Notify,
     last_request: Cell<Option<Instant>>,
     last_peer: Cell<Option<SocketAddr>>,
     /// Newest configuration that a peer has announced.
@@ -144,7 +148,8 @@
             urgent_suspects: Notify::new(),
             pending_changes: RefCell::default(),
             unreachability: RefCell::default(),
-            is_leaving: Cell::default(),
+            shutdown: Cell::default(),
+            shutdown_end: Notify::new(),
             last_request: Cell::default(),
             last_peer: Cell::default(),
             announcement: RefCell::default(),
@@ -184,13 +189,19 @@
     }
 
     /// Records that the process was asked to shut down.
-    pub fn leave(&self) {
-        self.is_leaving.set(true);
+    pub fn leave(&self, schedule: shutdown::Schedule) {
+        self.shutdown.set(Some(schedule));
     }
 
     /// Returns `true` if the process was asked to shut down.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.get()
+        self.shutdown.get().is_some()
+    }
+
+    /// Returns `true` if the process shuts down and an answer by `deadline` would come too late.
+    pub fn shuts_down_before(&self, deadline: Instant, now: Instant) -> bool {
+        let schedule = self.shutdown.get();
+        schedule.is_some_and(|schedule| !schedule.takes(deadline, now))
     }
 
     /// Returns the active configuration.
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -20,6 +20,7 @@
 use super::record::Trace;
 use super::reply;
 use super::reply::Reply;
+use super::shutdown;
 use super::suspect;
 use super::suspect::Guard;
 use super::target::Target;
@@ -51,6 +52,10 @@
             return give_up(call, &attempt_budget, buffered, retry_after, trace);
         }
         let now = Instant::now();
+        if gateway.shuts_down_before(call.deadline, now) {
+            trace.decide(shutdown::REFUSAL_REASON);
+            return give_up(call, &attempt_budget, buffered, Duration::ZERO, trace);
+        }
         if now >= call.deadline {
             return give_up(call, &attempt_budget, buffered, RETRY_AFTER, trace);
         }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -40,6 +40,7 @@
 use super::reply;
 use super::reply::Reply;
 use super::serve;
+use super::shutdown::Schedule;
 use super::suspect;
 use crate::availability::Incarnations;
 use crate::clock::Clock;
@@ -63,6 +64,8 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time before the shutdown limit at which the requests that still run are abandoned.
 const DRAIN_MARGIN: Duration = Duration::from_millis(500);
+/// Maximum time for the answers to abandoned requests to be written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of suspect states queued for the store; one that finds the queue full is dropped,
 /// since the next sweep sends a newer one.
 const MAX_QUEUED_REPORTS: usize = 2;
@@ -382,27 +385,32 @@
     }
 }
 
-/// Shuts down: reports not ready, stops accepting connections, then waits for open requests.
+/// Shuts down: reports not ready, stops accepting connections, waits for open requests, and answers those
+/// that still run at the end.
 async fn shut_down(
     gateway: &Gateway,
     phase: &watch::Sender<Phase>,
     connections: &Connections,
 ) -> bool {
     let started_at = Instant::now();
-    gateway.leave();
+    let settings = &gateway.settings;
+    let limit = settings.shutdown_limit.saturating_sub(DRAIN_MARGIN);
+    let schedule = Schedule::new(started_at, settings.balancer_lag, limit);
+    gateway.leave(schedule);
     phase.send_replace(Phase::Closing);
     info!(
         connections = connections.open(),
         outcome = "leaving";
         "leaving"
     );
-    time::sleep(gateway.settings.balancer_lag).await;
+    time::sleep_until(schedule.closes_at.into()).await;
     phase.send_replace(Phase::Closed);
-    let limit = gateway.settings.shutdown_limit.saturating_sub(DRAIN_MARGIN);
-    while connections.open() > 0 && started_at.elapsed() < limit {
-        time::sleep(DRAIN_POLL_INTERVAL).await;
-    }
+    wait_until_closed(connections, schedule.ends_at).await;
     let is_finished = connections.open() == 0;
+    if !is_finished {
+        gateway.shutdown_end.notify_waiters();
+        wait_until_closed(connections, schedule.ends_at + FLUSH_TIMEOUT).await;
+    }
     info!(
         after_ms = started_at.elapsed().as_millis() as u64,
         finished = is_finished,
@@ -411,3 +419,10 @@
     );
     is_finished
 }
+
+/// Waits until all connections are closed, or until `until`.
+async fn wait_until_closed(connections: &Connections, until: Instant) {
+    while connections.open() > 0 && Instant::now() < until {
+        time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -24,6 +24,7 @@
 use super::record::Trace;
 use super::reply;
 use super::reply::Reply;
+use super::shutdown;
 use crate::catalog::Catalog;
 use crate::catalog::Kind;
 use crate::platform::ingress;
@@ -44,8 +45,29 @@
             STARTUP_RETRY_AFTER,
         );
     };
-    match identify(&head, body, &catalog, arrived).await {
-        Ok(call) => run(&gateway, call).await,
+    let identified = tokio::select! {
+        identified = identify(&head, body, &catalog, arrived) => identified,
+        () = gateway.shutdown_end.notified() => {
+            let id = ingress::id(&head.headers);
+            let reason = shutdown::REFUSAL_REASON;
+            info!(request = id, outcome = "refused", reason = reason; "request refused");
+            gateway.metrics.add("requests_refused");
+            return reply::refuse("not run: the host shuts down", Duration::ZERO);
+        }
+    };
+    match identified {
+        Ok(call) => tokio::select! {
+            reply = run(&gateway, call) => reply,
+            () = gateway.shutdown_end.notified() => {
+                let id = ingress::id(&head.headers);
+                let reason = shutdown::REFUSAL_REASON;
+                info!(request = id, outcome = "failed", reason = reason; "request abandoned");
+                reply::own(
+                    StatusCode::BAD_GATEWAY,
+                    "the host shuts down; the request may have run",
+                )
+            }
+        },
         Err((status, text)) => {
             info!(
                 request = ingress::id(&head.headers),
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod reassign;
 mod share;
+mod shutdown;
 mod suspicion;
 mod target;
 mod term;
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod plain;
 mod refusals;
 mod restored;
+mod shutdown;
 
 mod deployment;
 mod site;
