Count responses as held until their callers have read them

Cause: bytes counted as held until a response was complete, and stayed until its caller had read it. The count now goes with the body until it is dropped. Beyond the limit for all, only responses of up to 16 KB are taken, so that slow callers of large ones cost the others nothing.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,8 +1,10 @@
 //! One request to one upstream and its response.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -32,8 +34,12 @@
 /// Maximum response that is held until it is complete; larger ones would strain a small host's
 /// memory.
 pub const MAX_RESPONSE_BYTES: usize = 4 << 20;
-/// Maximum bytes of all responses held at the same time; a fifth of the smallest host's memory.
+/// Maximum bytes of all responses held at the same time, until their callers have read them; a fifth of
+/// the smallest host's memory.
 const MAX_ALL_HELD_BYTES: usize = 32 << 20;
+/// Size up to which a response is held regardless of the others, so that callers that do not read large
+/// ones cost the others nothing.
+const MAX_SMALL_BYTES: usize = 16 << 10;
 /// Maximum refusal that is read to its end.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
 /// Maximum wait for the body of a refusal, some round trips; its head holds all that the caller
@@ -172,7 +178,7 @@
 pub struct FullResponse {
     /// Status and fields.
     pub head: Parts,
-    /// Body.
+    /// Body, whose bytes count as held until it is dropped.
     pub body: Bytes,
     /// Provenance of the response.
     pub provenance: Provenance,
@@ -306,7 +312,7 @@
     response: Response,
     max_bytes: usize,
 ) -> Result<FullResponse, Failure> {
-    let body = collect(response.body, max_bytes, &gateway.buffered_bytes).await?;
+    let body = collect(response.body, max_bytes, &gateway.held_bytes).await?;
     target.release(response.connection, &response.head);
     Ok(FullResponse {
         head: response.head,
@@ -315,22 +321,35 @@
     })
 }
 
-/// Bytes that are counted as held until the guard is dropped.
-struct HeldBytes<'a> {
-    all: &'a Cell<usize>,
-    own: usize,
+/// Number of bytes of all responses that are held.
+#[derive(Debug, Clone, Default)]
+pub struct HeldBytes(Arc<AtomicUsize>);
+
+/// Body of a response, counted as held until it is dropped.
+#[derive(Debug)]
+struct HeldBody {
+    content: BytesMut,
+    held: HeldBytes,
 }
 
-impl HeldBytes<'_> {
-    fn add(&mut self, bytes: usize, max_bytes: usize) -> Result<(), Failure> {
-        self.own += bytes;
-        self.all.set(self.all.get() + bytes);
-        if self.own > max_bytes {
+impl HeldBody {
+    fn new(held: &HeldBytes) -> Self {
+        HeldBody {
+            content: BytesMut::new(),
+            held: held.clone(),
+        }
+    }
+
+    fn push(&mut self, data: &[u8], max_bytes: usize) -> Result<(), Failure> {
+        self.content.extend_from_slice(data);
+        let own = self.content.len();
+        let all = self.held.0.fetch_add(data.len(), Ordering::Relaxed) + data.len();
+        if own > max_bytes {
             return Err(Failure::broken(format_args!(
                 "the answer is larger than {max_bytes} bytes"
             )));
         }
-        if self.all.get() > MAX_ALL_HELD_BYTES {
+        if all > MAX_ALL_HELD_BYTES && own > MAX_SMALL_BYTES {
             return Err(Failure::broken(format_args!(
                 "answers of more than {MAX_ALL_HELD_BYTES} bytes are held"
             )));
@@ -339,27 +358,27 @@
     }
 }
 
-impl Drop for HeldBytes<'_> {
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.content
+    }
+}
+
+impl Drop for HeldBody {
     fn drop(&mut self) {
-        self.all.set(self.all.get().saturating_sub(self.own));
+        self.held.0.fetch_sub(self.content.len(), Ordering::Relaxed);
     }
 }
 
-async fn collect(
-    mut body: Incoming,
-    max_bytes: usize,
-    held: &Cell<usize>,
-) -> Result<Bytes, Failure> {
-    let mut held_bytes = HeldBytes { all: held, own: 0 };
-    let mut full = BytesMut::new();
+async fn collect(mut body: Incoming, max_bytes: usize, held: &HeldBytes) -> Result<Bytes, Failure> {
+    let mut full = HeldBody::new(held);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(Failure::broken)?;
         if let Some(data) = frame.data_ref() {
-            held_bytes.add(data.len(), max_bytes)?;
-            full.extend_from_slice(data);
+            full.push(data, max_bytes)?;
         }
     }
-    Ok(full.freeze())
+    Ok(Bytes::from_owner(full))
 }
 
 /// Makes one of the gateway's own calls, such as freeing a KV handle.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -100,8 +100,8 @@
     pub stored_suspects: Cell<suspect::Loading>,
     /// Loads and cached prompt blocks of engines.
     pub board: RefCell<placement::Board>,
-    /// Bytes of responses that are buffered until they are complete.
-    pub buffered_bytes: Cell<usize>,
+    /// Bytes of responses that are held until their callers have read them.
+    pub held_bytes: exchange::HeldBytes,
     /// Updates that have not been sent to peers yet.
     pub pending_updates: RefCell<peers::PendingUpdates>,
     /// Wakes the exchange with peers to send a suspect at once.
@@ -143,7 +143,7 @@
             suspect_log_limiter: suspect::LogLimiter::default(),
             stored_suspects: Cell::default(),
             board: RefCell::default(),
-            buffered_bytes: Cell::default(),
+            held_bytes: exchange::HeldBytes::default(),
             pending_updates: RefCell::default(),
             urgent_suspects: Notify::new(),
             pending_changes: RefCell::default(),
--- a/src/standin/fleet/client.rs
+++ b/src/standin/fleet/client.rs
@@ -8,6 +8,10 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
 use super::HOST;
 use super::wire;
 use super::wire::Fields;
@@ -42,7 +46,22 @@
     ///
     /// Fails if it is not reached.
     pub fn connect(address: SocketAddr) -> io::Result<Self> {
-        let stream = TcpStream::connect(address)?;
+        Client::new(TcpStream::connect(address)?)
+    }
+
+    /// Connects to a host with a receive buffer of `bytes`, so that little is accepted unread.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is not reached.
+    pub fn connect_with_buffer(address: SocketAddr, bytes: usize) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_recv_buffer_size(bytes)?;
+        socket.connect(&address.into())?;
+        Client::new(socket.into())
+    }
+
+    fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_read_timeout(Some(ANSWER_TIME))?;
         let reader = BufReader::new(stream.try_clone()?);
         Ok(Client { stream, reader })
--- a/src/standin/fleet/replica/answer.rs
+++ b/src/standin/fleet/replica/answer.rs
@@ -311,6 +311,7 @@
         Behavior::Reset => return Ok(Next::Reset),
         Behavior::Fail => say(shared, stream, 500, &signed, b"failed")?,
         Behavior::FailWith(status) => say(shared, stream, status, &signed, b"failed")?,
+        Behavior::Large(bytes) => say(shared, stream, 200, &signed, &vec![b'x'; bytes])?,
         Behavior::Foreign => {
             let fields = [("Pistachiohall-Request-Id", "another"), signed[1]];
             say(shared, stream, 200, &fields, body)?;
@@ -477,8 +478,12 @@
         write!(stream, "{name}: {value}\r\n")?;
     }
     stream.write_all(b"\r\n")?;
+    let filler = match manner {
+        Behavior::Large(bytes) => "x".repeat(bytes),
+        _ => String::new(),
+    };
     for number in after + 1..=count {
-        let event = format!("id: {number}\ndata: token {number}\n\n");
+        let event = format!("id: {number}\ndata: token {number}{filler}\n\n");
         if manner == Behavior::HeadWithin && number == 3 {
             wire::answer(stream, 500, &[], b"overloaded\n\n")?;
             return Ok(Next::Close);
--- a/src/standin/fleet/replica/mod.rs
+++ b/src/standin/fleet/replica/mod.rs
@@ -64,6 +64,8 @@
     /// The same, but it breaks off: a plain answer by a reset, a stream within the event of this
     /// number.
     UnframedBreak(u64),
+    /// Its plain answers, and each event of its streams, have this many bytes of content.
+    Large(usize),
     /// It sends fields without end in place of an answer's head.
     EndlessHead,
     /// It sends interim responses without end in place of an answer.
--- /dev/null
+++ b/tests/gateway/memory.rs
@@ -0,0 +1,87 @@
+//! Tests of the memory that faulty upstreams and slow callers cost a host.
+
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+
+use pistachiohall::standin::fleet::client::Client;
+use pistachiohall::standin::fleet::replica::Behavior;
+
+use super::site::Site;
+
+/// Memory of the smallest host.
+const HOST_MEMORY: u64 = 260 << 20;
+/// Callers that wait at the same time.
+const CALLERS: usize = 96;
+/// Pause between two callers, so that one response after the other can be held.
+const PAUSE: Duration = Duration::from_millis(10);
+/// Receive buffer of a caller.
+const RECEIVE_BUFFER: usize = 4 << 10;
+/// Time for which they wait; longer than the timeout of all routes.
+const WAIT: Duration = Duration::from_secs(3);
+/// Settings of a host that uses all connections that upstreams accept.
+const ONE_HOST: &str = "[orders]\nread_share = 0\n[repeats]\nratio = 1000\nhosts_expected = 1\n";
+/// Header fields of a request for many events, which shares no block with others.
+const MANY_EVENTS: [(&str, &str); 1] = [("Pistachiohall-Token-Count", "20,100000")];
+/// The same for a few events.
+const FEW_EVENTS: [(&str, &str); 1] = [("Pistachiohall-Token-Count", "20,4")];
+
+/// Sends requests from many callers that read nothing, and checks the memory of the host, and that it
+/// serves another caller meanwhile.
+fn assert_bounded(site: &Site, method: &str, path: &str, fields: &[(&str, &str)]) {
+    let callers: Vec<Client> = (0..CALLERS)
+        .map(|number| {
+            let callers = site.gateway.callers();
+            let mut client = Client::connect_with_buffer(callers, RECEIVE_BUFFER).unwrap();
+            let (path, id) = (format!("{path}{number}"), format!("r{number}"));
+            client.send(method, &path, &id, fields, b"").unwrap();
+            thread::sleep(PAUSE);
+            client
+        })
+        .collect();
+    thread::sleep(WAIT);
+    let peak = site.gateway.peak_memory();
+    assert!(peak < HOST_MEMORY, "{} MB", peak >> 20);
+    assert!(site.arrivals() > 0);
+    for replica in site.replicas.values() {
+        replica.set_behavior(Behavior::Sound);
+    }
+    let answer = site
+        .gateway
+        .call(method, &format!("{path}sound"), "sound", &FEW_EVENTS);
+    assert_eq!(answer.status, 200);
+    drop(callers);
+}
+
+/// Guards against a host that keeps all bytes of responses without end, and against one that keeps all
+/// of what callers do not read.
+#[rstest]
+#[case::head(Behavior::EndlessHead)]
+#[case::interim_responses(Behavior::EndlessInterim)]
+#[case::body(Behavior::EndlessBody)]
+#[case::large_body(Behavior::Large(4_000_000))]
+fn plain_responses_cost_a_host_bounded_memory(#[case] behavior: Behavior) {
+    let site = Site::start(&["c1", "c2"], &[], ONE_HOST);
+    for replica in site.replicas.values() {
+        replica.set_behavior(behavior);
+    }
+    assert_bounded(&site, "GET", "/read/", &[]);
+}
+
+#[rstest]
+#[case::head(Behavior::EndlessHead)]
+#[case::interim_responses(Behavior::EndlessInterim)]
+#[case::event(Behavior::EndlessEvent)]
+#[case::events_of_32_kb(Behavior::Large(32_000))]
+#[case::events_of_1_mb(Behavior::Large(1_000_000))]
+fn streams_cost_a_host_bounded_memory(#[case] behavior: Behavior) {
+    let names: Vec<String> = (1..=16).map(|number| format!("d{number}")).collect();
+    let engines: Vec<(&str, &'static str)> =
+        names.iter().map(|name| (name.as_str(), "decode")).collect();
+    let site = Site::start(&[], &engines, ONE_HOST);
+    for replica in site.replicas.values() {
+        replica.set_behavior(behavior);
+    }
+    assert_bounded(&site, "POST", "/draft/", &MANY_EVENTS);
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod input;
 mod lifecycle;
 mod limit;
+mod memory;
 mod model;
 mod notice;
 mod odd_entries;
--- a/tests/gateway/site.rs
+++ b/tests/gateway/site.rs
@@ -178,6 +178,17 @@
         value.map_or(0, |value| value.parse().unwrap())
     }
 
+    /// Returns the peak of the process's resident memory, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap();
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .and_then(|value| value.trim().strip_suffix(" kB"));
+        peak.unwrap().trim().parse::<u64>().unwrap() << 10
+    }
+
     /// Waits until the gateway is ready.
     pub fn wait_ready(&self) {
         wait_for("readiness", || self.readiness() == 200);
