Take an answer that ends right after its head for a failure

Cause: an answer may end with its connection, and a process that ends closes its connections; the end was believed of a first answer that had no content. exchange::is_framed is now asked at all places that read answers. A head that is cut off, byte by byte, by the end or a reset of the connection, after an interim response or not, was no success before either.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use thiserror::Error;
 use tokio::time;
@@ -300,11 +301,23 @@
     Err(Failure::NotRun(status))
 }
 
+/// Returns `true` if the end of a response's body is marked, or it has no body.
+///
+/// Otherwise it ends with its connection, which an upstream that fails closes too; without any content,
+/// the end of the body cannot be told from a failure.
+pub fn is_framed(head: &Parts, body: &Incoming) -> bool {
+    let fields = [
+        http::header::CONTENT_LENGTH,
+        http::header::TRANSFER_ENCODING,
+    ];
+    body.is_end_stream() || fields.iter().any(|name| head.headers.contains_key(name))
+}
+
 /// Reads a response to its end and returns its connection to the pool.
 ///
 /// # Errors
 ///
-/// Fails if the body ends early, is larger than `max_bytes`, or exceeds the limit of all held
+/// Fails if the body ends early or, unless its end is marked, without content, if it is larger than `max_bytes`, or exceeds the limit of all held
 /// responses together.
 pub async fn finish(
     gateway: &Gateway,
@@ -312,7 +325,11 @@
     response: Response,
     max_bytes: usize,
 ) -> Result<FullResponse, Failure> {
+    let is_framed = is_framed(&response.head, &response.body);
     let body = collect(response.body, max_bytes, &gateway.held_bytes).await?;
+    if body.is_empty() && !is_framed {
+        return Err(Failure::broken("the answer ended without content"));
+    }
     target.release(response.connection, &response.head);
     Ok(FullResponse {
         head: response.head,
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -401,9 +401,9 @@
             Some(_) => Splitter::continuing(options.after_event),
             None => Splitter::after(options.after_event),
         };
+        let is_framed = exchange::is_framed(&head, &body);
         let (first, is_ended) = first_events(&mut body, &mut splitter).await?;
-        // The end of a connection alone does not tell the end of the stream from a failure.
-        if is_ended && options.continuation.is_some() && !is_framed(&head) {
+        if is_ended && !is_framed {
             return Err(Failure::Broken("the answer ended without an event".into()));
         }
         slot.end_prefill();
@@ -435,15 +435,6 @@
     ended
 }
 
-/// Returns `true` if the end of a response's body is marked.
-fn is_framed(head: &Parts) -> bool {
-    let framing = [
-        http::header::CONTENT_LENGTH,
-        http::header::TRANSFER_ENCODING,
-    ];
-    framing.iter().any(|name| head.headers.contains_key(name))
-}
-
 async fn first_events(
     body: &mut Incoming,
     splitter: &mut Splitter,
--- a/src/standin/fleet/replica/answer.rs
+++ b/src/standin/fleet/replica/answer.rs
@@ -46,6 +46,12 @@
             let index = note(shared, &request, false);
             return pour(shared, index, &answer, stream);
         }
+        "/v1/report" | "/healthz"
+            if matches!(manner, Behavior::CutHead(_) | Behavior::HeadOnly) =>
+        {
+            note(shared, &request, false);
+            return head_alone(manner, "", stream);
+        }
         "/v1/report" => return report(shared, stream),
         "/healthz" => return health(shared, stream),
         "/v1/order" => return order(shared, &request, stream),
@@ -102,6 +108,10 @@
         let index = note(shared, &request, manner != Behavior::EndlessRefusal);
         return pour(shared, index, &answer, stream);
     }
+    if matches!(manner, Behavior::CutHead(_) | Behavior::HeadOnly) {
+        note(shared, &request, !reads);
+        return head_alone(manner, &own_id, stream);
+    }
     if reads {
         return read_ahead(shared, &request, &own_id, stream);
     }
@@ -369,6 +379,40 @@
     Ok(Next::Close)
 }
 
+/// Returns the head of an answer without its end; a length comes last, if there is one.
+///
+/// ```
+/// use pistachiohall::standin::fleet::replica;
+/// assert!(replica::head("r1", true).ends_with("Content-Length: 16\r\n"));
+/// ```
+pub fn head(id: &str, has_length: bool) -> String {
+    let length = if has_length {
+        "Content-Length: 16\r\n"
+    } else {
+        ""
+    };
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+         Pistachiohall-Request-Id: {id}\r\nPistachiohall-Server-Stamp: {STAMP}\r\n{length}"
+    )
+}
+
+/// Writes a head, whole or not, and no body.
+fn head_alone(manner: Behavior, id: &str, stream: &mut TcpStream) -> io::Result<Next> {
+    let Behavior::CutHead(cut) = manner else {
+        write!(stream, "{}\r\n", head(id, false))?;
+        return Ok(Next::Close);
+    };
+    if cut.has_interim {
+        stream.write_all(b"HTTP/1.1 102 Processing\r\n\r\n")?;
+    }
+    stream.write_all(&head(id, true).as_bytes()[..cut.bytes])?;
+    match cut.resets {
+        true => Ok(Next::Reset),
+        false => Ok(Next::Close),
+    }
+}
+
 /// Waits until the caller leaves, and notes when.
 fn hang(shared: &Mutex<State>, index: usize, stream: &mut TcpStream) -> io::Result<Next> {
     let begun = Instant::now();
--- a/src/standin/fleet/replica/mod.rs
+++ b/src/standin/fleet/replica/mod.rs
@@ -2,6 +2,8 @@
 
 mod answer;
 
+pub use self::answer::head;
+
 use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
@@ -64,6 +66,10 @@
     /// The same, but it breaks off: a plain answer by a reset, a stream within the event of this
     /// number.
     UnframedBreak(u64),
+    /// It ends its answer within the head.
+    CutHead(HeadCut),
+    /// It ends its answer after a whole head that names neither a length nor chunks.
+    HeadOnly,
     /// Its plain answers, and each event of its streams, have this many bytes of content.
     Large(usize),
     /// It sends fields without end in place of an answer's head.
@@ -80,6 +86,17 @@
     Drip,
 }
 
+/// Where and how an answer ends within its head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeadCut {
+    /// Bytes of the head that are sent.
+    pub bytes: usize,
+    /// Whether a whole interim response comes first.
+    pub has_interim: bool,
+    /// Whether the connection is reset, not closed.
+    pub resets: bool,
+}
+
 /// How an upstream answers a request that resumes a stream, other than with the rest of the stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ResumeError {
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod explain;
 mod field_reports;
+mod heads;
 mod innocent;
 mod input;
 mod lifecycle;
