Soak: answers that deceive, second kills, heads in two parts

The oracle checks 421 too, lets idempotent requests get the upstream's own signed failure (REFUSED concerns the others alone), and flags a request that was passed on in a planned stop, with nothing else wrong with its gateway, and got no answer.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use pistachiohall::standin::fleet::HOST;
 use pistachiohall::standin::fleet::client::Answer;
 use pistachiohall::standin::fleet::client::Client;
 use pistachiohall::standin::fleet::mortal;
@@ -21,6 +22,8 @@
 pub const PATIENCE: Duration = Duration::from_millis(1500);
 /// Pause between two sends of a request that ends its upstreams.
 const DEADLY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time between the two parts of a head.
+const MAX_PART_DELAY: Duration = Duration::from_millis(3900);
 /// Pause of a caller that reaches no gateway.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Tokens of a generated answer.
@@ -64,6 +67,8 @@
     pub kind: Kind,
     /// Gateway that was asked.
     pub gateway: usize,
+    /// When its first byte was sent.
+    pub begun: Instant,
     /// When it was sent.
     pub sent: Instant,
     /// When its answer or the connection ended.
@@ -130,6 +135,7 @@
             id,
             kind,
             gateway,
+            begun: sent,
             sent,
             ended: Instant::now(),
             answer,
@@ -138,6 +144,58 @@
     calls
 }
 
+/// Sends the first half of a request's head on a connection of its own, and the rest a while later, until
+/// `stop`; returns all requests whose rest was sent.
+pub fn run_in_parts(
+    name: &str,
+    seed: u64,
+    gateways: &[Mutex<Option<SocketAddr>>],
+    stop: &AtomicBool,
+) -> Vec<Call> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut calls = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        let gateway = random.random_range(0..gateways.len());
+        let address = *gateways[gateway].lock().unwrap();
+        let Some(mut client) = address.and_then(|address| Client::connect(address).ok()) else {
+            thread::sleep(PAUSE);
+            continue;
+        };
+        let kind = match random.random_range(0..2) {
+            0 => Kind::Read,
+            _ => Kind::Act,
+        };
+        let id = format!("{name}-{}", calls.len());
+        let (method, path, _) = kind.parts();
+        let patience = PATIENCE.as_millis();
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nPistachiohall-Request-Id: {id}\r\n\
+             Pistachiohall-Deadline-Ms: {patience}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let (first, rest) = head.split_at(random.random_range(1..head.len()));
+        let begun = Instant::now();
+        if client.send_raw(first.as_bytes()).is_err() {
+            continue;
+        }
+        thread::sleep(MAX_PART_DELAY.mul_f64(random.random()));
+        let sent = Instant::now();
+        let is_sent = client.send_raw(rest.as_bytes()).is_ok();
+        let answer = client.receive().ok().filter(|answer| answer.status != 0);
+        if is_sent {
+            calls.push(Call {
+                id,
+                kind,
+                gateway,
+                begun,
+                sent,
+                ended: Instant::now(),
+                answer,
+            });
+        }
+    }
+    calls
+}
+
 /// Sends a request that ends its upstreams to one gateway after the other until `stop`.
 pub fn run_deadly(seed: u64, gateways: &[Mutex<Option<SocketAddr>>], stop: &AtomicBool) {
     let mut random = StdRng::seed_from_u64(seed);
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -43,7 +44,7 @@
 /// Body of a plain answer.
 const PLAIN: &str = "the whole answer";
 /// Statuses that say that a request has not run and will not.
-const REFUSALS: [u16; 3] = [408, 429, 503];
+const REFUSALS: [u16; 4] = [408, 421, 429, 503];
 /// Statuses that leave open whether it ran.
 const FAILURES: [u16; 2] = [502, 504];
 
@@ -56,6 +57,8 @@
     pub from: Instant,
     /// End.
     pub until: Instant,
+    /// Whether the process was asked to end, and nothing else was done to it.
+    pub is_planned: bool,
 }
 
 /// Checks all calls against what upstreams saw; returns the promises that were broken.
@@ -70,6 +73,10 @@
             .entry(seen.field("pistachiohall-request-id"))
             .or_default() += 1;
     }
+    let arrived: HashSet<&str> = seen
+        .iter()
+        .map(|seen| seen.field("pistachiohall-request-id"))
+        .collect();
     let mut broken = Vec::new();
     for call in calls {
         let runs = runs.get(call.id.as_str()).copied().unwrap_or_default();
@@ -85,7 +92,7 @@
         let is_disturbed = disturbances.iter().any(|disturbance| {
             disturbance.gateway == call.gateway
                 && disturbance.from <= call.ended
-                && call.sent <= disturbance.until
+                && call.begun <= disturbance.until
         });
         if !is_disturbed {
             let took = call.ended.saturating_duration_since(call.sent);
@@ -96,6 +103,10 @@
                 fault("got no answer".into());
             }
         }
+        let is_passed_on = arrived.contains(call.id.as_str());
+        if call.answer.is_none() && is_passed_on && is_stopped(call, disturbances) {
+            fault("was passed on in a planned stop and got no answer".into());
+        }
         if let Some(text) = call
             .answer
             .as_ref()
@@ -107,6 +118,20 @@
     broken
 }
 
+/// Returns whether a call was open during a planned stop of its gateway, and nothing else happened to that
+/// meanwhile.
+fn is_stopped(call: &Call, disturbances: &[Disturbance]) -> bool {
+    let mut during = disturbances
+        .iter()
+        .filter(|disturbance| {
+            disturbance.gateway == call.gateway
+                && disturbance.from <= call.ended
+                && call.begun <= disturbance.until
+        })
+        .peekable();
+    during.peek().is_some() && during.all(|disturbance| disturbance.is_planned)
+}
+
 /// Checks what an upstream saw that had left when all was calm at `calm`, or before; returns the
 /// promises that were broken.
 pub fn departure(name: &str, seen: &[ReceivedRequest], calm: Instant) -> Vec<String> {
@@ -300,6 +325,11 @@
 fn answer(call: &Call, runs: usize, is_disturbed: bool) -> Option<String> {
     let answer = call.answer.as_ref()?;
     let is_refusal = REFUSALS.contains(&answer.status);
+    // A request that may run twice gets the upstream's own failure, whatever its status.
+    let is_own = answer.fields.contains_key("pistachiohall-server-stamp");
+    if is_own && answer.body == "failed" && !call.kind.runs_once() {
+        return None;
+    }
     if is_refusal && runs > 0 {
         return Some(format!("was called not run and ran {runs} times"));
     }
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -6,6 +6,7 @@
 use pistachiohall::standin::fleet::mortal::CrashMode;
 use pistachiohall::standin::fleet::proxy::Link;
 use pistachiohall::standin::fleet::replica::Behavior;
+use pistachiohall::standin::fleet::replica::HeadCut;
 use pistachiohall::standin::fleet::store::Fault as StoreFault;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -27,6 +28,14 @@
 const FIRST_LIMIT: u64 = 5000;
 /// Seeds from which on the store is restored from a copy.
 const FIRST_RESTORE: u64 = 6000;
+/// Seeds from which on upstreams fail in ways that look like refusals or like answers, gateways are killed
+/// twice within a second, and callers send heads in two parts.
+const FIRST_DECEPTION: u64 = 7000;
+/// Sets the draw of these apart from that of the other faults.
+const DECEPTION_SEED: u64 = 0xface;
+/// Time from a kill to the next start, and from a kill to the next one.
+const RESTART_DELAY: Duration = Duration::from_millis(100);
+const SECOND_KILL: Duration = Duration::from_millis(500);
 /// Sets the draw of restores apart from that of the other faults.
 const RESTORE_SEED: u64 = 0x2e57;
 /// Requests a second that it names.
@@ -132,6 +141,7 @@
     let notice = notice(seed, upstreams);
     entries.extend(leave);
     entries.extend(restores(seed));
+    entries.extend(deceptions(seed, gateways, upstreams));
     // One upstream of each service stays.
     entries.extend(
         notice.filter(|notice| !leave.is_some_and(|leave| is_same_service(&leave, notice))),
@@ -159,6 +169,56 @@
     (0..count).map(restore).collect()
 }
 
+/// Returns whether a run has callers that send heads in two parts.
+pub fn has_heads_in_parts(seed: u64) -> bool {
+    seed >= FIRST_DECEPTION
+}
+
+/// Draws an upstream whose answers deceive, and gateways that are killed twice within a second.
+fn deceptions(seed: u64, gateways: usize, upstreams: usize) -> Vec<Entry> {
+    if seed < FIRST_DECEPTION {
+        return Vec::new();
+    }
+    let mut random = StdRng::seed_from_u64(seed ^ DECEPTION_SEED);
+    let behavior = match random.random_range(0..6) {
+        0 => Behavior::FailWith(408),
+        1 => Behavior::FailWith(429),
+        2 => Behavior::FailWith(503),
+        3 => Behavior::EndlessInterim,
+        4 => Behavior::HeadOnly,
+        _ => Behavior::CutHead(HeadCut {
+            bytes: random.random_range(0..120),
+            has_interim: random.random_range(0..2) == 0,
+            resets: random.random_range(0..2) == 0,
+        }),
+    };
+    let from = SPAN.mul_f64(random.random());
+    let mut entries = vec![Entry {
+        fault: Fault::Behavior(random.random_range(0..upstreams), behavior),
+        from,
+        until: from + LONGEST.mul_f64(random.random_range(0.5..1.0)),
+    }];
+    let killed = match random.random_range(0..3) {
+        0 => 0..gateways,
+        1 => {
+            let gateway = random.random_range(0..gateways);
+            gateway..gateway + 1
+        }
+        _ => 0..0,
+    };
+    let first_kill = SPAN.mul_f64(random.random());
+    for gateway in killed {
+        for from in [first_kill, first_kill + SECOND_KILL] {
+            entries.push(Entry {
+                fault: Fault::Kill(gateway),
+                from,
+                until: from + RESTART_DELAY,
+            });
+        }
+    }
+    entries
+}
+
 /// Draws the upstream that leaves in some runs; apart from the other faults, so that these stay the
 /// same for a seed.
 fn leave(seed: u64, upstreams: usize) -> Option<Entry> {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -48,6 +48,7 @@
 #[case::a_limited_upstream_lapses_as_hosts_join(5047)]
 #[case::the_store_is_restored(6001)]
 #[case::the_store_is_restored_twice(6003)]
+#[case::answers_deceive(7000)]
 fn promises_hold_under_faults(#[case] seed: u64) {
     let report = play(seed);
     assert!(report.answers > 0, "no request was answered");
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -45,6 +45,8 @@
 ];
 /// Callers, each with one request at a time.
 const CALLERS: u64 = 8;
+/// Callers that send heads in two parts.
+const SLOW_CALLERS: u64 = 4;
 /// Upstreams that a request ends.
 const FRAIL: [&str; 4] = ["f1", "f2", "f3", "f4"];
 /// Engines that a prompt block ends.
@@ -116,6 +118,18 @@
                 scope.spawn(move || caller::run(&name, seed * CALLERS + number, addresses, stop))
             })
             .collect();
+        let slow_callers = match fault::has_heads_in_parts(seed) {
+            true => SLOW_CALLERS,
+            false => 0,
+        };
+        let slow: Vec<_> = (0..slow_callers)
+            .map(|number| {
+                let name = format!("s{seed}p{number}");
+                let (addresses, stop) = (&addresses, &stop);
+                let seed = seed * CALLERS + number;
+                scope.spawn(move || caller::run_in_parts(&name, seed, addresses, stop))
+            })
+            .collect();
         if !world.frail.is_empty() {
             let (addresses, stop) = (&addresses, &stop);
             scope.spawn(move || caller::run_deadly(seed, addresses, stop));
@@ -126,7 +140,7 @@
         let is_long = leaves || world.limit.is_some() || !world.frail.is_empty();
         thread::sleep(if is_long { LONG_AFTERMATH } else { AFTERMATH });
         drop(ends);
-        let calls = callers.into_iter();
+        let calls = callers.into_iter().chain(slow);
         calls.flat_map(|caller| caller.join().unwrap()).collect()
     });
     world.recover(&addresses);
@@ -236,18 +250,18 @@
             Fault::Freeze(index) => {
                 self.freezes[index] += 1;
                 self.was_frozen[index] = true;
-                self.disturb(index);
+                self.disturb(index, false);
                 self.gateways[index].signal("-STOP");
             }
             Fault::Kill(index) => {
                 self.was_killed[index] = true;
-                self.disturb(index);
+                self.disturb(index, false);
                 self.gone[index].get_or_insert_with(Instant::now);
                 *addresses[index].lock().unwrap() = None;
                 self.gateways[index].signal("-KILL");
             }
             Fault::Term(index) => {
-                self.disturb(index);
+                self.disturb(index, true);
                 self.gone[index].get_or_insert_with(Instant::now);
                 // Callers go on with the connections that they have.
                 *addresses[index].lock().unwrap() = None;
@@ -303,7 +317,7 @@
                 // A process that was started again meanwhile is not stopped.
                 if frozen == 1 {
                     self.gateways[index].signal("-CONT");
-                    self.disturb(index);
+                    self.disturb(index, false);
                 }
             }
             Fault::Kill(index) | Fault::Term(index) => {
@@ -372,12 +386,13 @@
         self.store.set_fault(StoreFault::None);
     }
 
-    fn disturb(&mut self, gateway: usize) {
+    fn disturb(&mut self, gateway: usize, is_planned: bool) {
         let now = Instant::now();
         self.disturbances.push(Disturbance {
             gateway,
             from: now,
             until: now,
+            is_planned,
         });
     }
 
@@ -402,13 +417,14 @@
         self.gateways[index].restart();
         *addresses[index].lock().unwrap() = Some(self.gateways[index].callers());
         let from = self.gone[index].take().unwrap_or_else(Instant::now);
-        self.was_frozen[index] = false;
-        self.was_killed[index] = false;
         self.disturbances.push(Disturbance {
             gateway: index,
             from,
             until: Instant::now(),
+            is_planned: !self.was_frozen[index] && !self.was_killed[index],
         });
+        self.was_frozen[index] = false;
+        self.was_killed[index] = false;
     }
 
     fn finish(mut self, calls: &[Call], entries: &[fault::Entry]) -> Report {
