Keep no configuration over one that could not be read

After a restore of the store, a host that failed to read the configuration which hosts keep wrote its own over it, so that a newer one, kept by another host, was lost for hosts that start (CONFIG; seen by a test alone).

Cause: a failed read counted as an empty topic, the class of the fault of the stored suspects: a write before a read. The host now tries again until the topic was read, and after a failed write.

Evidence: a_newer_kept_configuration_is_not_replaced_unread failed before (version 9 replaced 12) and passes; gateway::restored: 12 passed.

--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -50,8 +50,8 @@
     let mut keep_at: Option<Instant> = None;
     loop {
         if keep_at.is_some_and(|at| at <= clock.now()) {
-            keep_at = None;
-            keep(publisher, store);
+            let is_kept = keep(publisher, store);
+            keep_at = (!is_kept).then(|| clock.now() + FAILURE_BACKOFF);
         }
         let wake = keep_at.map_or(schedule.due(), |at| at.min(schedule.due()));
         if let Some(incoming) = endpoint.wait(wake) {
@@ -130,20 +130,25 @@
     }
 }
 
-/// Writes the active configuration to the hosts' own topic unless that has it or a newer one.
-fn keep<K>(publisher: &ViewPublisher, store: &K)
+/// Writes the active configuration to the hosts' own topic unless that has it or a newer one; returns
+/// `false` if the topic cannot be read or written.
+fn keep<K>(publisher: &ViewPublisher, store: &K) -> bool
 where
     K: Keyed,
 {
-    if adopt_kept(publisher, store) >= publisher.config_version() {
-        return;
+    let Some(kept) = adopt_kept(publisher, store) else {
+        return false;
+    };
+    if kept >= publisher.config_version() {
+        return true;
     }
     let (version, text) = publisher.config();
     let pair = Pair {
         key: store::CONFIG_KEY,
         value: &text,
     };
-    match store.put(store::KEPT_CONFIG_TOPIC, pair) {
+    let written = store.put(store::KEPT_CONFIG_TOPIC, pair);
+    match &written {
         Ok(_) => info!(
             config = version,
             outcome = "kept";
@@ -156,10 +161,12 @@
             "configuration not kept in the store"
         ),
     }
+    written.is_ok()
 }
 
-/// Adopts the configuration that hosts have kept, if it is newer; returns its version, 0 if there is none.
-fn adopt_kept<K>(publisher: &ViewPublisher, store: &K) -> Version
+/// Adopts the configuration that hosts have kept, if it is newer; returns its version, 0 if there is none,
+/// and `None` if it cannot be read.
+fn adopt_kept<K>(publisher: &ViewPublisher, store: &K) -> Option<Version>
 where
     K: Keyed,
 {
@@ -169,7 +176,7 @@
             if version > publisher.config_version() {
                 adopt_newest(publisher, kept.records, "hosts");
             }
-            version
+            Some(version)
         }
         Err(cause) => {
             warn!(
@@ -178,7 +185,7 @@
                 cause:% = cause;
                 "kept configuration not read"
             );
-            0
+            None
         }
     }
 }
--- a/src/standin/fleet/store.rs
+++ b/src/standin/fleet/store.rs
@@ -75,6 +75,8 @@
     calls: u64,
     /// Items of other writers in the pages of the newest records, as they stand there.
     odd_items: HashMap<String, Vec<Vec<u8>>>,
+    /// Topic whose newest records are not listed.
+    unlisted: Option<String>,
     /// Era that all answers name; `None` if they name none.
     era: Option<u64>,
 }
@@ -140,6 +142,11 @@
         items.push(item.to_vec());
     }
 
+    /// Refuses to list the newest records of a topic, or no longer.
+    pub fn set_unlisted(&self, topic: Option<&str>) {
+        self.shared.state.lock().expect("store lock").unlisted = topic.map(str::to_owned);
+    }
+
     /// Names no era in its answers from now on.
     pub fn hide_era(&self) {
         self.shared.state.lock().expect("store lock").era = None;
@@ -261,6 +268,12 @@
         }
         ("GET", "/v1/log-read") => read(shared, &topic, request, stream),
         ("GET", "/v1/log-newest") => {
+            let state = shared.state.lock().expect("store lock");
+            let is_unlisted = state.unlisted.as_ref() == Some(&topic);
+            drop(state);
+            if is_unlisted {
+                return answer(stream, 503, &json!({}), era);
+            }
             let (body, era) = newest(shared, &topic);
             answer_bytes(stream, 200, &body, era)
         }
--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -245,3 +245,29 @@
     site.store.put_config(&fleet::config(12));
     site.gateway.wait_line(&["config=12", "outcome=in-force"]);
 }
+
+/// Guards against an older configuration that is kept over a newer one, which another host has kept: this
+/// host did not manage to read that before it wrote.
+#[test]
+fn a_newer_kept_configuration_is_not_replaced_unread() {
+    let site = Site::desks(&["c1"]);
+    let copy = site.store.snapshot();
+    site.store.put_config(&without_read(9));
+    site.gateway.wait_line(&["config=9", "outcome=in-force"]);
+    let kept = fleet::config(12).to_string();
+    site.store.set_unlisted(Some(store::KEPT_CONFIG_TOPIC));
+    restore(&site.store, &site.gateway, &copy, || {
+        let topic = store::KEPT_CONFIG_TOPIC;
+        site.store.put(topic, store::CONFIG_KEY, kept.as_bytes());
+    });
+    site.gateway
+        .wait_line(&["topic=keyed.config", "outcome=not-read"]);
+    // Long enough for a host to write it after all.
+    thread::sleep(Duration::from_secs(3));
+    site.store.set_unlisted(None);
+    site.gateway.wait_line(&["config=12", "source=hosts"]);
+    let newest = site
+        .store
+        .newest(store::KEPT_CONFIG_TOPIC, store::CONFIG_KEY);
+    assert_eq!(newest.as_deref(), Some(kept.as_bytes()));
+}
