Bound the bodies of all requests together

Cause: each body was bounded, all together were not, the fault of responses that were held. gateway::held bounds both: beyond 64 MB of open requests, bodies of more than 16 KB are refused with 503 and Retry-After; they have not run.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,14 +2,10 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use compact_str::CompactString;
 use http::HeaderValue;
 use http::Method;
@@ -26,6 +22,7 @@
 
 use super::Gateway;
 use super::call::Call;
+use super::held;
 use super::pool::Connection;
 use super::target::Admission;
 use super::target::Reservation;
@@ -37,10 +34,7 @@
 pub const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Maximum bytes of all responses held at the same time, until their callers have read them; a fifth of
 /// the smallest host's memory.
-const MAX_ALL_HELD_BYTES: usize = 32 << 20;
-/// Size up to which a response is held regardless of the others, so that callers that do not read large
-/// ones cost the others nothing.
-const MAX_SMALL_BYTES: usize = 16 << 10;
+pub const MAX_ALL_HELD_BYTES: usize = 32 << 20;
 /// Maximum refusal that is read to its end.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
 /// Maximum wait for the body of a refusal, some round trips; its head holds all that the caller
@@ -317,8 +311,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the body ends early or, unless its end is marked, without content, if it is larger than `max_bytes`, or exceeds the limit of all held
-/// responses together.
+/// Fails if the body ends early, if it has neither content nor a marked end, if it is larger than
+/// `max_bytes`, or if it exceeds the limit of all held responses together.
 pub async fn finish(
     gateway: &Gateway,
     target: &Rc<Target>,
@@ -326,7 +320,7 @@
     max_bytes: usize,
 ) -> Result<FullResponse, Failure> {
     let is_framed = is_framed(&response.head, &response.body);
-    let body = collect(response.body, max_bytes, &gateway.held_bytes).await?;
+    let body = collect(response.body, max_bytes, &gateway.held_responses).await?;
     if body.is_empty() && !is_framed {
         return Err(Failure::broken("the answer ended without content"));
     }
@@ -338,64 +332,20 @@
     })
 }
 
-/// Number of bytes of all responses that are held.
-#[derive(Debug, Clone, Default)]
-pub struct HeldBytes(Arc<AtomicUsize>);
-
-/// Body of a response, counted as held until it is dropped.
-#[derive(Debug)]
-struct HeldBody {
-    content: BytesMut,
-    held: HeldBytes,
-}
-
-impl HeldBody {
-    fn new(held: &HeldBytes) -> Self {
-        HeldBody {
-            content: BytesMut::new(),
-            held: held.clone(),
-        }
-    }
-
-    fn push(&mut self, data: &[u8], max_bytes: usize) -> Result<(), Failure> {
-        self.content.extend_from_slice(data);
-        let own = self.content.len();
-        let all = self.held.0.fetch_add(data.len(), Ordering::Relaxed) + data.len();
-        if own > max_bytes {
-            return Err(Failure::broken(format_args!(
-                "the answer is larger than {max_bytes} bytes"
-            )));
-        }
-        if all > MAX_ALL_HELD_BYTES && own > MAX_SMALL_BYTES {
-            return Err(Failure::broken(format_args!(
-                "answers of more than {MAX_ALL_HELD_BYTES} bytes are held"
-            )));
-        }
-        Ok(())
-    }
-}
-
-impl AsRef<[u8]> for HeldBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.content
-    }
-}
-
-impl Drop for HeldBody {
-    fn drop(&mut self) {
-        self.held.0.fetch_sub(self.content.len(), Ordering::Relaxed);
-    }
-}
-
-async fn collect(mut body: Incoming, max_bytes: usize, held: &HeldBytes) -> Result<Bytes, Failure> {
-    let mut full = HeldBody::new(held);
+async fn collect(
+    mut body: Incoming,
+    max_bytes: usize,
+    budget: &held::Budget,
+) -> Result<Bytes, Failure> {
+    let mut full = held::Body::new(budget);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(Failure::broken)?;
         if let Some(data) = frame.data_ref() {
-            full.push(data, max_bytes)?;
+            full.push(data, max_bytes)
+                .map_err(|excess| Failure::broken(format_args!("the answer is {excess}")))?;
         }
     }
-    Ok(Bytes::from_owner(full))
+    Ok(full.into_bytes())
 }
 
 /// Makes one of the gateway's own calls, such as freeing a KV handle.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod exchange;
 pub mod generate;
 pub mod health;
+pub mod held;
 pub mod inflow;
 pub mod limits;
 pub mod listen;
@@ -101,7 +102,9 @@
     /// Loads and cached prompt blocks of engines.
     pub board: RefCell<placement::Board>,
     /// Bytes of responses that are held until their callers have read them.
-    pub held_bytes: exchange::HeldBytes,
+    pub held_responses: held::Budget,
+    /// Bytes of requests that are held until they are answered.
+    pub held_requests: held::Budget,
     /// Updates that have not been sent to peers yet.
     pub pending_updates: RefCell<peers::PendingUpdates>,
     /// Wakes the exchange with peers to send a suspect at once.
@@ -143,7 +146,8 @@
             suspect_log_limiter: suspect::LogLimiter::default(),
             stored_suspects: Cell::default(),
             board: RefCell::default(),
-            held_bytes: exchange::HeldBytes::default(),
+            held_responses: held::Budget::new(exchange::MAX_ALL_HELD_BYTES),
+            held_requests: held::Budget::new(serve::MAX_ALL_HELD_BYTES),
             pending_updates: RefCell::default(),
             urgent_suspects: Notify::new(),
             pending_changes: RefCell::default(),
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -10,8 +10,6 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use log::info;
 use tokio::time;
@@ -20,6 +18,8 @@
 use super::call;
 use super::call::Call;
 use super::generate;
+use super::held;
+use super::held::Excess;
 use super::plain;
 use super::record::Trace;
 use super::reply;
@@ -29,6 +29,11 @@
 use crate::catalog::Kind;
 use crate::platform::ingress;
 
+/// Maximum bytes of the bodies of all requests held at the same time; a quarter of the smallest host's
+/// memory.
+pub const MAX_ALL_HELD_BYTES: usize = 64 << 20;
+/// Time after which a caller should retry whose body is not held beside those of others.
+const HELD_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Time after which a caller should retry at a host that has no configuration yet.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -46,7 +51,7 @@
         );
     };
     let identified = tokio::select! {
-        identified = identify(&head, body, &catalog, arrived) => identified,
+        identified = identify(&gateway, &head, body, &catalog, arrived) => identified,
         () = gateway.shutdown_end.notified() => {
             let id = ingress::id(&head.headers);
             let reason = shutdown::REFUSAL_REASON;
@@ -78,12 +83,16 @@
                 "request rejected"
             );
             gateway.metrics.add("requests_rejected");
-            reply::own(status, &text)
+            match status {
+                StatusCode::SERVICE_UNAVAILABLE => reply::refuse(&text, HELD_RETRY_AFTER),
+                _ => reply::own(status, &text),
+            }
         }
     }
 }
 
 async fn identify(
+    gateway: &Gateway,
     head: &http::request::Parts,
     body: Incoming,
     catalog: &Catalog,
@@ -101,7 +110,7 @@
     };
     let deadline = arrived + request.timeout.min(route.timeout);
     let max_bytes = catalog.limits().max_body_bytes;
-    let body = read_body(body, max_bytes, deadline).await?;
+    let body = read_body(body, max_bytes, &gateway.held_requests, deadline).await?;
     let mut hasher = std::hash::DefaultHasher::new();
     request.id.hash(&mut hasher);
     let Some(service) = route.service(hasher.finish()) else {
@@ -128,24 +137,39 @@
 async fn read_body(
     body: Incoming,
     max_bytes: usize,
+    budget: &held::Budget,
     deadline: Instant,
 ) -> Result<Bytes, (StatusCode, String)> {
-    let collected = Limited::new(body, max_bytes).collect();
-    match time::timeout_at(deadline.into(), collected).await {
+    match time::timeout_at(deadline.into(), collect(body, max_bytes, budget)).await {
         Err(_) => Err((
             StatusCode::REQUEST_TIMEOUT,
             "the body did not arrive in time".into(),
         )),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(cause)) if cause.is::<LengthLimitError>() => Err((
-            StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body is larger than {max_bytes} bytes"),
-        )),
-        Ok(Err(cause)) => Err((
-            StatusCode::BAD_REQUEST,
-            format!("the body is not whole: {cause}"),
-        )),
+        Ok(collected) => collected,
+    }
+}
+
+async fn collect(
+    mut body: Incoming,
+    max_bytes: usize,
+    budget: &held::Budget,
+) -> Result<Bytes, (StatusCode, String)> {
+    let mut full = held::Body::new(budget);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|cause| {
+            let text = format!("the body is not whole: {cause}");
+            (StatusCode::BAD_REQUEST, text)
+        })?;
+        let part = frame.data_ref().map_or(&[][..], |part| part);
+        full.push(part, max_bytes).map_err(|excess| {
+            let status = match excess {
+                Excess::Own(_) => StatusCode::PAYLOAD_TOO_LARGE,
+                Excess::All(_) => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            (status, format!("not run: the body is {excess}"))
+        })?;
     }
+    Ok(full.into_bytes())
 }
 
 async fn run(gateway: &Rc<Gateway>, call: Call) -> Reply {
--- a/tests/gateway/memory.rs
+++ b/tests/gateway/memory.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use serde_json::json;
 
+use pistachiohall::standin::fleet;
 use pistachiohall::standin::fleet::client::Client;
 use pistachiohall::standin::fleet::replica::Behavior;
 
@@ -85,3 +87,47 @@
     }
     assert_bounded(&site, "POST", "/draft/", &MANY_EVENTS);
 }
+
+/// Guards against a host that keeps the large bodies of many requests until all of them are answered. Those
+/// that it does not take have not run, and small ones are served meanwhile.
+#[test]
+fn requests_cost_a_host_bounded_memory() {
+    const BODY_BYTES: usize = 4_000_000;
+    let site = Site::start(&["c1", "c2"], &[], ONE_HOST);
+    let mut config = fleet::config(9);
+    config["limits"]["max_body_bytes"] = json!(4 << 20);
+    site.store.put_config(&config);
+    site.gateway.wait_line(&["config=9", "outcome=in-force"]);
+    for replica in site.replicas.values() {
+        replica.set_behavior(Behavior::Hang);
+    }
+    let send = |number: usize| {
+        let mut client = site.gateway.client();
+        let (path, id) = (format!("/act/{number}"), format!("r{number}"));
+        // A host that does not take a body closes the connection before all of it is sent.
+        let _sent = client.send("POST", &path, &id, &[], &vec![b'x'; BODY_BYTES]);
+        client.receive().map_or(0, |answer| answer.status)
+    };
+    let statuses: Vec<u16> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|number| {
+                thread::sleep(PAUSE);
+                scope.spawn(move || send(number))
+            })
+            .collect();
+        let small = site
+            .gateway
+            .call("POST", "/draft/small", "small", &FEW_EVENTS);
+        assert_eq!(small.status, 503, "no engine serves it, and it is answered");
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap())
+            .collect()
+    });
+    let peak = site.gateway.peak_memory();
+    assert!(peak < HOST_MEMORY, "{} MB", peak >> 20);
+    let taken = statuses.iter().filter(|status| **status == 502).count();
+    assert_eq!(taken, site.runs(), "{statuses:?}");
+    assert!((8..CALLERS).contains(&taken), "{statuses:?}");
+    assert!(statuses.iter().all(|status| [0, 502, 503].contains(status)));
+}
