Deliver an answer that is ready when a shutdown ends

An answer and the end of the shutdown that came in the same turn of the event loop were drawn by lot; the answer goes first. The soak's callers share how they connect. No failure was seen; found by reading.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -51,6 +51,7 @@
         );
     };
     let identified = tokio::select! {
+        biased;
         identified = identify(&gateway, &head, body, &catalog, arrived) => identified,
         () = gateway.shutdown_end.notified() => {
             let id = ingress::id(&head.headers);
@@ -62,6 +63,7 @@
     };
     match identified {
         Ok(call) => tokio::select! {
+            biased;
             reply = run(&gateway, call) => reply,
             () = gateway.shutdown_end.notified() => {
                 let id = ingress::id(&head.headers);
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -100,17 +100,13 @@
     while !stop.load(Ordering::SeqCst) {
         let (gateway, mut client) = match open.take() {
             Some(open) => open,
-            None => {
-                let gateway = random.random_range(0..gateways.len());
-                let address = *gateways[gateway].lock().unwrap();
-                match address.and_then(|address| Client::connect(address).ok()) {
-                    Some(client) => (gateway, client),
-                    None => {
-                        thread::sleep(PAUSE);
-                        continue;
-                    }
+            None => match connect(&mut random, gateways) {
+                Some(open) => open,
+                None => {
+                    thread::sleep(PAUSE);
+                    continue;
                 }
-            }
+            },
         };
         let kind = match random.random_range(0..4) {
             0 => Kind::Read,
@@ -144,6 +140,14 @@
     calls
 }
 
+/// Connects to a gateway that is drawn; returns `None` if it is not reached.
+fn connect(random: &mut StdRng, gateways: &[Mutex<Option<SocketAddr>>]) -> Option<(usize, Client)> {
+    let gateway = random.random_range(0..gateways.len());
+    let address = *gateways[gateway].lock().unwrap();
+    let client = address.and_then(|address| Client::connect(address).ok());
+    Some((gateway, client?))
+}
+
 /// Sends the first half of a request's head on a connection of its own, and the rest a while later, until
 /// `stop`; returns all requests whose rest was sent.
 pub fn run_in_parts(
@@ -155,9 +159,7 @@
     let mut random = StdRng::seed_from_u64(seed);
     let mut calls = Vec::new();
     while !stop.load(Ordering::SeqCst) {
-        let gateway = random.random_range(0..gateways.len());
-        let address = *gateways[gateway].lock().unwrap();
-        let Some(mut client) = address.and_then(|address| Client::connect(address).ok()) else {
+        let Some((gateway, mut client)) = connect(&mut random, gateways) else {
             thread::sleep(PAUSE);
             continue;
         };
