--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -149,7 +149,7 @@
 }
 
 /// Sends the first half of a request's head on a connection of its own, and the rest a while later, until
-/// `stop`; returns all requests whose rest was sent.
+/// `stop`; returns all requests of which the first half was sent.
 pub fn run_in_parts(
     name: &str,
     seed: u64,
@@ -181,19 +181,18 @@
         }
         thread::sleep(MAX_PART_DELAY.mul_f64(random.random()));
         let sent = Instant::now();
-        let is_sent = client.send_raw(rest.as_bytes()).is_ok();
-        let answer = client.receive().ok().filter(|answer| answer.status != 0);
-        if is_sent {
-            calls.push(Call {
-                id,
-                kind,
-                gateway,
-                begun,
-                sent,
-                ended: Instant::now(),
-                answer,
-            });
-        }
+        let answer = client
+            .send_raw(rest.as_bytes())
+            .and_then(|()| client.receive());
+        calls.push(Call {
+            id,
+            kind,
+            gateway,
+            begun,
+            sent,
+            ended: Instant::now(),
+            answer: answer.ok().filter(|answer| answer.status != 0),
+        });
     }
     calls
 }
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -132,6 +132,15 @@
     during.peek().is_some() && during.all(|disturbance| disturbance.is_planned)
 }
 
+/// Checks a gateway that was asked to end and gave up at `end`: only a connection on which a part of a head
+/// had come is left open. Returns the promise that was broken.
+pub fn unfinished(gateway: usize, end: Instant, calls: &[Call]) -> Option<String> {
+    let is_begun = |call: &Call| call.begun < end && call.sent >= end;
+    let mut own = calls.iter().filter(|call| call.gateway == gateway);
+    let text = format!("gateway {gateway} gave up a request");
+    (!own.any(is_begun)).then_some(text)
+}
+
 /// Checks what an upstream saw that had left when all was calm at `calm`, or before; returns the
 /// promises that were broken.
 pub fn departure(name: &str, seen: &[ReceivedRequest], calm: Instant) -> Vec<String> {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -62,6 +62,9 @@
 /// Settings; short times to leave, so that several fit into a run.
 const SETTINGS: &str = "[orders]\nread_share = 0\n[repeats]\nratio = 1000\n[shutdown]\nbalancer_lag = 100ms\nlimit = 4s\n";
 
+/// Time from the signal until a gateway with these settings gives up.
+const SHUTDOWN_TIME: Duration = Duration::from_millis(3500);
+
 struct Upstream {
     replica: Replica,
     proxy: Proxy,
@@ -95,6 +98,8 @@
     disturbances: Vec<Disturbance>,
     /// Copies of the store that it is restored from later.
     copies: BTreeMap<usize, Snapshot>,
+    /// Gateways that ended with connections open, and since when they were asked to end.
+    unfinished: Vec<(usize, Instant)>,
     left: Option<(usize, Departure)>,
     /// Upstream that names a limit, and the limit.
     limit: Option<(usize, &'static str)>,
@@ -221,6 +226,7 @@
             was_killed: [false; GATEWAYS],
             disturbances: Vec::new(),
             copies: BTreeMap::new(),
+            unfinished: Vec::new(),
             left: None,
             limit,
             says_leaving: None,
@@ -405,7 +411,14 @@
         let is_good = match code {
             None => self.was_killed[index],
             Some(0) => true,
-            Some(1) => self.was_frozen[index],
+            // Whether a connection with a part of a head was open is known at the end of the run.
+            Some(1) => {
+                if !self.was_frozen[index] {
+                    self.unfinished
+                        .extend(self.gone[index].map(|from| (index, from)));
+                }
+                true
+            }
             Some(_) => false,
         };
         if !is_good {
@@ -435,6 +448,10 @@
             .collect();
         self.broken
             .extend(check::calls(calls, &seen, &self.disturbances));
+        for (gateway, since) in &self.unfinished {
+            self.broken
+                .extend(check::unfinished(*gateway, *since + SHUTDOWN_TIME, calls));
+        }
         if let Some((left, _)) = self.left {
             let (name, ..) = UPSTREAMS[left];
             let seen = self.upstreams[left].replica.received();
