--- a/src/standin/fleet/client.rs
+++ b/src/standin/fleet/client.rs
@@ -1,6 +1,7 @@
 //! A stand-in for a caller that looks at every byte of its answers.
 
 use std::io;
+use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
@@ -101,6 +102,15 @@
         self.stream.write_all(bytes)
     }
 
+    /// Waits until an answer begins, and reads no more of it than a buffer takes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no answer begins in time.
+    pub fn wait_answer(&mut self) -> io::Result<()> {
+        self.reader.fill_buf().map(|_| ())
+    }
+
     /// Reads an answer, whole or not.
     ///
     /// # Errors
