Try a repeatable request again during a shutdown

A safe request, or a stream that may be resumed, whose first attempt failed after the listener had closed got 502, although another upstream could have served it at once.

Evidence: a_request_that_was_taken_before_the_listener_closed_is_tried_again failed in 2 of 2 cases before and passes; found by reading the change.

--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -57,7 +57,8 @@
             return fail(progress, retry_after);
         }
         let now = Instant::now();
-        if gateway.shuts_down_before(progress.call.deadline, now) {
+        let may_have_run = progress.attempt_budget.may_have_run();
+        if !may_have_run && gateway.shuts_down_before(progress.call.deadline, now) {
             progress.trace.decide(shutdown::REFUSAL_REASON);
             return fail(progress, Duration::ZERO);
         }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -52,7 +52,7 @@
             return give_up(call, &attempt_budget, buffered, retry_after, trace);
         }
         let now = Instant::now();
-        if gateway.shuts_down_before(call.deadline, now) {
+        if !attempt_budget.may_have_run() && gateway.shuts_down_before(call.deadline, now) {
             trace.decide(shutdown::REFUSAL_REASON);
             return give_up(call, &attempt_budget, buffered, Duration::ZERO, trace);
         }
--- a/tests/gateway/shutdown.rs
+++ b/tests/gateway/shutdown.rs
@@ -144,3 +144,34 @@
     assert_eq!(site.gateway.wait(), Some(1));
     assert!(!was_passed_on(&site, "waiting"));
 }
+
+/// Guards against giving up a request that may run again after its first attempt has failed during a
+/// shutdown: another attempt can serve it in time, and no refusal would be true any more.
+#[rstest]
+#[case::of_a_safe_request("GET", "/read/a", &[])]
+#[case::of_a_stream("POST", "/ask/a", &SHORT_PROMPT)]
+fn a_request_that_was_taken_before_the_listener_closed_is_tried_again(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] prompt: &[(&str, &str)],
+) {
+    let settings = SETTINGS.replace("limit = 4s", "limit = 2s");
+    let engines = [("d1", "decode"), ("d2", "decode")];
+    let mut site = Site::start(&["c1", "c2"], &engines, &settings);
+    for replica in site.replicas.values() {
+        replica.set_behavior(Behavior::Hang);
+    }
+    site.gateway.signal("-TERM");
+    site.gateway.wait_line(&["outcome=leaving"]);
+    thread::sleep(Duration::from_millis(350));
+    let mut client = site.gateway.client();
+    client.send(method, path, "r1", prompt, b"").unwrap();
+    wait_for("the first attempt", || site.runs() == 1);
+    for replica in site.replicas.values() {
+        replica.set_behavior(Behavior::Sound);
+    }
+    let answer = client.receive().unwrap();
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(site.gateway.wait(), Some(0));
+    site.gateway.wait_line(&["request=r1", "Silent"]);
+}
