Size the bound on request bodies by the smallest host

The smallest host of the sheets has 160 MB, not 260: a bound of 64 MB on the bodies of requests, beside 32 MB of responses, took more than half of it. The time to come back has a name that fits both of its uses.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -33,7 +33,7 @@
 /// memory.
 pub const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Maximum bytes of all responses held at the same time, until their callers have read them; a fifth of
-/// the smallest host's memory.
+/// the smallest host's memory, 160 MB.
 pub const MAX_ALL_HELD_BYTES: usize = 32 << 20;
 /// Maximum refusal that is read to its end.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -29,11 +29,11 @@
 use crate::catalog::Kind;
 use crate::platform::ingress;
 
-/// Maximum bytes of the bodies of all requests held at the same time; a quarter of the smallest host's
-/// memory.
-pub const MAX_ALL_HELD_BYTES: usize = 64 << 20;
-/// Time after which a caller should retry whose body is not held beside those of others.
-const HELD_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Maximum bytes of the bodies of all requests held at the same time; a fifth of the smallest host's
+/// memory, 160 MB.
+pub const MAX_ALL_HELD_BYTES: usize = 32 << 20;
+/// Time after which a caller should retry whose request could not be read or has no service.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Time after which a caller should retry at a host that has no configuration yet.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -86,7 +86,7 @@
             );
             gateway.metrics.add("requests_rejected");
             match status {
-                StatusCode::SERVICE_UNAVAILABLE => reply::refuse(&text, HELD_RETRY_AFTER),
+                StatusCode::SERVICE_UNAVAILABLE => reply::refuse(&text, RETRY_AFTER),
                 _ => reply::own(status, &text),
             }
         }
--- a/tests/gateway/memory.rs
+++ b/tests/gateway/memory.rs
@@ -12,8 +12,8 @@
 
 use super::site::Site;
 
-/// Memory of the smallest host.
-const HOST_MEMORY: u64 = 260 << 20;
+/// Memory of the smallest host of the sheets.
+const HOST_MEMORY: u64 = 160 << 20;
 /// Callers that wait at the same time.
 const CALLERS: usize = 96;
 /// Pause between two callers, so that one response after the other can be held.
