Take a switch of protocols for no answer

Cause: the HTTP library hands out 101 as a final response, and signed responses were delivered whatever their status. It is a broken exchange now.

Evidence: refusals::a_switch_of_protocols_is_no_answer failed before (results in the three cases above the fix: 101 delivered) and passes.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -257,6 +257,12 @@
         Ok(Ok(response)) => response,
     };
     let (head, body) = response.into_parts();
+    if head.status.is_informational() {
+        return Err(Failure::broken(format_args!(
+            "status {} is no answer",
+            head.status
+        )));
+    }
     gateway.apply_notice(target, &head, &call.request.id);
     let response = match egress::provenance(&head, &call.request.id) {
         Provenance::Foreign => {
--- a/tests/gateway/refusals.rs
+++ b/tests/gateway/refusals.rs
@@ -72,6 +72,24 @@
     assert_eq!(site.runs(), 1);
 }
 
+/// Guards against an interim status in place of an answer: a caller that did not ask for another protocol
+/// cannot read it.
+#[rstest]
+#[case::of_an_unsafe_request("POST", "/act/a", &[])]
+#[case::of_a_safe_request("GET", "/read/a", &[])]
+#[case::of_a_stream("POST", "/draft/a", &SHORT_PROMPT)]
+fn a_switch_of_protocols_is_no_answer(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] prompt: &[(&str, &str)],
+) {
+    let site = site();
+    let all = ["c1", "c2", "d1", "d2"];
+    set_behavior(&site, &all, Behavior::FailWith(101));
+    let answer = site.gateway.call(method, path, "r1", prompt);
+    assert_eq!(answer.status, 502, "it may have run");
+}
+
 /// Guards against a caller that is not told the upstream's own failure: its request may run again, or
 /// the status tells nothing about whether it ran.
 #[rstest]
