--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -30,6 +30,8 @@
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Delay after a failed read or one that found no configuration.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(250);
+/// Interval between two attempts to keep the configuration in the store.
+const KEEP_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Age of the data from peers at which this host reads the store itself; leaves time for that read
 /// within the two seconds in which changes must be active.
 const MAX_AGE: Duration = Duration::from_millis(1600);
@@ -49,11 +51,14 @@
     let mut schedule = Schedule::new(LONG_POLL_TIMEOUT, FAILURE_BACKOFF, MAX_AGE, clock.now());
     let mut keep_at: Option<Instant> = None;
     loop {
-        if keep_at.is_some_and(|at| at <= clock.now()) {
+        // While the store does not answer, calls to it would delay what peers send.
+        let keep_due = keep_at.filter(|_| reader.failures() == 0);
+        if keep_due.is_some_and(|at| at <= clock.now()) {
             let is_kept = keep(publisher, store);
-            keep_at = (!is_kept).then(|| clock.now() + FAILURE_BACKOFF);
+            keep_at = (!is_kept).then(|| clock.now() + KEEP_RETRY_INTERVAL);
+            continue;
         }
-        let wake = keep_at.map_or(schedule.due(), |at| at.min(schedule.due()));
+        let wake = keep_due.map_or(schedule.due(), |at| at.min(schedule.due()));
         if let Some(incoming) = endpoint.wait(wake) {
             let now = clock.now();
             match reader.apply(incoming.segment) {
