Log why a connection to an upstream failed

The step of a flooded request read `Broken("connection error")`, which says nothing about the bound that it met. The failure now names the cause of the HTTP library's error. endless::the_log_tells_that_a_head_was_too_large.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -69,7 +70,7 @@
             }
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
-                let cause = compact_str::format_compact!("{}", error.error());
+                let cause = describe(error.error());
                 Err(match is_unsent {
                     true => Failure::NotSent(cause),
                     false => Failure::Broken(cause),
@@ -79,6 +80,14 @@
     }
 }
 
+/// Returns an error of the HTTP library with its cause, which it does not name by itself.
+fn describe(error: &hyper::Error) -> CompactString {
+    match std::error::Error::source(error) {
+        Some(cause) => compact_str::format_compact!("{error}: {cause}"),
+        None => compact_str::format_compact!("{error}"),
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
--- a/tests/gateway/endless.rs
+++ b/tests/gateway/endless.rs
@@ -156,6 +156,19 @@
     assert_closed_early(&site, "p1");
 }
 
+/// Guards against a log that does not tell why a connection was closed.
+#[test]
+fn the_log_tells_that_a_head_was_too_large() {
+    let site = Site::desks(&["c1"]);
+    site.replicas["c1"].set_behavior(Behavior::EndlessInterim);
+    let response = site.gateway.call("POST", "/act/a", "r1", &[]);
+    assert_eq!(response.status, 502);
+    site.gateway.wait_line(&[
+        "request=r1",
+        "no complete head of a response in 65536 bytes",
+    ]);
+}
+
 /// Guards against a host that stands still for all its callers while it reads the interim responses of a
 /// faulty engine.
 #[test]
