Interfaces of accounts, terms and duties

Cause: the users' newer deployments have client accounts, usage reports and orders for upstreams; the parts that serve them are built side by side.

Change: the catalog has accounts and ranges of upstreams, a request has an account and a rank, a lease is generic over what is done under it, the platform's duties have a client and settings. A configuration with accounts is served by key: upstreams are told the account and never the key, an unknown key gets 401. Nothing changes without accounts.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,11 +1,19 @@
 //! Active routes and services, as last configured by the operator.
 
+mod account;
+
+pub use self::account::Account;
+pub use self::account::Accounts;
+pub use self::account::KeyDigest;
+
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use compact_str::CompactString;
 
+use crate::id::DomainId;
 use crate::id::RouteId;
 use crate::id::ServiceId;
 
@@ -56,6 +64,8 @@
     pub is_resumable: bool,
     /// `true` if requests list the blocks of a prompt.
     pub has_prompt: bool,
+    /// `true` if requests need no key, even if the configuration has client accounts.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -100,6 +110,24 @@
     pub handle_ttl: Duration,
     /// Time for which an engine is unavailable when it changes its role.
     pub switch_duration: Duration,
+    /// Size of a token's KV cache, in bytes; `None` if it is not known.
+    pub kv_token_bytes: Option<u64>,
+}
+
+/// Range within which the number of a service's upstreams may be changed, and what they cost.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Scale {
+    /// Minimum number of upstreams in a failure domain, of both kinds together.
+    pub min: usize,
+    /// Maximum number of upstreams in a failure domain, of both kinds together.
+    pub max: usize,
+    /// Time from the order until a new upstream serves.
+    pub boot_duration: Duration,
+    /// Price of an upstream that may be withdrawn, relative to one that may not; `None` if there
+    /// are no such upstreams.
+    pub spot_price: Option<f64>,
+    /// Price of a second of an upstream that may not be withdrawn, by failure domain.
+    pub domain_prices: BTreeMap<DomainId, f64>,
 }
 
 /// A service that takes requests of routes.
@@ -113,6 +141,8 @@
     pub health_path: Option<CompactString>,
     /// Properties of its engines; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// Range for the number of its upstreams; `None` if the number is fixed.
+    pub scale: Option<Scale>,
 }
 
 /// Limits for callers.
@@ -146,6 +176,7 @@
     routes: HashMap<(CompactString, CompactString), Arc<Route>>,
     services: HashMap<ServiceId, Arc<Service>>,
     limits: Limits,
+    accounts: Option<Arc<Accounts>>,
 }
 
 impl Catalog {
@@ -175,9 +206,23 @@
             routes: routes.collect(),
             services: services.collect(),
             limits,
+            accounts: None,
         }
     }
 
+    /// Sets the client accounts; without them, no request needs a key.
+    pub fn with_accounts(self, accounts: Accounts) -> Self {
+        Catalog {
+            accounts: Some(Arc::new(accounts)),
+            ..self
+        }
+    }
+
+    /// Returns the client accounts; `None` if no request needs a key.
+    pub fn accounts(&self) -> Option<&Arc<Accounts>> {
+        self.accounts.as_ref()
+    }
+
     /// Returns the version.
     pub fn version(&self) -> Version {
         self.version
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,6 +12,8 @@
 use http::Method;
 use http::Uri;
 
+use crate::catalog::Account;
+use crate::catalog::KeyDigest;
 use crate::catalog::Route;
 use crate::catalog::Version;
 use crate::id::BlockId;
@@ -102,6 +104,8 @@
     pub after_event: Option<u64>,
     /// Prompt of a request to a model.
     pub prompt: Option<Prompt>,
+    /// Digest of the caller's key; `None` if the request has no readable one.
+    pub key: Option<KeyDigest>,
     /// Header fields to pass on.
     pub forward: HeaderMap,
 }
@@ -158,6 +162,8 @@
     pub route: Arc<Route>,
     /// Version of the configuration that holds the route.
     pub version: Version,
+    /// Account of the caller; `None` on a public route, or if the configuration has no accounts.
+    pub account: Option<Arc<Account>>,
     /// Service that handles the request.
     pub service: ServiceId,
     /// Body.
@@ -177,4 +183,13 @@
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
     }
+
+    /// Returns the urgency of the request: that of its account, or else of its route; 0 is the most
+    /// urgent.
+    pub fn rank(&self) -> u8 {
+        let account = self.account.as_ref();
+        account
+            .and_then(|account| account.priority)
+            .unwrap_or(self.route.priority)
+    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! immutable views. Decisions that can be tested in isolation are in `placement`, `retry`, `fleet`
 //! and `health`.
 
+pub mod account;
 pub mod allowance;
 pub mod belief;
 pub mod bootstrap;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use super::Gateway;
+use super::account;
 use super::call;
 use super::call::Call;
 use super::generate;
@@ -100,7 +101,7 @@
     catalog: &Catalog,
     arrived: Instant,
 ) -> Result<Call, (StatusCode, String)> {
-    let request = ingress::parse_request(head)
+    let mut request = ingress::parse_request(head)
         .map_err(|fault| (StatusCode::BAD_REQUEST, fault.to_string()))?;
     let Some(route) = catalog.route(&request.host, request.uri.path()) else {
         let text = format!(
@@ -110,6 +111,8 @@
         );
         return Err((StatusCode::NOT_FOUND, text));
     };
+    let account = account::identify(catalog, route, request.key.as_ref())
+        .map_err(|refusal| (StatusCode::UNAUTHORIZED, refusal.to_string()))?;
     let deadline = arrived + request.timeout.min(route.timeout);
     let max_bytes = catalog.limits().max_body_bytes;
     let body = read_body(body, max_bytes, &gateway.held_requests, deadline).await?;
@@ -119,11 +122,17 @@
         let text = format!("route {:?} leads to no service", route.name);
         return Err((StatusCode::SERVICE_UNAVAILABLE, text));
     };
+    let fingerprint = call::fingerprint(&request, &body);
+    if catalog.accounts().is_some() {
+        let name = account.as_ref().map(|account| &account.name);
+        ingress::set_account(&mut request.forward, name);
+    }
     Ok(Call {
+        account,
         service: service.clone(),
         route: route.clone(),
         version: catalog.version(),
-        fingerprint: call::fingerprint(&request, &body),
+        fingerprint,
         blocks: request
             .prompt
             .as_ref()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod standin;
 pub mod status;
 pub mod suspicion;
+pub mod term;
 pub mod throttle;
 pub mod upstream;
 pub mod wire;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,17 +1,23 @@
 //! The operator's configuration, decoded into a catalog.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use serde::Deserialize;
 
+use crate::catalog::Account;
+use crate::catalog::Accounts;
 use crate::catalog::Catalog;
 use crate::catalog::Engine;
+use crate::catalog::KeyDigest;
 use crate::catalog::Kind;
 use crate::catalog::Limits;
 use crate::catalog::Route;
+use crate::catalog::Scale;
 use crate::catalog::Service;
 use crate::catalog::Share;
+use crate::id::DomainId;
 
 #[derive(Debug, Deserialize)]
 struct Document {
@@ -20,6 +26,9 @@
     services: Vec<ServiceText>,
     #[serde(default)]
     limits: LimitsText,
+    /// Client accounts; absent if no request needs a key.
+    #[serde(rename = "tenants")]
+    accounts: Option<Vec<AccountText>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -51,6 +60,8 @@
     sticky: bool,
     #[serde(default)]
     resumable: bool,
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Debug, Clone, Copy, Deserialize)]
@@ -77,6 +88,8 @@
     /// Path of the upstreams' health check.
     #[serde(default)]
     health_path: Option<CompactString>,
+    #[serde(default)]
+    scale: Option<ScaleText>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -87,6 +100,31 @@
     handle_ttl_s: f64,
     #[serde(default = "default_switch")]
     switch_s: f64,
+    #[serde(default)]
+    kv_token_bytes: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ScaleText {
+    /// Minimum number of upstreams in a failure domain.
+    min: usize,
+    /// Maximum number of upstreams in a failure domain.
+    max: usize,
+    #[serde(default)]
+    boot_s: f64,
+    #[serde(default)]
+    spot_price: Option<f64>,
+    #[serde(default, rename = "zone_prices")]
+    domain_prices: BTreeMap<DomainId, f64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct AccountText {
+    name: CompactString,
+    #[serde(default)]
+    api_keys: Vec<CompactString>,
+    #[serde(default)]
+    priority: Option<u8>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -156,7 +194,24 @@
             .idle_timeout_ms
             .map_or(defaults.idle_timeout, Duration::from_millis),
     };
-    Ok(Catalog::new(document.version, routes, services, limits))
+    let catalog = Catalog::new(document.version, routes, services, limits);
+    Ok(match document.accounts {
+        Some(texts) => catalog.with_accounts(accounts(texts)),
+        None => catalog,
+    })
+}
+
+fn accounts(texts: Vec<AccountText>) -> Accounts {
+    let mut accounts = Accounts::default();
+    for text in texts {
+        let account = Account {
+            name: text.name,
+            priority: text.priority,
+        };
+        let keys = text.api_keys.iter().filter(|key| !key.is_empty());
+        accounts.add(account, keys.map(|key| KeyDigest::of(key)));
+    }
+    accounts
 }
 
 fn route(text: RouteText) -> Route {
@@ -188,6 +243,7 @@
         max_attempts: text.max_attempts.max(1),
         is_resumable: text.resumable,
         has_prompt: text.sticky,
+        is_public: text.public,
     }
 }
 
@@ -201,6 +257,14 @@
             kv_capacity_tokens: engine.kv_capacity_tokens,
             handle_ttl: seconds(engine.handle_ttl_s),
             switch_duration: seconds(engine.switch_s),
+            kv_token_bytes: engine.kv_token_bytes,
+        }),
+        scale: text.scale.map(|scale| Scale {
+            min: scale.min,
+            max: scale.max,
+            boot_duration: seconds(scale.boot_s),
+            spot_price: scale.spot_price,
+            domain_prices: scale.domain_prices,
         }),
     }
 }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -30,6 +30,8 @@
 pub const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Era of the store, which rises each time that the store is restored from a copy.
 pub const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+/// Name of the client account whose key a request carries.
+pub const ACCOUNT: HeaderName = HeaderName::from_static("pistachiohall-tenant");
 /// Event after which a stream is resumed.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -4,13 +4,16 @@
 
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
 use http::request::Parts;
 use thiserror::Error;
 
 use super::header;
+use crate::catalog::KeyDigest;
 use crate::gateway::call::Block;
 use crate::gateway::call::Prompt;
 use crate::gateway::call::Request;
+use crate::id::AccountId;
 use crate::id::BlockId;
 
 /// Path at which the balancer checks whether the host accepts connections.
@@ -78,6 +81,7 @@
         timeout: Duration::from_millis(timeout),
         after_event: number(&head.headers, &header::LAST_EVENT)?,
         prompt: prompt(&head.headers)?,
+        key: key(&head.headers),
         forward: forwarded(&head.headers),
     })
 }
@@ -96,6 +100,48 @@
         .unwrap_or_default()
 }
 
+/// Scheme of the field that carries a caller's key.
+const KEY_SCHEME: &str = "Token";
+
+/// Returns the digest of the caller's key; `None` if there is none, several, or one in another scheme.
+fn key(headers: &HeaderMap) -> Option<KeyDigest> {
+    let mut values = headers.get_all(http::header::AUTHORIZATION).iter();
+    let value = values.next().filter(|_| values.next().is_none())?;
+    let (scheme, key) = value.to_str().ok()?.trim().split_once(' ')?;
+    let key = key.trim();
+    (scheme.eq_ignore_ascii_case(KEY_SCHEME) && !key.is_empty()).then(|| KeyDigest::of(key))
+}
+
+/// Replaces the caller's key in the fields to pass on by the name of its account. Upstreams of a
+/// configuration with accounts never see a key, nor a name that the caller has set itself.
+///
+/// ```
+/// use pistachiohall::platform::ingress;
+/// let mut forward = http::HeaderMap::new();
+/// forward.insert("authorization", "Token k1".parse().unwrap());
+/// forward.insert("pistachiohall-tenant", "other".parse().unwrap());
+/// ingress::set_account(&mut forward, Some(&"desk".into()));
+/// assert!(forward.get("authorization").is_none());
+/// assert_eq!(forward["pistachiohall-tenant"], "desk");
+/// ingress::set_account(&mut forward, None);
+/// assert!(forward.is_empty());
+/// ```
+pub fn set_account(forward: &mut HeaderMap, account: Option<&AccountId>) {
+    forward.remove(http::header::AUTHORIZATION);
+    forward.remove(header::ACCOUNT);
+    let Some(account) = account else {
+        return;
+    };
+    match HeaderValue::from_str(account) {
+        Ok(value) => {
+            forward.insert(header::ACCOUNT, value);
+        }
+        Err(cause) => {
+            log::error!(account:% = account, cause:% = cause; "account name is no valid header value");
+        }
+    }
+}
+
 /// Returns the fields that are passed on: all but hop-by-hop fields and those reserved for
 /// gateways.
 fn forwarded(headers: &HeaderMap) -> HeaderMap {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,9 +10,11 @@
 //! | `egress` | requests to upstreams and their responses |
 //! | `store` | calls to the log and the framing of its records |
 //! | `config` | the operator's configuration |
+//! | `duties` | calls that one host makes for all |
 //! | `registry` | the entries of upstreams |
 
 pub mod config;
+pub mod duties;
 pub mod egress;
 pub mod header;
 pub mod ingress;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -46,6 +46,10 @@
 pub const SUSPECT_TOPIC: &str = "keyed.suspects";
 /// Topic whose newest record under [`LEASE_KEY`] names the host that may give orders.
 pub const LEASE_TOPIC: &str = "keyed.lease";
+/// Topic of the lease under which usage is reported.
+pub const USAGE_LEASE_TOPIC: &str = "keyed.usage-lease";
+/// Topic of the lease under which upstreams are ordered.
+pub const CAPACITY_LEASE_TOPIC: &str = "keyed.capacity-lease";
 /// Key of the lease.
 pub const LEASE_KEY: &str = "orders";
 /// Era of a store that was never restored.
--- a/src/reassign/duty.rs
+++ b/src/reassign/duty.rs
@@ -19,8 +19,6 @@
 
 use super::Change;
 use super::Constraints;
-use super::term::Grant;
-use super::term::LeaseState;
 use crate::availability;
 use crate::availability::Incarnation;
 use crate::availability::Incarnations;
@@ -34,6 +32,9 @@
 use crate::log::keyed::Keyed;
 use crate::platform::egress;
 use crate::platform::store::Store;
+use crate::term;
+use crate::term::Grant;
+use crate::term::LeaseState;
 use crate::upstream::Role;
 
 /// Interval between two comparisons.
@@ -101,7 +102,12 @@
     let (clock, store) = (clock.clone(), store.clone());
     let started_at = clock::wall_ms(&clock);
     let mut state = State {
-        lease: LeaseState::new(config.host.clone(), started_at, config.lease),
+        lease: LeaseState::new(
+            term::ENGINE_ORDERS,
+            config.host.clone(),
+            started_at,
+            config.lease,
+        ),
         config,
         pending: HashMap::new(),
         changes_wanted_since: None,
--- a/src/reassign/mod.rs
+++ b/src/reassign/mod.rs
@@ -1,10 +1,9 @@
 //! Assignment of roles to engines by the mix of prefill and decode work.
 //!
 //! One host at a time sends orders: the one that holds the lease in the store. Choosing the changes
-//! is a pure decision; the lease and the orders are in [`term`] and [`duty`].
+//! is a pure decision; the orders are in [`duty`], the lease in [`crate::term`].
 
 pub mod duty;
-pub mod term;
 
 use std::collections::BTreeMap;
 
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -8,6 +8,8 @@
 use super::unit;
 use crate::id::DomainId;
 use crate::id::HostId;
+use crate::platform::duties;
+use crate::platform::duties::Duty;
 use crate::retry::window::Bounds;
 
 /// Section that marks a settings file as that of a gateway.
@@ -31,6 +33,28 @@
 /// users' mix of requests needs (docs/POLICY.md).
 const DEFAULT_PREFILL_SHARE: f64 = 0.67;
 
+/// Default length of the windows for which usage is reported.
+const DEFAULT_USAGE_WINDOW: Duration = Duration::from_secs(5);
+/// Default time after the end of a window within which its usage has to be reported.
+const DEFAULT_USAGE_DUE: Duration = Duration::from_secs(10);
+/// Default number of calls to the platform per second, of all hosts together.
+const DEFAULT_DUTY_CALLS_PER_S: f64 = 10.0;
+
+/// Calls to the platform that one host at a time makes for all.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Duties {
+    /// Address of the platform.
+    pub address: SocketAddr,
+    /// Duties that this deployment has.
+    pub perform: Vec<Duty>,
+    /// Length of the windows for which usage is reported.
+    pub usage_window: Duration,
+    /// Time after the end of a window within which its usage has to be reported.
+    pub usage_due: Duration,
+    /// Number of calls per second that the platform takes from all hosts together.
+    pub max_calls_per_s: f64,
+}
+
 /// Settings of one gateway process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -60,6 +84,11 @@
     pub lease: Duration,
     /// Share of a service's engines that prefill for others.
     pub read_share: f64,
+    /// Calls to the platform for all hosts; `None` if the deployment has none.
+    pub duties: Option<Duties>,
+    /// Maximum time after a key was taken away for which requests with it may still run; `None` if
+    /// a key is served for as long as no newer configuration is known.
+    pub max_revocation: Option<Duration>,
 }
 
 impl Settings {
@@ -95,7 +124,20 @@
         let shutdown_limit = source.optional("shutdown", "limit", unit::duration);
         let lease = source.optional("orders", "lease", unit::duration);
         let read_share = source.optional("orders", "read_share", unit::share);
+        let platform = source.optional("duties", "address", unit::address);
+        let perform = source.optional("duties", "perform", duties::parse);
+        let usage_window = source.optional("duties", "usage_window", unit::duration);
+        let usage_due = source.optional("duties", "usage_due", unit::duration);
+        let max_calls_per_s = source.optional("duties", "max_calls_per_s", unit::weight);
+        let max_revocation = source.optional("accounts", "max_revocation", unit::duration);
         source.finish()?;
+        let duties = platform.map(|address| Duties {
+            address,
+            perform: perform.unwrap_or_default(),
+            usage_window: usage_window.unwrap_or(DEFAULT_USAGE_WINDOW),
+            usage_due: usage_due.unwrap_or(DEFAULT_USAGE_DUE),
+            max_calls_per_s: max_calls_per_s.unwrap_or(DEFAULT_DUTY_CALLS_PER_S),
+        });
         Ok(Settings {
             name: name.unwrap_or_default(),
             domain: domain.unwrap_or_default(),
@@ -114,6 +156,8 @@
             shutdown_limit: shutdown_limit.unwrap_or(DEFAULT_SHUTDOWN_LIMIT),
             lease: lease.unwrap_or(DEFAULT_LEASE),
             read_share: read_share.unwrap_or(DEFAULT_PREFILL_SHARE),
+            duties,
+            max_revocation,
         })
     }
 }
--- a/src/reassign/term.rs
+++ b/src/term/mod.rs
@@ -1,4 +1,7 @@
-//! Lease that allows one host at a time to send orders: a record in the store.
+//! Terms: leases in the store that allow one host at a time to do what only one may do.
+//!
+//! Each subject has a topic of its own, so that its fencing tokens, the positions of its records,
+//! rise with each term of it, and terms of other subjects don't delay it.
 
 use std::time::Duration;
 
@@ -46,6 +49,31 @@
     unchanged_since: Duration,
 }
 
+/// What is done under a term, by one host at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Subject {
+    /// Topic whose newest record under `key` names the holder.
+    pub topic: &'static str,
+    /// Key of the record.
+    pub key: &'static str,
+}
+
+/// Orders to engines.
+pub const ENGINE_ORDERS: Subject = Subject {
+    topic: store::LEASE_TOPIC,
+    key: store::LEASE_KEY,
+};
+/// Reports of what client accounts have used.
+pub const USAGE: Subject = Subject {
+    topic: store::USAGE_LEASE_TOPIC,
+    key: "usage",
+};
+/// Orders for more or fewer upstreams.
+pub const CAPACITY: Subject = Subject {
+    topic: store::CAPACITY_LEASE_TOPIC,
+    key: "capacity",
+};
+
 /// Lease that this host holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Grant {
@@ -59,6 +87,7 @@
 /// State of the lease as this host knows it.
 #[derive(Debug)]
 pub struct LeaseState {
+    subject: Subject,
     host: HostId,
     started_at: u64,
     lease: Duration,
@@ -73,9 +102,10 @@
 
 impl LeaseState {
     /// Returns the state of a host, started at `started_at` in Unix milliseconds, that does not hold
-    /// the lease.
-    pub fn new(host: HostId, started_at: u64, lease: Duration) -> Self {
+    /// the lease of `subject`, which lasts for `lease`.
+    pub fn new(subject: Subject, host: HostId, started_at: u64, lease: Duration) -> Self {
         LeaseState {
+            subject,
             host,
             started_at,
             lease,
@@ -107,7 +137,7 @@
         if let Err(error) = read {
             warn!(
                 dependency = "store",
-                topic:% = store::LEASE_TOPIC,
+                topic:% = self.subject.topic,
                 cause:% = error;
                 "lease not read"
             );
@@ -123,14 +153,20 @@
         };
         let value = serde_json::to_vec(&record).expect("a lease record serializes to JSON");
         let pair = Pair {
-            key: store::LEASE_KEY,
+            key: self.subject.key,
             value: &value,
         };
-        match store.put_at(store::LEASE_TOPIC, pair, at) {
+        match store.put_at(self.subject.topic, pair, at) {
             Ok(position) => {
                 let fencing_token = fencing_token(position);
                 let expires_at = now + self.lease.mul_f64(USABLE_SHARE);
-                info!(lease = fencing_token, holder:% = self.host, outcome = "taken"; "lease taken");
+                info!(
+                    lease = fencing_token,
+                    subject = self.subject.key,
+                    holder:% = self.host,
+                    outcome = "taken";
+                    "lease taken"
+                );
                 self.grant = Some(Grant {
                     fencing_token,
                     expires_at,
@@ -138,6 +174,7 @@
             }
             Err(ConditionError::Moved(end)) => info!(
                 lease = "none",
+                subject = self.subject.key,
                 end = end,
                 outcome = "lost-race";
                 "lease lost to another host"
@@ -178,11 +215,11 @@
     where
         K: Keyed,
     {
-        let newest = store.newest(store::LEASE_TOPIC)?;
+        let newest = store.newest(self.subject.topic)?;
         let value = newest
             .records
             .into_iter()
-            .find(|record| record.key == store::LEASE_KEY)
+            .find(|record| record.key == self.subject.key)
             .and_then(|record| record.value);
         let record = value.and_then(|value| match serde_json::from_slice(&value) {
             Ok(record) => Some(record),
--- a/tests/decisions/term.rs
+++ b/tests/decisions/term.rs
@@ -17,8 +17,9 @@
 use pistachiohall::log::keyed::Pair;
 use pistachiohall::log::keyed::Position;
 use pistachiohall::log::keyed::Record;
-use pistachiohall::reassign::term::Grant;
-use pistachiohall::reassign::term::LeaseState;
+use pistachiohall::term;
+use pistachiohall::term::Grant;
+use pistachiohall::term::LeaseState;
 use rstest::rstest;
 
 const LEASE: Duration = Duration::from_secs(3);
@@ -109,7 +110,7 @@
 }
 
 fn lease_state(host: &str) -> LeaseState {
-    LeaseState::new(host.into(), 1, LEASE)
+    LeaseState::new(term::ENGINE_ORDERS, host.into(), 1, LEASE)
 }
 
 #[test]
@@ -183,7 +184,7 @@
 fn a_restarted_host_has_to_wait_for_the_lease() {
     let (clock, store) = (Mock::new(SystemTime::UNIX_EPOCH), InMemory::default());
     lease_state("h1").acquire(&clock, &store).unwrap();
-    let mut restarted = LeaseState::new("h1".into(), 2, LEASE);
+    let mut restarted = LeaseState::new(term::ENGINE_ORDERS, "h1".into(), 2, LEASE);
     assert!(restarted.acquire(&clock, &store).is_none());
 }
 
