Fair shares of client accounts while room is short

Cause: who asks most gets most; a light account finds the queues of a heavy one.

Change: hosts sum the work that accounts offer and get, over all hosts at a bounded cost; an account above its max-min fair share yields while room is short. Off without client accounts in the configuration.

--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -153,6 +153,7 @@
         prompt,
         target_left: (call.arrived + call.route.target_latency).saturating_duration_since(now),
         left: call.remaining(now),
+        is_above_share: gateway.is_above_share(call, now),
     };
     placement::plan(&request, &engines)
 }
@@ -175,6 +176,7 @@
 
 fn deliver(gateway: &Rc<Gateway>, mut stream: OpenStream, mut progress: Progress) -> Reply {
     progress.trace.record_first();
+    gateway.record_served(&progress.call, Instant::now());
     let head = stream.head.clone();
     progress.continuation = Some(Continuation::of(&head));
     let first = std::mem::take(&mut stream.first);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod doubt;
 pub mod events;
 pub mod exchange;
+pub mod fairness;
 pub mod generate;
 pub mod health;
 pub mod held;
@@ -100,6 +101,8 @@
     pub probed_incarnations: RefCell<HashSet<IncarnationDigest>>,
     /// Whether the suspects in the store have been merged.
     pub stored_suspects: Cell<suspect::Loading>,
+    /// What client accounts ask for and get.
+    pub fairness: RefCell<fairness::Ledgers>,
     /// Loads and cached prompt blocks of engines.
     pub board: RefCell<placement::Board>,
     /// Bytes of responses that are held until their callers have read them.
@@ -146,6 +149,7 @@
             probed_incarnations: RefCell::default(),
             suspect_log_limiter: suspect::LogLimiter::default(),
             stored_suspects: Cell::default(),
+            fairness: RefCell::default(),
             board: RefCell::default(),
             held_responses: held::Budget::new(exchange::MAX_ALL_HELD_BYTES),
             held_requests: held::Budget::new(serve::MAX_ALL_HELD_BYTES),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -316,6 +316,7 @@
             prefills: updates.prefills,
             limits,
             suspects: suspects.iter().map(Into::into).collect(),
+            account_sums: gateway.due_sums(now),
             ..self.datagram(gateway)
         };
         let bytes = datagram.encode_to_vec();
@@ -461,6 +462,7 @@
             (load.engine, own)
         });
         board.record_peer(&host, &loads.collect(), now);
+        gateway.record_peer_sums(&host, &datagram.account_sums, now);
     }
     Some(datagram)
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -90,6 +90,7 @@
                 let may_improve = call.route.kind == Kind::Safe && attempt_budget.allows_more(true);
                 if !is_failure || !may_improve || buffered.is_some() {
                     trace.record_first();
+                    gateway.record_served(call, Instant::now());
                     return deliver(response, call, trace);
                 }
                 buffered = Some(response);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -186,6 +186,7 @@
 async fn run(gateway: &Rc<Gateway>, call: Call) -> Reply {
     let mut trace = Trace::new(&call, &gateway.metrics);
     gateway.record_request(&call.service, call.arrived);
+    gateway.record_offered(&call, call.arrived);
     match call.route.kind {
         Kind::Safe | Kind::Unsafe => plain::serve(gateway, &call, &mut trace).await,
         Kind::Stream => generate::serve(gateway, call, trace).await,
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::id::AccountDigest;
 use crate::id::Fingerprint;
 use crate::id::IncarnationDigest;
 use crate::id::RequestDigest;
@@ -173,6 +174,37 @@
     pub limit: u32,
 }
 
+/// Work of one client account at the sender.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct AccountWork {
+    /// Digest of the account's name; 0 for several accounts together.
+    #[prost(fixed32, tag = "1")]
+    pub account: AccountDigest,
+    /// Work that its requests asked for, in microseconds of an upstream.
+    #[prost(uint64, tag = "2")]
+    pub offered_us: u64,
+    /// Work that was given to them, in microseconds of an upstream.
+    #[prost(uint64, tag = "3")]
+    pub served_us: u64,
+}
+
+/// Work of the client accounts of one service at the sender.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AccountSums {
+    /// Digest of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// The heaviest accounts.
+    #[prost(message, repeated, tag = "2")]
+    pub named: Vec<AccountWork>,
+    /// All other accounts together.
+    #[prost(message, optional, tag = "3")]
+    pub others: Option<AccountWork>,
+    /// Number of the other accounts.
+    #[prost(uint32, tag = "4")]
+    pub other_count: u32,
+}
+
 /// A record of the store.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Record {
@@ -301,6 +333,9 @@
     /// Version of the sender's configuration; 0 if it has none.
     #[prost(uint64, tag = "12")]
     pub config_version: u64,
+    /// Work of client accounts; not in each datagram.
+    #[prost(message, repeated, tag = "16")]
+    pub account_sums: Vec<AccountSums>,
 }
 
 /// Returns the interval after a datagram of `bytes` to each of `peers`.
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -19,6 +19,8 @@
 pub type ClassId = CompactString;
 /// Name of a caller's account.
 pub type AccountId = CompactString;
+/// Digest of the name of a client account.
+pub type AccountDigest = u32;
 /// Name of an upstream.
 pub type UpstreamId = CompactString;
 /// Identifier of one request, the same on every retry.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod duty;
 pub mod experiment;
 pub mod explain;
+pub mod fair;
 pub mod fleet;
 pub mod fold;
 pub mod follow;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -30,6 +30,9 @@
 /// request to count as on time; the rest covers the network, the first token and errors of the
 /// estimate.
 const TARGET_SHARE: f64 = 0.75;
+/// Share of that time for a request of an account above its share; in the rest, the queues grow only by
+/// requests of other accounts.
+const ABOVE_SHARE_ROOM: f64 = 0.5;
 /// Maximum share of the time left that a late request may wait for its prefill to start. Its own
 /// prefill is not counted: a later attempt would take as long.
 const MAX_LATE_QUEUE_SHARE: f64 = 0.35;
@@ -87,6 +90,9 @@
     pub target_left: Duration,
     /// Time until the caller or the route gives up.
     pub left: Duration,
+    /// Whether its client account has had more than its share of the service, so that it yields to
+    /// other requests while room is short.
+    pub is_above_share: bool,
 }
 
 /// Placement of a request.
@@ -152,7 +158,11 @@
 /// cannot be on time is queued behind those that can, if it is still expected to be answered before
 /// its caller gives up.
 pub fn plan(request: &Request<'_>, engines: &[Engine]) -> Plan {
-    let on_time = request.target_left.mul_f64(TARGET_SHARE);
+    let room = match request.is_above_share {
+        true => ABOVE_SHARE_ROOM,
+        false => 1.0,
+    };
+    let on_time = request.target_left.mul_f64(TARGET_SHARE * room);
     let urgency = match is_short(request.prompt) {
         true => URGENCY_SHORT,
         false => URGENCY_ON_TIME,
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -7,6 +7,7 @@
 mod delivery;
 mod doubt;
 mod events;
+mod fair;
 mod fleet;
 mod gossip;
 mod inflow;
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -73,6 +73,7 @@
         prompt,
         target_left: Duration::from_millis(150),
         left: Duration::from_secs(2),
+        is_above_share: false,
     }
 }
 
@@ -301,6 +302,30 @@
     );
 }
 
+/// One account floods the engines: its requests queue behind those of others once a part of the room
+/// is taken, and idle engines take them as those of any other account.
+#[test]
+fn an_account_above_its_share_yields_only_while_room_is_short() {
+    let prompt = long_prompt(5);
+    let plan_at = |backlog_ms: u64, is_above_share: bool| {
+        let mut engines = fleet();
+        for engine in &mut engines {
+            engine.backlog = Duration::from_millis(backlog_ms);
+        }
+        let request = Request {
+            is_above_share,
+            ..request(&prompt)
+        };
+        match placement::plan(&request, &engines) {
+            Plan::Split { urgency, .. } => urgency,
+            plan => panic!("expected a placement, got {plan:?}"),
+        }
+    };
+    assert_eq!(plan_at(0, true), plan_at(0, false));
+    assert!(plan_at(60, false) < placement::URGENCY_LATE);
+    assert_eq!(plan_at(60, true), placement::URGENCY_LATE);
+}
+
 /// Places the longest prompt at slow engines with `backlog` each, with `left` of the caller's time.
 fn plan_longest(backlog: Duration, left: Duration) -> Plan {
     let slowdown = 7.0;
@@ -318,6 +343,7 @@
         prompt: &prompt,
         target_left: Duration::from_millis(800),
         left,
+        is_above_share: false,
     };
     placement::plan(&request, &engines)
 }
