Serve keys only on a configuration that is proved recent

Cause: a host served a key for as long as it knew no newer configuration, so that one which was cut off, frozen or just restarted ran requests with keys that had been taken away. A key that was new to such a host got 401. One bad account made the whole configuration unreadable, with its keys in the log.

Change: each host keeps a proof of when its configuration was the newest, on the clock that goes on during a suspension: by its own read, by a read shared within its failure domain, or by a peer elsewhere that names a datagram of this host (tag 15). Requests with keys are checked against the newest configuration and its proof before each send. Unknown keys get 401 only on a recent proof. Accounts are named in log lines and, up to 64 of them, in metrics. Ranks refine the urgency at engines if there are accounts. Faults of accounts and ranges are logged without keys, and the rest of the configuration is served.

--- a/src/catalog/account.rs
+++ b/src/catalog/account.rs
@@ -53,8 +53,8 @@
 
 impl Accounts {
     /// Adds an account with its keys. Of two accounts with the same name or the same key, the first
-    /// one keeps it.
-    pub fn add<I>(&mut self, account: Account, keys: I)
+    /// one keeps it; the names of those that keep a key of this account are returned.
+    pub fn add<I>(&mut self, account: Account, keys: I) -> Vec<AccountId>
     where
         I: IntoIterator<Item = KeyDigest>,
     {
@@ -64,9 +64,14 @@
             .entry(account.name.clone())
             .or_insert(account)
             .clone();
+        let mut others = Vec::new();
         for key in keys {
-            self.by_key.entry(key).or_insert_with(|| account.clone());
+            let holder = self.by_key.entry(key).or_insert_with(|| account.clone());
+            if holder.name != account.name {
+                others.push(holder.name.clone());
+            }
         }
+        others
     }
 
     /// Returns the account that holds a key.
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -177,6 +177,7 @@
     services: HashMap<ServiceId, Arc<Service>>,
     limits: Limits,
     accounts: Option<Arc<Accounts>>,
+    faults: Arc<[String]>,
 }
 
 impl Catalog {
@@ -207,6 +208,7 @@
             services: services.collect(),
             limits,
             accounts: None,
+            faults: Arc::default(),
         }
     }
 
@@ -218,6 +220,19 @@
         }
     }
 
+    /// Sets the faults of the configuration, each with its place, for its operator.
+    pub fn with_faults(self, faults: Vec<String>) -> Self {
+        Catalog {
+            faults: faults.into(),
+            ..self
+        }
+    }
+
+    /// Returns the faults of the configuration, which is served without the faulty parts.
+    pub fn faults(&self) -> &[String] {
+        &self.faults
+    }
+
     /// Returns the client accounts; `None` if no request needs a key.
     pub fn accounts(&self) -> Option<&Arc<Accounts>> {
         self.accounts.as_ref()
--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -3,6 +3,7 @@
 mod mock;
 mod real;
 
+use std::ops::Add;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -19,6 +20,14 @@
     /// machine is suspended, so that deadlines on which other machines rely end in time.
     fn boot(&self) -> Duration;
 
+    /// Returns the current moment.
+    fn moment(&self) -> Moment {
+        Moment {
+            boot: self.boot(),
+            now: self.now(),
+        }
+    }
+
     /// Returns the wall time, which may step.
     fn wall(&self) -> SystemTime;
 
@@ -26,6 +35,26 @@
     fn sleep(&self, period: Duration);
 }
 
+/// A moment on the monotonic clock and on the one that also advances during a suspension.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Moment {
+    /// Time since the machine's start, as [`Clock::boot`] returns it.
+    pub boot: Duration,
+    /// Monotonic time.
+    pub now: Instant,
+}
+
+impl Add<Duration> for Moment {
+    type Output = Moment;
+
+    fn add(self, period: Duration) -> Moment {
+        Moment {
+            boot: self.boot + period,
+            now: self.now + period,
+        }
+    }
+}
+
 /// Returns the wall time of `clock` in milliseconds since the Unix epoch.
 ///
 /// ```
--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -18,6 +18,7 @@
 use super::view::ViewPublisher;
 use crate::catalog::Version;
 use crate::clock::Clock;
+use crate::fleet::REWRITE_WINDOW;
 use crate::id::HostId;
 use crate::log::keyed::Keyed;
 use crate::log::keyed::Pair;
@@ -36,6 +37,29 @@
 /// within the two seconds in which changes must be active.
 const MAX_AGE: Duration = Duration::from_millis(1600);
 
+/// Proves to the request loop how recent the configuration is.
+#[derive(Debug)]
+struct Prover<'a> {
+    publisher: &'a ViewPublisher,
+    /// Time since the machine's start until which the store, which was restored from a copy, may lack
+    /// configurations that it had acknowledged.
+    incomplete_until: Option<Duration>,
+}
+
+impl Prover<'_> {
+    /// Records that the store was restored.
+    fn record_restore(&mut self, now: Duration) {
+        self.incomplete_until = Some(now + REWRITE_WINDOW);
+    }
+
+    /// Records that the active configuration contains all that the store had acknowledged at `at`.
+    fn prove(&self, at: Duration) {
+        if self.incomplete_until.is_none_or(|until| until <= at) {
+            self.publisher.record_config_proof(at);
+        }
+    }
+}
+
 /// Keeps the configuration up to date, sharing the reads with peers; never returns.
 pub fn follow<C, K>(
     host: &HostId,
@@ -50,6 +74,10 @@
     let mut reader = Reader::new(store::CONFIG_TOPIC);
     let mut schedule = Schedule::new(LONG_POLL_TIMEOUT, FAILURE_BACKOFF, MAX_AGE, clock.now());
     let mut keep_at: Option<Instant> = None;
+    let mut prover = Prover {
+        publisher,
+        incomplete_until: None,
+    };
     loop {
         // While the store does not answer, calls to it would delay what peers send.
         let keep_due = keep_at.filter(|_| reader.failures() == 0);
@@ -64,15 +92,20 @@
             match reader.apply(incoming.segment) {
                 SegmentOutcome::Next(records) => {
                     // Data of unknown age doesn't show that the store is reachable again.
-                    if let Some(queried_at) = incoming.asked {
+                    let queried_at = incoming.asked.map(|asked| asked.now);
+                    if let Some(queried_at) = queried_at {
                         reader.record_success();
                         publisher.record_config_read(queried_at);
                     }
                     keep_at = keep_at.filter(|_| !has_active(publisher, &records));
                     adopt_newest(publisher, records, "peer-reading");
-                    schedule.record_peer_read(incoming.asked, now, endpoint.rank());
+                    if let Some(asked) = incoming.asked {
+                        prover.prove(asked.boot);
+                    }
+                    schedule.record_peer_read(queried_at, now, endpoint.rank());
                 }
                 SegmentOutcome::Restored(records) => {
+                    prover.record_restore(clock.boot());
                     adopt_newest(publisher, records, "peer-reading");
                     schedule.set_due(now);
                 }
@@ -85,7 +118,7 @@
             continue;
         }
         let from = reader.next();
-        let (mut freshness, queried_at) = (endpoint.freshness(), clock.now());
+        let (mut freshness, queried_at) = (endpoint.freshness(), clock.moment());
         let update = match reader.is_restored() {
             true => reader.read_in_full(store),
             false => reader.read(store, LONG_POLL_TIMEOUT),
@@ -94,22 +127,27 @@
             Ok(Update::Outdated) => schedule.set_due(clock.now()),
             Ok(update) => {
                 reader.record_success();
-                let took = clock.now().saturating_duration_since(queried_at);
+                let took = clock.now().saturating_duration_since(queried_at.now);
                 freshness.waited = waited(&update, took);
                 if from.is_none() && store.newest_era() > store::FIRST_ERA {
                     adopt_kept(publisher, store);
                 }
                 let is_restored = matches!(update, Update::Restored(_));
+                if is_restored {
+                    prover.record_restore(clock.boot());
+                }
+                let known_at = queried_at + freshness.waited;
                 let records = update.into_records();
                 keep_at = keep_at.filter(|_| !has_active(publisher, &records));
                 if is_restored && !has_active(publisher, &records) {
                     keep_at = Some(clock.now() + share::refresh_delay(host));
                 }
-                publisher.record_config_read(queried_at + freshness.waited);
+                publisher.record_config_read(known_at.now);
                 if let (Some(from), Some(next)) = (from, reader.next()) {
                     endpoint.send(from, next, records.clone(), freshness);
                 }
                 adopt_newest(publisher, records, "store");
+                prover.prove(known_at.boot);
                 // A read is a long poll, so the next one may follow at once.
                 match publisher.has_catalog() {
                     true => schedule.set_due(clock.now()),
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -12,6 +12,7 @@
 pub mod suspects;
 mod view;
 
+pub use self::view::Evidence;
 pub use self::view::Origin;
 pub use self::view::View;
 pub use self::view::ViewPublisher;
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -113,10 +113,11 @@
             SegmentOutcome::Missing => return self.schedule.set_due(now),
             SegmentOutcome::Behind => return,
         };
-        self.schedule.record_peer_read(incoming.asked, now, rank);
+        let queried_at = incoming.asked.map(|asked| asked.now);
+        self.schedule.record_peer_read(queried_at, now, rank);
         self.origin = Origin {
             source: "peer-reading",
-            queried_at: incoming.asked,
+            queried_at,
         };
         self.update(Update::Changes(records), now);
     }
--- a/src/follow/share.rs
+++ b/src/follow/share.rs
@@ -19,6 +19,7 @@
 use log::debug;
 use tokio::sync::mpsc;
 
+use crate::clock::Moment;
 use crate::gossip;
 use crate::gossip::DatagramId;
 use crate::id::Era;
@@ -117,7 +118,7 @@
     /// Segment that the peer read.
     pub segment: Segment,
     /// Time up to which it definitely contains all records; `None` if the peer could not prove one.
-    pub asked: Option<Instant>,
+    pub asked: Option<Moment>,
 }
 
 /// Schedule of a host's reads of one topic.
--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 use std::time::Instant;
 
 use log::info;
@@ -13,6 +14,9 @@
 use crate::fleet::Entry;
 use crate::platform::config;
 
+/// Maximum faults of one configuration that are logged.
+const MAX_LOGGED_FAULTS: usize = 20;
+
 /// Last known state at one moment.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -53,6 +57,19 @@
     pub config: Option<Instant>,
     /// Upstreams.
     pub upstreams: Option<Instant>,
+    /// Latest time since the machine's start at which the active configuration was proved to be the
+    /// newest.
+    pub config_proved_at: Option<Duration>,
+}
+
+/// The active configuration and how recently it was proved to be the newest.
+#[derive(Debug, Clone, Default)]
+pub struct Evidence {
+    /// Active configuration.
+    pub catalog: Option<Arc<Catalog>>,
+    /// Time since the machine's start at which no newer configuration had been acknowledged; `None` if
+    /// that was never proved.
+    pub proved_at: Option<Duration>,
 }
 
 /// Publishes views.
@@ -86,6 +103,24 @@
         read.config = read.config.max(Some(queried_at));
     }
 
+    /// Records that no configuration newer than the active one had been acknowledged at `proved_at`, a
+    /// time since the machine's start. Whatever the store answered must have been adopted before.
+    pub fn record_config_proof(&self, proved_at: Duration) {
+        let mut read = self.read.lock().expect("read lock");
+        read.config_proved_at = read.config_proved_at.max(Some(proved_at));
+    }
+
+    /// Returns the active configuration and its proof.
+    pub fn config_evidence(&self) -> Evidence {
+        // The proof is read first: the configuration that it is about was active by then.
+        let proved_at = self.last_read().config_proved_at;
+        let view = self.view.lock().expect("view lock");
+        Evidence {
+            catalog: view.catalog.clone(),
+            proved_at,
+        }
+    }
+
     /// Records that the upstreams are known as of `queried_at`.
     pub fn record_upstreams_read(&self, queried_at: Instant) {
         let mut read = self.read.lock().expect("read lock");
@@ -133,8 +168,12 @@
                 }
                 return;
             }
+            for fault in catalog.faults().iter().take(MAX_LOGGED_FAULTS) {
+                warn!(config = version, outcome = "ignored", cause:% = fault; "configuration has a fault");
+            }
             info!(
                 config = version,
+                faults = catalog.faults().len(),
                 source:% = source,
                 replaced:? = current,
                 outcome = "in-force";
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -234,6 +234,10 @@
     let mut connection = target
         .connect(options.may_reuse, options.until, admission)
         .await?;
+    // The key may have been taken away while the request waited.
+    gateway
+        .check_key(call)
+        .map_err(|refusal| Failure::Withheld(refusal.reason()))?;
     let now = Instant::now();
     gateway.age_observer.record_send(call, target, now);
     let left = options.deadline.saturating_duration_since(now);
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -57,6 +57,11 @@
             return fail(progress, retry_after);
         }
         let now = Instant::now();
+        if let Err(refusal) = gateway.check_key(&progress.call) {
+            progress.trace.decide(refusal.reason());
+            let retry_after = gateway.key_retry_after(progress.call.remaining(Instant::now()));
+            return fail(progress, retry_after);
+        }
         let may_have_run = progress.attempt_budget.may_have_run();
         if !may_have_run && gateway.shuts_down_before(progress.call.deadline, now) {
             progress.trace.decide(shutdown::REFUSAL_REASON);
@@ -154,7 +159,16 @@
         target_left: (call.arrived + call.route.target_latency).saturating_duration_since(now),
         left: call.remaining(now),
     };
-    placement::plan(&request, &engines)
+    rank(gateway, call, placement::plan(&request, &engines))
+}
+
+/// Refines the urgency of a plan by the rank of the request, if the configuration has client accounts.
+fn rank(gateway: &Gateway, call: &Call, plan: Plan) -> Plan {
+    let catalog = gateway.catalog();
+    match catalog.is_some_and(|catalog| catalog.accounts().is_some()) {
+        true => plan.ranked(call.rank()),
+        false => plan,
+    }
 }
 
 /// Urgency of a stream without a prompt; the middle of the scale.
@@ -162,10 +176,13 @@
 
 fn plan_without_prompt(gateway: &Gateway, call: &Call, tried: &[UpstreamId], now: Instant) -> Plan {
     match plain::pick(gateway, call, tried, now) {
-        Some(target) => Plan::Single {
-            engine: target.entry.id.clone(),
-            urgency: DEFAULT_URGENCY,
-        },
+        Some(target) => {
+            let plan = Plan::Single {
+                engine: target.entry.id.clone(),
+                urgency: DEFAULT_URGENCY,
+            };
+            rank(gateway, call, plan)
+        }
         None => Plan::Refuse {
             retry_after: plain::retry_after(gateway, call, now),
             reason: "no upstream takes work",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,8 +14,10 @@
 pub mod exchange;
 pub mod generate;
 pub mod health;
+pub mod heaviest;
 pub mod held;
 pub mod inflow;
+pub mod keys;
 pub mod limits;
 pub mod listen;
 pub mod metrics;
@@ -66,6 +68,7 @@
 
 use self::belief::AgeObserver;
 use self::doubt::UnreachabilityReports;
+use self::keys::Keys;
 use self::limits::SharingHosts;
 use self::newer::Announcement;
 use self::record::Metrics;
@@ -123,6 +126,8 @@
     last_peer: Cell<Option<SocketAddr>>,
     /// Newest configuration that a peer has announced.
     pub announcement: RefCell<Announcement>,
+    /// Proof of the configuration by which keys are served.
+    pub keys: Keys,
     view: RefCell<Arc<View>>,
     targets: RefCell<BTreeMap<UpstreamId, Rc<Target>>>,
     upstreams_by_incarnation: RefCell<HashMap<IncarnationDigest, UpstreamId>>,
@@ -158,6 +163,7 @@
             last_request: Cell::default(),
             last_peer: Cell::default(),
             announcement: RefCell::default(),
+            keys: Keys::default(),
             view: RefCell::default(),
             targets: RefCell::default(),
             upstreams_by_incarnation: RefCell::default(),
--- a/src/gateway/newer.rs
+++ b/src/gateway/newer.rs
@@ -60,6 +60,12 @@
         (newest.version > own && lag >= MAX_LAG).then_some(newest.peer)
     }
 
+    /// Returns the time since which a peer has served a newer configuration than `own`.
+    pub fn newer_since(&self, own: Version) -> Option<Instant> {
+        let newest = self.newest.filter(|newest| newest.version > own);
+        newest.map(|newest| newest.first_announced)
+    }
+
     /// Forgets the announcement: the peer that made it doesn't serve such a configuration.
     pub fn withdraw(&mut self) {
         self.newest = None;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,7 +18,11 @@
 use tokio::time;
 
 use super::Gateway;
+use super::account;
 use super::call::Block;
+use super::keys;
+use crate::clock::Clock;
+use crate::clock::Real;
 use crate::follow::hosts::Hosts;
 use crate::follow::share;
 use crate::follow::share::Exchange;
@@ -41,6 +45,9 @@
 const MAX_SUSPECTS: usize = 8;
 /// Maximum number of limits in one datagram, about 12 bytes each.
 const MAX_LIMITS: usize = 8;
+/// Maximum number of peers whose datagrams are named in one datagram, about 12 bytes each, so that they
+/// can tell how old the sender's configuration is.
+const MAX_PROVED_PEERS: usize = 8;
 /// Interval at which the hosts that share limits are determined.
 const SHARING_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum interval between two datagrams that are sent outside the regular interval.
@@ -124,6 +131,7 @@
                     };
                     gateway.set_sharing_hosts(hosts, min_hosts, now);
                 }
+                gateway.keys.set_proved_peer(peers.has_proved(account::MAX_RECENT_AGE, now));
                 is_partial.store(has_many_silent(&peers, now), Ordering::Relaxed);
                 let (own, domain) = (&gateway.settings.name, &gateway.settings.domain);
                 exchange.set_rank(peers.rank_in_domain(own, domain, now));
@@ -142,6 +150,7 @@
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
                     if let Some(datagram) = receive(&gateway, &mut peers, &buffer[..length], from) {
+                        sender.apply_proof(&gateway, &datagram);
                         sender.deliver_segments(&gateway, &exchange, datagram);
                     }
                 }
@@ -216,10 +225,26 @@
         }
     }
 
-    /// Records that a datagram is sent at `now`.
-    fn record_sent(&mut self, now: Instant) {
+    /// Records that a datagram is about to be sent.
+    fn record_sent(&mut self) {
         self.sequence += 1;
-        self.sent.record(self.sequence, now);
+        self.sent.record(self.sequence, Real.moment());
+    }
+
+    /// Takes over the proof of a peer's configuration, if the peer has named a datagram of this host.
+    fn apply_proof(&self, gateway: &Gateway, datagram: &Datagram) {
+        let Some(proof) = &datagram.config_proof else {
+            return;
+        };
+        let incarnation = gossip::incarnation_digest(&gateway.settings.name, self.started_at);
+        let named = proof
+            .received
+            .iter()
+            .find(|id| id.incarnation == incarnation);
+        let sent_at = named.and_then(|id| self.sent.at(id.sequence));
+        if let Some(proved_at) = sent_at.and_then(|at| proof.proved_at(at.boot)) {
+            gateway.record_peer_proof(datagram.config_version, proved_at);
+        }
     }
 
     /// Passes the segments of a peer's datagram to the threads that read their topics.
@@ -255,7 +280,7 @@
         if near.is_empty() {
             return;
         }
-        self.record_sent(now);
+        self.record_sent();
         let datagram = Datagram {
             segments: vec![encode(outgoing)],
             ..self.datagram(gateway)
@@ -277,7 +302,7 @@
             return;
         }
         self.urgent_sent_at = now;
-        self.record_sent(now);
+        self.record_sent();
         let datagram = Datagram {
             suspects: suspects.iter().map(Into::into).collect(),
             ..self.datagram(gateway)
@@ -308,11 +333,14 @@
         if is_unchanged && since < gossip::MAX_INTERVAL {
             return;
         }
-        self.record_sent(now);
+        self.record_sent();
         self.sent_at = now;
         self.loads = loads;
         self.unreachable = unreachable;
+        let unproved =
+            peers.last_datagrams_of_unproved(account::MAX_RECENT_AGE, MAX_PROVED_PEERS, now);
         let datagram = Datagram {
+            config_proof: keys::config_proof(unproved, || gateway.config_proof_age()),
             prefills: updates.prefills,
             limits,
             suspects: suspects.iter().map(Into::into).collect(),
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -51,6 +51,11 @@
             trace.decide(suspect::REFUSAL_REASON);
             return give_up(call, &attempt_budget, buffered, retry_after, trace);
         }
+        if let Err(refusal) = gateway.check_key(call) {
+            trace.decide(refusal.reason());
+            let retry_after = gateway.key_retry_after(call.remaining(Instant::now()));
+            return give_up(call, &attempt_budget, buffered, retry_after, trace);
+        }
         let now = Instant::now();
         if !attempt_budget.may_have_run() && gateway.shuts_down_before(call.deadline, now) {
             trace.decide(shutdown::REFUSAL_REASON);
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -223,6 +223,7 @@
         "started"
     );
     gateway.age_observer.follow(Arc::clone(&views));
+    gateway.keys.follow(Arc::clone(&views));
     task::spawn_local(follow_views(Rc::clone(&gateway), view));
     let socket = UdpSocket::from_std(socket)?;
     task::spawn_local(peers::run(Rc::clone(&gateway), socket, peer_inputs));
@@ -327,6 +328,7 @@
             );
         }
         set_gauges(&gateway, &views, &store, now);
+        gateway.observe_keys();
         time::sleep(SWEEP_INTERVAL).await;
     }
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -13,6 +13,9 @@
 use serde::Serialize;
 
 use super::call::Call;
+use super::heaviest::Count;
+use super::heaviest::Heaviest;
+use crate::id::AccountId;
 use crate::id::RouteId;
 use crate::logging::sample::Sampler;
 use crate::logging::sample::Verdict;
@@ -24,8 +27,10 @@
 /// Maximum delivered requests logged per second; the others are counted. Failures and refusals are
 /// always logged. 200 lines of 400 bytes are 80 KB/s.
 const MAX_DELIVERED_LINES_PER_S: u32 = 200;
-/// Name shared by the routes beyond the limit.
-const OTHER_ROUTES: &str = "(others)";
+/// Maximum client accounts whose requests are counted by account.
+const MAX_COUNTED_ACCOUNTS: usize = 64;
+/// Name shared by the routes or accounts beyond the limit.
+const OTHERS: &str = "(others)";
 /// Quantiles in the metrics.
 const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
 
@@ -38,6 +43,7 @@
     gauges: Mutex<BTreeMap<&'static str, i64>>,
     latencies: Mutex<BTreeMap<(RouteId, &'static str), Histogram<u32>>>,
     spans: Mutex<BTreeMap<&'static str, Histogram<u32>>>,
+    accounts: Mutex<Heaviest>,
 }
 
 impl Default for Metrics {
@@ -49,6 +55,7 @@
             gauges: Mutex::default(),
             latencies: Mutex::default(),
             spans: Mutex::default(),
+            accounts: Mutex::new(Heaviest::new(MAX_COUNTED_ACCOUNTS)),
         }
     }
 }
@@ -71,6 +78,19 @@
         *decisions.entry(reason).or_default() += 1;
     }
 
+    /// Counts a request of a client account.
+    ///
+    /// ```
+    /// use pistachiohall::gateway::record::Metrics;
+    /// let metrics = Metrics::default();
+    /// metrics.add_account(&"desk".into(), false);
+    /// assert!(metrics.text().contains("pistachiohall_account_unserved_total{account=\"desk\"} 1\n"));
+    /// ```
+    pub fn add_account(&self, account: &AccountId, is_served: bool) {
+        let mut accounts = self.accounts.lock().expect("account lock");
+        accounts.record(account, is_served);
+    }
+
     /// Sets a gauge.
     pub fn set(&self, name: &'static str, value: i64) {
         self.gauges.lock().expect("gauge lock").insert(name, value);
@@ -82,7 +102,7 @@
         let is_known = histograms.contains_key(&(route.clone(), kind));
         let name = match is_known || histograms.len() < MAX_HISTOGRAMS {
             true => route.clone(),
-            false => OTHER_ROUTES.into(),
+            false => OTHERS.into(),
         };
         let values = histograms.entry((name, kind)).or_insert_with(histogram);
         values.saturating_record(latency.as_millis() as u64);
@@ -122,6 +142,7 @@
                 "pistachiohall_decisions_total{{reason={reason:?}}} {count}"
             );
         }
+        self.write_accounts(&mut text);
         for (name, value) in self.gauges.lock().expect("gauge lock").iter() {
             let _infallible = writeln!(text, "pistachiohall_{name} {value}");
         }
@@ -152,6 +173,20 @@
         }
         text
     }
+
+    fn write_accounts(&self, text: &mut String) {
+        let accounts = self.accounts.lock().expect("account lock");
+        let others = (accounts.others() != Count::default()).then_some((OTHERS, accounts.others()));
+        let named = accounts.iter().map(|(name, count)| (name.as_str(), count));
+        for (name, count) in named.chain(others) {
+            let Count { requests, unserved } = count;
+            let _infallible = writeln!(
+                text,
+                "pistachiohall_account_requests_total{{account={name:?}}} {requests}\n\
+                 pistachiohall_account_unserved_total{{account={name:?}}} {unserved}"
+            );
+        }
+    }
 }
 
 fn histogram() -> Histogram<u32> {
@@ -262,6 +297,10 @@
         if let Some(first) = self.first {
             self.metrics.observe(&call.route.name, "first", first);
         }
+        if let Some(account) = &call.account {
+            let is_served = outcome == Outcome::Delivered;
+            self.metrics.add_account(&account.name, is_served);
+        }
         if outcome == Outcome::Delivered {
             match self.metrics.sample_line(now) {
                 Verdict::LeaveOut => return,
@@ -276,6 +315,7 @@
             route:% = call.route.name,
             config = call.version,
             service:% = call.service,
+            account:% = call.account.as_ref().map_or("", |account| &account.name),
             outcome:% = outcome.name(),
             first_ms = self.first.map_or(-1, |first| first.as_millis() as i64),
             total_ms = total.as_millis() as u64,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -16,6 +16,7 @@
 
 use super::Gateway;
 use super::account;
+use super::account::Refusal;
 use super::call;
 use super::call::Call;
 use super::generate;
@@ -28,6 +29,7 @@
 use super::shutdown;
 use crate::catalog::Catalog;
 use crate::catalog::Kind;
+use crate::logging::sample::Verdict;
 use crate::platform::ingress;
 
 /// Maximum bytes of the bodies of all requests held at the same time; a fifth of the smallest host's
@@ -76,31 +78,71 @@
                 )
             }
         },
-        Err((status, text)) => {
-            info!(
-                request = ingress::id(&head.headers),
-                outcome = "rejected",
-                status = status.as_u16(),
-                config = catalog.version(),
-                reason:% = text;
-                "request rejected"
-            );
-            gateway.metrics.add("requests_rejected");
-            match status {
-                StatusCode::SERVICE_UNAVAILABLE => reply::refuse(&text, RETRY_AFTER),
-                _ => reply::own(status, &text),
-            }
+        Err(rejection) => reject(&gateway, ingress::id(&head.headers), &catalog, rejection),
+    }
+}
+
+/// Reason for not serving a request, which has not run.
+struct Rejection {
+    status: StatusCode,
+    text: String,
+    retry_after: Duration,
+    /// Refusal of the request's key, if that is the reason.
+    refusal: Option<Refusal>,
+}
+
+impl From<(StatusCode, String)> for Rejection {
+    fn from((status, text): (StatusCode, String)) -> Self {
+        Rejection {
+            status,
+            text,
+            retry_after: RETRY_AFTER,
+            refusal: None,
         }
     }
 }
 
+/// Logs that a request is not served, and returns the reply. Lines about keys are sampled: a host that
+/// cannot verify keys refuses most of its requests.
+fn reject(gateway: &Gateway, id: &str, catalog: &Catalog, rejection: Rejection) -> Reply {
+    let Rejection {
+        status,
+        text,
+        retry_after,
+        refusal,
+    } = rejection;
+    if let Some(refusal) = refusal {
+        gateway.metrics.add_decision(refusal.reason());
+    }
+    let sampled = refusal.map(|_| gateway.keys.sample_line(Instant::now()));
+    if sampled != Some(Verdict::LeaveOut) {
+        info!(
+            request = id,
+            outcome = "rejected",
+            status = status.as_u16(),
+            config = catalog.version(),
+            reason:% = text,
+            left_out = match sampled {
+                Some(Verdict::Keep(left_out)) => left_out,
+                _ => 0,
+            };
+            "request rejected"
+        );
+    }
+    gateway.metrics.add("requests_rejected");
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => reply::refuse(&text, retry_after),
+        _ => reply::own(status, &text),
+    }
+}
+
 async fn identify(
     gateway: &Gateway,
     head: &http::request::Parts,
     body: Incoming,
     catalog: &Catalog,
     arrived: Instant,
-) -> Result<Call, (StatusCode, String)> {
+) -> Result<Call, Rejection> {
     let mut request = ingress::parse_request(head)
         .map_err(|fault| (StatusCode::BAD_REQUEST, fault.to_string()))?;
     let Some(route) = catalog.route(&request.host, request.uri.path()) else {
@@ -109,10 +151,19 @@
             request.host,
             request.uri.path()
         );
-        return Err((StatusCode::NOT_FOUND, text));
+        return Err((StatusCode::NOT_FOUND, text).into());
     };
-    let account = account::identify(catalog, route, request.key.as_ref())
-        .map_err(|refusal| (StatusCode::UNAUTHORIZED, refusal.to_string()))?;
+    let (newest, freshness) = gateway.newest_config();
+    let newest = newest.as_deref().unwrap_or(catalog);
+    let account =
+        account::identify(newest, route, request.key.as_ref(), freshness).map_err(|refusal| {
+            Rejection {
+                status: refusal.status(),
+                text: refusal.to_string(),
+                retry_after: gateway.key_retry_after(request.timeout.min(route.timeout)),
+                refusal: Some(refusal),
+            }
+        })?;
     let deadline = arrived + request.timeout.min(route.timeout);
     let max_bytes = catalog.limits().max_body_bytes;
     let body = read_body(body, max_bytes, &gateway.held_requests, deadline).await?;
@@ -120,10 +171,10 @@
     request.id.hash(&mut hasher);
     let Some(service) = route.service(hasher.finish()) else {
         let text = format!("route {:?} leads to no service", route.name);
-        return Err((StatusCode::SERVICE_UNAVAILABLE, text));
+        return Err((StatusCode::SERVICE_UNAVAILABLE, text).into());
     };
     let fingerprint = call::fingerprint(&request, &body);
-    if catalog.accounts().is_some() {
+    if newest.accounts().is_some() || catalog.accounts().is_some() {
         let name = account.as_ref().map(|account| &account.name);
         ingress::set_account(&mut request.forward, name);
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -159,6 +159,10 @@
                 self.progress.trace.decide(suspect::REFUSAL_REASON);
                 return None;
             }
+            if let Err(refusal) = gateway.check_key(&self.progress.call) {
+                self.progress.trace.decide(refusal.reason());
+                return None;
+            }
             let now = Instant::now();
             let plan = generate::plan(&gateway, &self.progress.call, &self.progress.tried, now);
             if now >= self.progress.call.deadline || !self.progress.may_start(&gateway, &plan) {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -10,8 +10,8 @@
 
 use std::collections::VecDeque;
 use std::time::Duration;
-use std::time::Instant;
 
+use crate::clock::Moment;
 use crate::id::Fingerprint;
 use crate::id::IncarnationDigest;
 use crate::id::RequestDigest;
@@ -230,31 +230,32 @@
 /// peer's data without synchronized clocks, regardless of the delay of its own datagram.
 #[derive(Debug, Default)]
 pub struct SentTimes {
-    times: VecDeque<(u64, Instant)>,
+    times: VecDeque<(u64, Moment)>,
 }
 
 impl SentTimes {
-    /// Records that the datagram with this sequence number is sent now.
-    pub fn record(&mut self, sequence: u64, now: Instant) {
-        let is_old = |(_, at): &(u64, Instant)| now.saturating_duration_since(*at) >= PEER_TIMEOUT;
+    /// Records that the datagram with this sequence number is sent after `before`.
+    pub fn record(&mut self, sequence: u64, before: Moment) {
+        let is_old =
+            |(_, at): &(u64, Moment)| before.now.saturating_duration_since(at.now) >= PEER_TIMEOUT;
         while self.times.front().is_some_and(is_old) {
             self.times.pop_front();
         }
-        self.times.push_back((sequence, now));
+        self.times.push_back((sequence, before));
     }
 
     /// Returns the time at which a datagram was sent, if it was sent recently.
     ///
     /// ```
-    /// use std::time::Instant;
+    /// use pistachiohall::clock::{Clock, Real};
     /// use pistachiohall::gossip::SentTimes;
-    /// let now = Instant::now();
+    /// let now = Real.moment();
     /// let mut sent = SentTimes::default();
     /// sent.record(7, now);
     /// assert_eq!(sent.at(7), Some(now));
     /// assert_eq!(sent.at(8), None);
     /// ```
-    pub fn at(&self, sequence: u64) -> Option<Instant> {
+    pub fn at(&self, sequence: u64) -> Option<Moment> {
         let found = self
             .times
             .binary_search_by_key(&sequence, |(known, _)| *known);
@@ -301,6 +302,49 @@
     /// Version of the sender's configuration; 0 if it has none.
     #[prost(uint64, tag = "12")]
     pub config_version: u64,
+    /// How recently the sender's configuration was proved to be the newest; sent if it has client
+    /// accounts.
+    #[prost(message, optional, tag = "15")]
+    pub config_proof: Option<ConfigProof>,
+}
+
+/// Proof that the sender's configuration was the newest at some time, for hosts that get none from the
+/// store or from their failure domain.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ConfigProof {
+    /// Time since the configuration was the newest, in milliseconds; [`u32::MAX`] if that was never
+    /// proved.
+    #[prost(uint32, tag = "1")]
+    pub age_ms: u32,
+    /// Newest datagrams from some of the peers that need a proof, all received before the age was
+    /// determined.
+    #[prost(message, repeated, tag = "2")]
+    pub received: Vec<DatagramId>,
+}
+
+impl ConfigProof {
+    /// Returns the age of the proof.
+    pub fn age(&self) -> Duration {
+        Duration::from_millis(u64::from(self.age_ms))
+    }
+
+    /// Returns the time, on the receiver's clock, at which the sender's configuration was the newest:
+    /// the sender determined the age after the receiver had sent, at `sent_at`, a datagram that the
+    /// sender names.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use pistachiohall::gossip::ConfigProof;
+    /// let proof = ConfigProof { age_ms: 700, received: Vec::new() };
+    /// let at = proof.proved_at(Duration::from_secs(5));
+    /// assert_eq!(at, Some(Duration::from_millis(4300)));
+    /// assert_eq!(ConfigProof { age_ms: u32::MAX, ..proof }.proved_at(Duration::from_secs(5)), None);
+    /// ```
+    pub fn proved_at(&self, sent_at: Duration) -> Option<Duration> {
+        sent_at
+            .checked_sub(self.age())
+            .filter(|_| self.age_ms != u32::MAX)
+    }
 }
 
 /// Returns the interval after a datagram of `bytes` to each of `peers`.
--- a/src/gossip/peers.rs
+++ b/src/gossip/peers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 use super::Datagram;
@@ -20,6 +21,8 @@
     sequence: u64,
     last_received: Option<Instant>,
     last_sent: Option<Instant>,
+    /// Age of the proof of its configuration, as it last named it.
+    proof_age: Option<Duration>,
 }
 
 /// Known peers with the time of the last datagram from each.
@@ -38,6 +41,7 @@
             sequence: 0,
             last_received: None,
             last_sent: None,
+            proof_age: None,
         });
         peer.address = address;
     }
@@ -71,6 +75,9 @@
             peer.domain = DomainId::from(datagram.domain.as_str());
             peer.started_at = datagram.started_at;
             peer.sequence = datagram.sequence;
+            if let Some(proof) = &datagram.config_proof {
+                peer.proof_age = Some(proof.age());
+            }
             peer.last_received = Some(now);
         }
         true
@@ -137,14 +144,56 @@
     /// Returns the newest datagram of each host of `domain`, if it arrived recently.
     pub fn last_datagrams_in_domain(&self, domain: &DomainId, now: Instant) -> Vec<DatagramId> {
         let peers = self.domain_peers(domain, now);
-        peers
-            .map(|(host, peer)| DatagramId {
-                incarnation: incarnation_digest(host, peer.started_at),
-                sequence: peer.sequence,
-            })
+        peers.map(|(host, peer)| datagram_id(host, peer)).collect()
+    }
+
+    /// Returns the newest datagrams of up to `count` peers whose configuration was proved longer than
+    /// `max_age` ago, those with the oldest proof first.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use pistachiohall::gossip::{ConfigProof, Datagram, Peers};
+    /// let now = Instant::now();
+    /// let mut peers = Peers::default();
+    /// for (host, age_ms) in [("h1", 3000), ("h2", 100), ("h3", u32::MAX)] {
+    ///     let config_proof = Some(ConfigProof { age_ms, received: Vec::new() });
+    ///     let datagram = Datagram { host: host.into(), sequence: 1, config_proof, ..Datagram::default() };
+    ///     peers.record(&datagram, "127.0.0.1:9".parse().unwrap(), now);
+    /// }
+    /// let max_age = Duration::from_secs(2);
+    /// assert_eq!(peers.last_datagrams_of_unproved(max_age, 8, now).len(), 2);
+    /// assert!(peers.has_proved(max_age, now));
+    /// ```
+    pub fn last_datagrams_of_unproved(
+        &self,
+        max_age: Duration,
+        count: usize,
+        now: Instant,
+    ) -> Vec<DatagramId> {
+        let mut unproved: Vec<(Duration, &HostId, &Peer)> = self
+            .recent_peers(now)
+            .filter_map(|(host, peer)| Some((peer.proof_age?, host, peer)))
+            .filter(|(age, _, _)| *age > max_age)
+            .collect();
+        unproved.sort_unstable_by_key(|(age, host, _)| (std::cmp::Reverse(*age), *host));
+        let oldest = unproved.into_iter().take(count);
+        oldest
+            .map(|(_, host, peer)| datagram_id(host, peer))
             .collect()
     }
 
+    /// Returns `true` if the configuration of a peer was proved within `max_age`.
+    pub fn has_proved(&self, max_age: Duration, now: Instant) -> bool {
+        let mut ages = self.recent_peers(now).map(|(_, peer)| peer.proof_age);
+        ages.any(|age| age.is_some_and(|age| age <= max_age))
+    }
+
+    fn recent_peers(&self, now: Instant) -> impl Iterator<Item = (&HostId, &Peer)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| is_recent(peer.last_received, now))
+    }
+
     /// Returns the hosts that share limits, in order of their names: `own`, those from which a
     /// datagram arrived within a while, and, if `counts_unheard`, those from which none ever did.
     ///
@@ -195,6 +244,13 @@
     }
 }
 
+fn datagram_id(host: &HostId, peer: &Peer) -> DatagramId {
+    DatagramId {
+        incarnation: incarnation_digest(host, peer.started_at),
+        sequence: peer.sequence,
+    }
+}
+
 fn is_recent(at: Option<Instant>, now: Instant) -> bool {
     at.is_some_and(|at| now.saturating_duration_since(at) < PEER_TIMEOUT)
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -119,6 +119,51 @@
     },
 }
 
+/// Number of ranks that are told apart within a class of urgency; further ones share the last.
+const RANKS: u8 = 3;
+
+impl Plan {
+    /// Returns the plan with an urgency that also tells the ranks of requests apart, within the same
+    /// class: short prompts, requests that are on time, late ones. `rank` 0 is the most urgent.
+    ///
+    /// ```
+    /// use pistachiohall::placement::Plan;
+    /// let plan = Plan::Single { engine: "e1".into(), urgency: 3 };
+    /// let urgency = |rank| match plan.clone().ranked(rank) {
+    ///     Plan::Single { urgency, .. } => urgency,
+    ///     _ => unreachable!(),
+    /// };
+    /// assert!(urgency(0) < urgency(1));
+    /// assert!(urgency(9) < pistachiohall::placement::URGENCY_LATE);
+    /// ```
+    pub fn ranked(self, rank: u8) -> Self {
+        let rank = rank.min(RANKS - 1);
+        let refine = |urgency: u8| match urgency {
+            ..URGENCY_ON_TIME => rank,
+            URGENCY_ON_TIME..URGENCY_LATE => URGENCY_ON_TIME + rank,
+            URGENCY_LATE.. => URGENCY_LATE + rank,
+        };
+        match self {
+            Plan::Single { engine, urgency } => Plan::Single {
+                engine,
+                urgency: refine(urgency),
+            },
+            Plan::Split {
+                prefill_engine,
+                decode_engine,
+                fallback,
+                urgency,
+            } => Plan::Split {
+                prefill_engine,
+                decode_engine,
+                fallback,
+                urgency: refine(urgency),
+            },
+            Plan::Refuse { .. } => self,
+        }
+    }
+}
+
 /// Engines that could serve a request, with the cost of choosing them.
 #[derive(Debug, Clone, Copy)]
 struct Candidate<'a> {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -5,6 +5,8 @@
 
 use compact_str::CompactString;
 use serde::Deserialize;
+use serde::de::Error;
+use serde_json::value::RawValue;
 
 use crate::catalog::Account;
 use crate::catalog::Accounts;
@@ -19,16 +21,17 @@
 use crate::catalog::Share;
 use crate::id::DomainId;
 
-#[derive(Debug, Deserialize)]
-struct Document {
+#[derive(Deserialize)]
+struct Document<'a> {
     version: u64,
     routes: Vec<RouteText>,
     services: Vec<ServiceText>,
     #[serde(default)]
     limits: LimitsText,
-    /// Client accounts; absent if no request needs a key.
-    #[serde(rename = "tenants")]
-    accounts: Option<Vec<AccountText>>,
+    /// Client accounts; absent if no request needs a key. Decoded separately: errors of the decoder
+    /// quote what they cannot read, which may be a key.
+    #[serde(borrow, rename = "tenants")]
+    accounts: Option<&'a RawValue>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -118,7 +121,7 @@
     domain_prices: BTreeMap<DomainId, f64>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Deserialize)]
 struct AccountText {
     name: CompactString,
     #[serde(default)]
@@ -127,6 +130,11 @@
     priority: Option<u8>,
 }
 
+#[derive(Deserialize)]
+struct AccountName {
+    name: CompactString,
+}
+
 #[derive(Debug, Default, Deserialize)]
 struct LimitsText {
     max_header_bytes: Option<usize>,
@@ -172,13 +180,17 @@
 /// assert_eq!(catalog.route("a.example", "/x/y").unwrap().shares[0].service, "desk");
 /// ```
 ///
+/// Parts that contradict themselves are left out and listed in [`Catalog::faults`].
+///
 /// # Errors
 ///
-/// Fails if the text is not a configuration; the error contains the position.
+/// Fails if the text is not a configuration; the error contains the position, or names the account.
 pub fn decode(text: &[u8]) -> Result<Catalog, serde_json::Error> {
     let document: Document = serde_json::from_slice(text)?;
     let routes = document.routes.into_iter().map(route).collect();
-    let services = document.services.into_iter().map(service).collect();
+    let mut faults = Vec::new();
+    let services = document.services.into_iter();
+    let services = services.map(|text| service(text, &mut faults)).collect();
     let defaults = Limits::default();
     let limits = Limits {
         max_header_bytes: document
@@ -194,24 +206,58 @@
             .idle_timeout_ms
             .map_or(defaults.idle_timeout, Duration::from_millis),
     };
-    let catalog = Catalog::new(document.version, routes, services, limits);
-    Ok(match document.accounts {
-        Some(texts) => catalog.with_accounts(accounts(texts)),
-        None => catalog,
-    })
+    let mut catalog = Catalog::new(document.version, routes, services, limits);
+    if let Some(texts) = document.accounts {
+        catalog = catalog.with_accounts(accounts(texts, &mut faults)?);
+    }
+    Ok(catalog.with_faults(faults))
 }
 
-fn accounts(texts: Vec<AccountText>) -> Accounts {
+/// Decodes the client accounts. Neither errors nor faults contain a key.
+fn accounts(text: &RawValue, faults: &mut Vec<String>) -> Result<Accounts, serde_json::Error> {
+    let texts: Vec<&RawValue> = serde_json::from_str(text.get())
+        .map_err(|_| Error::custom("the client accounts are no list"))?;
     let mut accounts = Accounts::default();
-    for text in texts {
+    for (index, text) in texts.into_iter().enumerate() {
+        let text: AccountText =
+            serde_json::from_str(text.get()).map_err(|_| unreadable_account(index, text))?;
+        let name = text.name.clone();
+        if accounts.iter().any(|known| known.name == name) {
+            faults.push(format!(
+                "client account `{name}` is listed twice; its keys are joined"
+            ));
+        }
+        let keys: Vec<KeyDigest> = text
+            .api_keys
+            .iter()
+            .filter(|key| !key.is_empty())
+            .map(|key| KeyDigest::of(key))
+            .collect();
+        if keys.is_empty() {
+            faults.push(format!(
+                "client account `{name}` has no keys; it is not served"
+            ));
+        }
         let account = Account {
             name: text.name,
             priority: text.priority,
         };
-        let keys = text.api_keys.iter().filter(|key| !key.is_empty());
-        accounts.add(account, keys.map(|key| KeyDigest::of(key)));
+        for other in accounts.add(account, keys) {
+            faults.push(format!(
+                "client account `{name}` lists a key of account `{other}`, which keeps it"
+            ));
+        }
     }
-    accounts
+    Ok(accounts)
+}
+
+/// Returns the error for an account that cannot be decoded.
+fn unreadable_account(index: usize, text: &RawValue) -> serde_json::Error {
+    let name = serde_json::from_str::<AccountName>(text.get());
+    let account = name.map_or_else(|_| format!("{index}"), |named| format!("`{}`", named.name));
+    Error::custom(format_args!(
+        "client account {account} is unreadable; expected a name, a list of keys and a priority from 0 to 255"
+    ))
 }
 
 fn route(text: RouteText) -> Route {
@@ -247,7 +293,10 @@
     }
 }
 
-fn service(text: ServiceText) -> Service {
+fn service(text: ServiceText, faults: &mut Vec<String>) -> Service {
+    let scale = text
+        .scale
+        .and_then(|scale| range(scale, &text.name, faults));
     Service {
         name: text.name,
         max_connections: text.max_connections,
@@ -259,12 +308,41 @@
             switch_duration: seconds(engine.switch_s),
             kv_token_bytes: engine.kv_token_bytes,
         }),
-        scale: text.scale.map(|scale| Scale {
-            min: scale.min,
-            max: scale.max,
-            boot_duration: seconds(scale.boot_s),
-            spot_price: scale.spot_price,
-            domain_prices: scale.domain_prices,
-        }),
+        scale,
+    }
+}
+
+/// Decodes a range of upstreams; `None` if it contains no number. A price that is not positive counts
+/// as missing.
+fn range(text: ScaleText, service: &str, faults: &mut Vec<String>) -> Option<Scale> {
+    if text.min > text.max {
+        faults.push(format!(
+            "service `{service}` has a range from {} to {}, expected the minimum first; its number of \
+             upstreams is not changed",
+            text.min, text.max
+        ));
+        return None;
     }
+    let mut is_price = |price: &f64, of: &str| {
+        let is_valid = *price > 0.0;
+        if !is_valid {
+            faults.push(format!(
+                "service `{service}` has price {price} {of}, expected a positive number; it is ignored"
+            ));
+        }
+        is_valid
+    };
+    let spot_price = text
+        .spot_price
+        .filter(|price| is_price(price, "for upstreams that may be withdrawn"));
+    let domain_prices = text.domain_prices.into_iter();
+    let domain_prices =
+        domain_prices.filter(|(domain, price)| is_price(price, &format!("in `{domain}`")));
+    Some(Scale {
+        min: text.min,
+        max: text.max,
+        boot_duration: seconds(text.boot_s),
+        spot_price,
+        domain_prices: domain_prices.collect(),
+    })
 }
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -164,7 +164,10 @@
                 .iter()
                 .any(|named| named == name.as_str());
         if is_forwarded {
-            forward.append(name.clone(), value.clone());
+            let mut value = value.clone();
+            // Omits it from debug output.
+            value.set_sensitive(name == http::header::AUTHORIZATION);
+            forward.append(name.clone(), value);
         }
     }
     forward
--- a/tests/decisions/gossip.rs
+++ b/tests/decisions/gossip.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use pistachiohall::clock::Clock;
+use pistachiohall::clock::Real;
 use pistachiohall::gossip;
 use pistachiohall::gossip::Datagram;
 use pistachiohall::gossip::DatagramId;
@@ -116,7 +118,7 @@
 #[test]
 fn send_times_of_old_datagrams_are_dropped() {
     let mut sent = SentTimes::default();
-    let now = Instant::now();
+    let now = Real.moment();
     sent.record(1, now);
     sent.record(3, now + PEER_TIMEOUT);
     assert_eq!(sent.at(1), None);
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions, tested without network and clock, each under the load or failure that it handles.
 
+mod account;
 mod availability;
 mod blame;
 mod budget;
