Check a configuration before it is sent

Cause: operators learned of a mistake in a configuration from hosts that ignored it, or from callers.

Change: `pistachiohall check FILE.json` reports errors, entries that can never match, limits that contradict each other and the differences from the version in force, with line and column. It decodes by the draft from which hosts build their catalog.

--- a/src/catalog/account.rs
+++ b/src/catalog/account.rs
@@ -53,8 +53,8 @@
 
 impl Accounts {
     /// Adds an account with its keys. Of two accounts with the same name or the same key, the first
-    /// one keeps it; the names of those that keep a key of this account are returned.
-    pub fn add<I>(&mut self, account: Account, keys: I) -> Vec<AccountId>
+    /// one keeps it.
+    pub fn add<I>(&mut self, account: Account, keys: I)
     where
         I: IntoIterator<Item = KeyDigest>,
     {
@@ -64,14 +64,9 @@
             .entry(account.name.clone())
             .or_insert(account)
             .clone();
-        let mut others = Vec::new();
         for key in keys {
-            let holder = self.by_key.entry(key).or_insert_with(|| account.clone());
-            if holder.name != account.name {
-                others.push(holder.name.clone());
-            }
+            self.by_key.entry(key).or_insert_with(|| account.clone());
         }
-        others
     }
 
     /// Returns the account that holds a key.
@@ -88,11 +83,6 @@
         self.by_key.get(key)
     }
 
-    /// Returns `true` if there is an account with this name.
-    pub fn contains(&self, name: &AccountId) -> bool {
-        self.by_name.contains_key(name)
-    }
-
     /// Returns all accounts.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.by_name.values()
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,10 +1,14 @@
 //! Active routes and services, as last configured by the operator.
 
 mod account;
+mod finding;
 
 pub use self::account::Account;
 pub use self::account::Accounts;
 pub use self::account::KeyDigest;
+pub use self::finding::Finding;
+pub use self::finding::Level;
+pub use self::finding::Place;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -166,6 +170,32 @@
     }
 }
 
+/// Entry of a client account.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AccountDraft {
+    /// Account.
+    pub account: Account,
+    /// Digests of its keys.
+    pub keys: Vec<KeyDigest>,
+}
+
+/// A configuration as it was written, with its entries in order.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Draft {
+    /// Version.
+    pub version: Version,
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// Services.
+    pub services: Vec<Service>,
+    /// Limits for callers.
+    pub limits: Limits,
+    /// Client accounts; `None` if no request needs a key.
+    pub accounts: Option<Vec<AccountDraft>>,
+    /// Faults found while it was decoded; it is served without the faulty parts.
+    pub faults: Vec<Finding>,
+}
+
 /// Version of a configuration; increases, but not always by one.
 pub type Version = u64;
 
@@ -177,7 +207,7 @@
     services: HashMap<ServiceId, Arc<Service>>,
     limits: Limits,
     accounts: Option<Arc<Accounts>>,
-    faults: Arc<[String]>,
+    faults: Arc<[Finding]>,
 }
 
 impl Catalog {
@@ -212,6 +242,20 @@
         }
     }
 
+    /// Builds a configuration from its draft.
+    pub fn from_draft(draft: Draft) -> Self {
+        let catalog = Catalog::new(draft.version, draft.routes, draft.services, draft.limits);
+        let catalog = catalog.with_faults(draft.faults);
+        let Some(entries) = draft.accounts else {
+            return catalog;
+        };
+        let mut accounts = Accounts::default();
+        for entry in entries {
+            accounts.add(entry.account, entry.keys);
+        }
+        catalog.with_accounts(accounts)
+    }
+
     /// Sets the client accounts; without them, no request needs a key.
     pub fn with_accounts(self, accounts: Accounts) -> Self {
         Catalog {
@@ -220,8 +264,8 @@
         }
     }
 
-    /// Sets the faults of the configuration, each with its place, for its operator.
-    pub fn with_faults(self, faults: Vec<String>) -> Self {
+    /// Sets the faults of the configuration, for its operator.
+    pub fn with_faults(self, faults: Vec<Finding>) -> Self {
         Catalog {
             faults: faults.into(),
             ..self
@@ -229,7 +273,7 @@
     }
 
     /// Returns the faults of the configuration, which is served without the faulty parts.
-    pub fn faults(&self) -> &[String] {
+    pub fn faults(&self) -> &[Finding] {
         &self.faults
     }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -37,8 +37,10 @@
     /// Run an entry host.
     #[command(after_help = "Example: pistachiohall serve nottingham-1.ini")]
     Serve(Serve),
-    /// Check settings and service files without using them.
-    #[command(after_help = "Example: pistachiohall check examples/trentside")]
+    /// Check settings, service files and configurations without using them.
+    #[command(after_help = "Examples:\n  pistachiohall check examples/trentside\n  \
+        pistachiohall check --in-force 10.200.1.7:8142 next.json\n\n\
+        Exit codes for configurations: 0 nothing wrong, 1 warnings alone with --strict, 2 errors.")]
     Check(Check),
     /// Put service files into force.
     #[command(
@@ -95,9 +97,22 @@
 /// Arguments of `check`.
 #[derive(Debug, Args)]
 pub struct Check {
-    /// Settings files, service files, or folders of service files.
+    /// Settings files, service files, folders of service files, or a configuration (`*.json`) as the
+    /// platform's store would hold it.
     #[arg(required = true)]
     pub paths: Vec<PathBuf>,
+    /// Configuration in force, to show what differs: a file, or the address of the platform's store.
+    #[arg(long, value_name = "FILE|ADDRESS")]
+    pub in_force: Option<String>,
+    /// Settings of a gateway, to check the configuration against its retry budget.
+    #[arg(long, value_name = "FILE")]
+    pub settings: Option<PathBuf>,
+    /// Fail if there are warnings.
+    #[arg(long)]
+    pub strict: bool,
+    /// Print JSON, as `--format json` does.
+    #[arg(long)]
+    pub json: bool,
     /// How results are printed.
     #[arg(long, value_enum, default_value_t)]
     pub format: Format,
--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -10,11 +10,13 @@
 use serde::Serialize;
 
 use crate::cli::Check;
+use crate::cli::Format;
 use crate::publish;
 use crate::settings::Settings;
 use crate::settings::gateway;
 
 use super::EXIT_FAULT;
+use super::configuration;
 use super::print;
 
 #[derive(Serialize)]
@@ -25,6 +27,17 @@
 
 /// Checks files and prints every fault in them.
 pub fn run(arguments: &Check) -> Result<ExitCode> {
+    if let [path] = arguments.paths.as_slice()
+        && path
+            .extension()
+            .is_some_and(|extension| extension == "json")
+    {
+        return configuration::run(path, arguments);
+    }
+    let format = match arguments.json {
+        true => Format::Json,
+        false => arguments.format,
+    };
     let (settings, services): (Vec<PathBuf>, Vec<PathBuf>) = arguments
         .paths
         .iter()
@@ -48,7 +61,7 @@
                 .extend(faults.0.iter().map(ToString::to_string));
         }
     }
-    print(arguments.format, &report, |report| {
+    print(format, &report, |report| {
         let lines: String = report
             .faults
             .iter()
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands behind the command line.
 
 mod check;
+mod configuration;
 mod explain;
 mod orders;
 mod publish;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod availability;
 pub mod catalog;
+pub mod check;
 pub mod cli;
 pub mod clock;
 pub mod command;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,6 +1,9 @@
 //! The operator's configuration, decoded into a catalog.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::fmt;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -9,16 +12,21 @@
 use serde_json::value::RawValue;
 
 use crate::catalog::Account;
-use crate::catalog::Accounts;
+use crate::catalog::AccountDraft;
 use crate::catalog::Catalog;
+use crate::catalog::Draft;
 use crate::catalog::Engine;
+use crate::catalog::Finding;
 use crate::catalog::KeyDigest;
 use crate::catalog::Kind;
+use crate::catalog::Level;
 use crate::catalog::Limits;
+use crate::catalog::Place;
 use crate::catalog::Route;
 use crate::catalog::Scale;
 use crate::catalog::Service;
 use crate::catalog::Share;
+use crate::id::AccountId;
 use crate::id::DomainId;
 
 #[derive(Deserialize)]
@@ -186,69 +194,96 @@
 ///
 /// Fails if the text is not a configuration; the error contains the position, or names the account.
 pub fn decode(text: &[u8]) -> Result<Catalog, serde_json::Error> {
+    draft(text).map(Catalog::from_draft)
+}
+
+/// Decodes a configuration with its entries in order.
+///
+/// # Errors
+///
+/// As [`decode`].
+pub fn draft(text: &[u8]) -> Result<Draft, serde_json::Error> {
     let document: Document = serde_json::from_slice(text)?;
     let routes = document.routes.into_iter().map(route).collect();
     let mut faults = Vec::new();
-    let services = document.services.into_iter();
-    let services = services.map(|text| service(text, &mut faults)).collect();
+    let services = document.services.into_iter().enumerate();
+    let services = services
+        .map(|(index, text)| service(index, text, &mut faults))
+        .collect();
+    let accounts = match document.accounts {
+        Some(texts) => Some(accounts(texts, &mut faults)?),
+        None => None,
+    };
+    Ok(Draft {
+        version: document.version,
+        routes,
+        services,
+        limits: limits(&document.limits),
+        accounts,
+        faults,
+    })
+}
+
+fn limits(text: &LimitsText) -> Limits {
     let defaults = Limits::default();
-    let limits = Limits {
-        max_header_bytes: document
-            .limits
-            .max_header_bytes
-            .unwrap_or(defaults.max_header_bytes),
-        max_body_bytes: document
-            .limits
-            .max_body_bytes
-            .unwrap_or(defaults.max_body_bytes),
-        idle_timeout: document
-            .limits
+    Limits {
+        max_header_bytes: text.max_header_bytes.unwrap_or(defaults.max_header_bytes),
+        max_body_bytes: text.max_body_bytes.unwrap_or(defaults.max_body_bytes),
+        idle_timeout: text
             .idle_timeout_ms
             .map_or(defaults.idle_timeout, Duration::from_millis),
-    };
-    let mut catalog = Catalog::new(document.version, routes, services, limits);
-    if let Some(texts) = document.accounts {
-        catalog = catalog.with_accounts(accounts(texts, &mut faults)?);
     }
-    Ok(catalog.with_faults(faults))
 }
 
 /// Decodes the client accounts. Neither errors nor faults contain a key.
-fn accounts(text: &RawValue, faults: &mut Vec<String>) -> Result<Accounts, serde_json::Error> {
+fn accounts(
+    text: &RawValue,
+    faults: &mut Vec<Finding>,
+) -> Result<Vec<AccountDraft>, serde_json::Error> {
     let texts: Vec<&RawValue> = serde_json::from_str(text.get())
         .map_err(|_| Error::custom("the client accounts are no list"))?;
-    let mut accounts = Accounts::default();
+    let mut names = HashSet::new();
+    let mut holders: HashMap<KeyDigest, AccountId> = HashMap::new();
+    let mut drafts = Vec::with_capacity(texts.len());
     for (index, text) in texts.into_iter().enumerate() {
         let text: AccountText =
             serde_json::from_str(text.get()).map_err(|_| unreadable_account(index, text))?;
-        let name = text.name.clone();
-        if accounts.contains(&name) {
-            faults.push(format!(
-                "client account `{name}` is listed twice; its keys are joined"
-            ));
+        let name = &text.name;
+        let mut add = |level, text: fmt::Arguments<'_>| {
+            faults.push(Finding::new(level, Place::Account(index), text));
+        };
+        if !names.insert(name.clone()) {
+            add(
+                Level::Error,
+                format_args!("client account `{name}` is listed twice; its keys are joined"),
+            );
         }
-        let keys: Vec<KeyDigest> = text
-            .api_keys
-            .iter()
-            .filter(|key| !key.is_empty())
-            .map(|key| KeyDigest::of(key))
-            .collect();
+        let keys = text.api_keys.iter().filter(|key| !key.is_empty());
+        let keys: Vec<KeyDigest> = keys.map(|key| KeyDigest::of(key)).collect();
         if keys.is_empty() {
-            faults.push(format!(
-                "client account `{name}` has no keys; it is not served"
-            ));
+            add(
+                Level::Warning,
+                format_args!("client account `{name}` has no keys; nobody can use it"),
+            );
+        }
+        for key in &keys {
+            let holder = holders.entry(*key).or_insert_with(|| name.clone());
+            if holder != name {
+                add(
+                    Level::Error,
+                    format_args!(
+                        "client account `{name}` lists a key of account `{holder}`, which keeps it"
+                    ),
+                );
+            }
         }
         let account = Account {
             name: text.name,
             priority: text.priority,
         };
-        for other in accounts.add(account, keys) {
-            faults.push(format!(
-                "client account `{name}` lists a key of account `{other}`, which keeps it"
-            ));
-        }
+        drafts.push(AccountDraft { account, keys });
     }
-    Ok(accounts)
+    Ok(drafts)
 }
 
 /// Returns the error for an account that cannot be decoded.
@@ -293,10 +328,11 @@
     }
 }
 
-fn service(text: ServiceText, faults: &mut Vec<String>) -> Service {
+fn service(index: usize, text: ServiceText, faults: &mut Vec<Finding>) -> Service {
+    let place = Place::Service(index);
     let scale = text
         .scale
-        .and_then(|scale| range(scale, &text.name, faults));
+        .and_then(|scale| range(scale, &text.name, place, faults));
     Service {
         name: text.name,
         max_connections: text.max_connections,
@@ -314,9 +350,12 @@
 
 /// Decodes a range of upstreams; `None` if it contains no number. A price that is not positive counts
 /// as missing.
-fn range(text: ScaleText, service: &str, faults: &mut Vec<String>) -> Option<Scale> {
+fn range(text: ScaleText, service: &str, place: Place, faults: &mut Vec<Finding>) -> Option<Scale> {
+    let mut add = |text: fmt::Arguments<'_>| {
+        faults.push(Finding::new(Level::Error, place, text));
+    };
     if text.min > text.max {
-        faults.push(format!(
+        add(format_args!(
             "service `{service}` has a range from {} to {}, expected the minimum first; its number of \
              upstreams is not changed",
             text.min, text.max
@@ -326,7 +365,7 @@
     let mut is_price = |price: &f64, of: &str| {
         let is_valid = *price > 0.0;
         if !is_valid {
-            faults.push(format!(
+            add(format_args!(
                 "service `{service}` has price {price} {of}, expected a positive number; it is ignored"
             ));
         }
@@ -346,3 +385,43 @@
         domain_prices: domain_prices.collect(),
     })
 }
+
+#[derive(Deserialize)]
+struct Entries<'a> {
+    #[serde(borrow, default)]
+    routes: Vec<&'a RawValue>,
+    #[serde(borrow, default)]
+    services: Vec<&'a RawValue>,
+    #[serde(borrow, default, rename = "tenants")]
+    accounts: Vec<&'a RawValue>,
+}
+
+/// Returns the line and the column, both counted from 1, at which an entry of a configuration begins;
+/// `None` if the text has no such entry.
+///
+/// ```
+/// use pistachiohall::catalog::Place;
+/// use pistachiohall::platform::config;
+/// let text = "{\"version\": 7,\n  \"routes\": [{}], \"services\": []}";
+/// assert_eq!(config::position(text, Place::Route(0)), Some((2, 14)));
+/// assert_eq!(config::position(text, Place::Route(1)), None);
+/// ```
+pub fn position(text: &str, place: Place) -> Option<(usize, usize)> {
+    let entries: Entries = serde_json::from_str(text).ok()?;
+    let entry = match place {
+        Place::Document => return Some((1, 1)),
+        Place::Route(index) => entries.routes.get(index),
+        Place::Service(index) => entries.services.get(index),
+        Place::Account(index) => entries.accounts.get(index),
+    }?;
+    // The entry is a part of the text.
+    let offset = (entry.get().as_ptr() as usize).checked_sub(text.as_ptr() as usize)?;
+    let before = text.get(..offset)?;
+    let line = before.matches('\n').count() + 1;
+    let column = before
+        .rsplit('\n')
+        .next()
+        .map_or(0, |last| last.chars().count())
+        + 1;
+    Some((line, column))
+}
--- a/tests/decisions/account.rs
+++ b/tests/decisions/account.rs
@@ -221,11 +221,11 @@
     let catalog = decode(accounts);
     assert_eq!(catalog.faults().len(), 1, "{:?}", catalog.faults());
     assert!(
-        catalog.faults()[0].contains(fault),
+        catalog.faults()[0].text.contains(fault),
         "{:?}",
         catalog.faults()
     );
-    assert!(!catalog.faults()[0].contains("secret"));
+    assert!(!catalog.faults()[0].text.contains("secret"));
 }
 
 #[test]
@@ -282,7 +282,7 @@
     assert_eq!(scale.map(|scale| scale.domain_prices.len()), prices);
     assert_eq!(catalog.faults().len(), 1);
     assert!(
-        catalog.faults()[0].contains(fault),
+        catalog.faults()[0].text.contains(fault),
         "{:?}",
         catalog.faults()
     );
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -5,6 +5,7 @@
 mod blame;
 mod budget;
 mod catalog;
+mod check;
 mod delivery;
 mod doubt;
 mod events;
