--- a/src/catalog/account.rs
+++ b/src/catalog/account.rs
@@ -88,6 +88,11 @@
         self.by_key.get(key)
     }
 
+    /// Returns `true` if there is an account of this name.
+    pub fn contains(&self, name: &AccountId) -> bool {
+        self.by_name.contains_key(name)
+    }
+
     /// Returns all accounts.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.by_name.values()
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -222,7 +222,7 @@
         let text: AccountText =
             serde_json::from_str(text.get()).map_err(|_| unreadable_account(index, text))?;
         let name = text.name.clone();
-        if accounts.iter().any(|known| known.name == name) {
+        if accounts.contains(&name) {
             faults.push(format!(
                 "client account `{name}` is listed twice; its keys are joined"
             ));
