Balance plain services over all hosts

Cause: each host knew only its own requests in flight, so 73 hosts chose among three upstreams by failure domain and chance.

Change: src/balance forecasts the load, pace and wait of each plain upstream from reports that travel in datagrams (tag 14), spreads requests without a herd, lets them wait at the host in order and refuses those that can't be answered in time.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod account;
 pub mod allowance;
+pub mod balance;
 pub mod belief;
 pub mod bootstrap;
 pub mod call;
@@ -102,6 +103,8 @@
     pub stored_suspects: Cell<suspect::Loading>,
     /// Loads and cached prompt blocks of engines.
     pub board: RefCell<placement::Board>,
+    /// Balance of plain services over all hosts.
+    pub balancer: balance::Balancer,
     /// Bytes of responses that are held until their callers have read them.
     pub held_responses: held::Budget,
     /// Bytes of requests that are held until they are answered.
@@ -147,6 +150,7 @@
             suspect_log_limiter: suspect::LogLimiter::default(),
             stored_suspects: Cell::default(),
             board: RefCell::default(),
+            balancer: balance::Balancer::default(),
             held_responses: held::Budget::new(exchange::MAX_ALL_HELD_BYTES),
             held_requests: held::Budget::new(serve::MAX_ALL_HELD_BYTES),
             pending_updates: RefCell::default(),
@@ -233,6 +237,7 @@
         self.age_observer.record_adopted(&view, Instant::now());
         self.update_targets(&view);
         self.update_board(&view);
+        self.update_balancer(&view);
         *self.view.borrow_mut() = view;
     }
 
@@ -297,6 +302,22 @@
         board.retain(|id| view.entries.iter().any(|entry| entry.id == *id));
     }
 
+    fn update_balancer(&self, view: &View) {
+        let Some(catalog) = &view.catalog else {
+            return;
+        };
+        let is_plain = |entry: &&Entry| {
+            let service = catalog.service(&entry.service);
+            service.is_some_and(|service| service.engine.is_none())
+        };
+        let upstreams = view.entries.iter().filter(is_plain).map(|entry| {
+            let digest = gossip::incarnation_digest(&entry.id, entry.started_at);
+            (digest, u32::try_from(entry.slots).unwrap_or(u32::MAX))
+        });
+        let mut board = self.balancer.board.borrow_mut();
+        board.set_upstreams(upstreams, Instant::now());
+    }
+
     /// Returns the upstreams of a service that take new work at `now`.
     pub fn targets(&self, service: &ServiceId, now: Instant) -> Vec<Rc<Target>> {
         self.targets
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,6 +18,7 @@
 use tokio::time;
 
 use super::Gateway;
+use super::balance;
 use super::call::Block;
 use crate::follow::hosts::Hosts;
 use crate::follow::share;
@@ -179,6 +180,7 @@
     urgent_sent_at: Instant,
     interval: Duration,
     loads: Vec<gossip::Load>,
+    plain_loads: Vec<gossip::PlainLoad>,
     live_peers: usize,
     pending_changes: Vec<u32>,
     unreachable: Vec<u32>,
@@ -195,6 +197,7 @@
             urgent_sent_at: Instant::now(),
             interval: gossip::MIN_INTERVAL,
             loads: Vec::new(),
+            plain_loads: Vec::new(),
             live_peers: 0,
             pending_changes: Vec::new(),
             unreachable: Vec::new(),
@@ -209,6 +212,7 @@
             started_at: self.started_at,
             sequence: self.sequence,
             loads: self.loads.clone(),
+            plain_loads: self.plain_loads.clone(),
             pending_changes: self.pending_changes.clone(),
             unreachable: self.unreachable.clone(),
             config_version: gateway.config_version(),
@@ -293,10 +297,13 @@
             return;
         }
         let loads = loads(gateway);
+        let plain_loads = balance::loads(gateway, now);
         let updates = gateway.pending_updates.take();
         gateway.record_pending_changes(&self.pending_changes, now);
         let unreachable = gateway.unreachable(now);
-        let has_same_state = loads == self.loads && unreachable == self.unreachable;
+        let has_same_state = loads == self.loads
+            && balance::is_same_state(&plain_loads, &self.plain_loads)
+            && unreachable == self.unreachable;
         let suspects = gateway
             .suspicion
             .borrow_mut()
@@ -311,6 +318,7 @@
         self.record_sent(now);
         self.sent_at = now;
         self.loads = loads;
+        self.plain_loads = plain_loads;
         self.unreachable = unreachable;
         let datagram = Datagram {
             prefills: updates.prefills,
@@ -461,6 +469,7 @@
             (load.engine, own)
         });
         board.record_peer(&host, &loads.collect(), now);
+        balance::record_peer(gateway, &host, &datagram, now);
     }
     Some(datagram)
 }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -9,6 +9,10 @@
 
 use super::Gateway;
 use super::allowance::AttemptBudget;
+use super::balance;
+use super::balance::Choice;
+use super::balance::Chosen;
+use super::balance::Waiting;
 use super::call::Call;
 use super::exchange;
 use super::exchange::Failure;
@@ -28,7 +32,7 @@
 use crate::id::UpstreamId;
 
 /// Timeout of an attempt of an idempotent request, as a multiple of the route's target.
-const ATTEMPT_TIMEOUT_FACTOR: f64 = 1.6;
+pub const ATTEMPT_TIMEOUT_FACTOR: f64 = 1.6;
 /// Maximum share of the time left that one attempt may take while another is possible.
 const MAX_ATTEMPT_SHARE: f64 = 0.45;
 /// Time after which a refused caller should retry.
@@ -46,6 +50,7 @@
     let mut tried = Vec::new();
     let mut buffered = None;
     let mut last = None;
+    let mut waiting = Waiting::default();
     loop {
         if let Some(retry_after) = suspect::refusal(gateway, call).await {
             trace.decide(suspect::REFUSAL_REASON);
@@ -59,10 +64,22 @@
         if now >= call.deadline {
             return give_up(call, &attempt_budget, buffered, RETRY_AFTER, trace);
         }
-        let other = pick(gateway, call, &tried, now);
+        let other = match balance::choose(gateway, call, &tried, &mut waiting, now) {
+            Choice::Send(chosen) => Some(chosen),
+            Choice::Wait(pause) => {
+                tokio::time::sleep(pause).await;
+                continue;
+            }
+            Choice::Refuse(after) => {
+                trace.decide(balance::REFUSAL_REASON);
+                return give_up(call, &attempt_budget, buffered, after, trace);
+            }
+            Choice::Unbalanced => pick(gateway, call, &tried, now).map(Chosen::from),
+        };
         let is_second = tried.len() == 1;
         let same = || pick_again(gateway, call, &last, now).filter(|_| is_second);
-        let Some(target) = other.or_else(same) else {
+        let same = || same().map(Chosen::from);
+        let Some(Chosen { target, forecast }) = other.or_else(same) else {
             trace.decide("no-upstream");
             let after = retry_after(gateway, call, now);
             return give_up(call, &attempt_budget, buffered, after, trace);
@@ -76,7 +93,10 @@
         let has_other = pick(gateway, call, &tried, now).is_some();
         let until = attempt_deadline(call, &attempt_budget, has_other, now);
         let may_reuse = call.route.is_idempotent() && tried.len() == 1;
-        match attempt(gateway, &target, call, may_reuse, until).await {
+        let sent = balance::Sent::new(gateway, &target, forecast, now);
+        let ended = attempt(gateway, &target, call, may_reuse, until).await;
+        sent.record(&ended);
+        match ended {
             Ok(response) => {
                 trace.step(format_args!(
                     "{}={}",
@@ -235,7 +255,7 @@
 /// again, if all of them asked for a pause.
 pub fn retry_after(gateway: &Gateway, call: &Call, now: Instant) -> Duration {
     if !gateway.targets(&call.service, now).is_empty() {
-        return RETRY_AFTER;
+        return balance::retry_after(gateway, call, now).unwrap_or(RETRY_AFTER);
     }
     let left = gateway.pause_left(&call.service, |_| true, now);
     left.map_or(RETRY_AFTER, |left| left.min(call.remaining(now)))
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -157,6 +157,13 @@
         }
     }
 
+    /// Returns `true` if a connection is kept that can be used again.
+    pub fn has_idle(&self, now: Instant) -> bool {
+        let idle = self.idle.borrow();
+        idle.last()
+            .is_some_and(|entry| entry.until > now && entry.connection.sender.is_ready())
+    }
+
     fn take(&self, now: Instant) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         idle.retain(|entry| entry.until > now && !entry.connection.sender.is_closed());
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -210,6 +210,11 @@
         Ok(connection)
     }
 
+    /// Returns `true` if a request may be sent on a connection that is already open.
+    pub fn has_idle_connection(&self, now: Instant) -> bool {
+        self.shared.pool.has_idle(now)
+    }
+
     /// Returns a connection to the pool after a response that ended by its own framing.
     pub fn release(&self, connection: Connection, head: &Parts) {
         let closes = head
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::balance;
 use crate::id::Fingerprint;
 use crate::id::IncarnationDigest;
 use crate::id::RequestDigest;
@@ -54,6 +55,63 @@
     pub late_us: u64,
 }
 
+/// Load that the sender puts on one plain upstream. Counts go on from the sender's start.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PlainLoad {
+    /// Digest of the upstream's name and start time.
+    #[prost(fixed32, tag = "1")]
+    pub upstream: u32,
+    /// Requests in flight.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Age of the oldest of these, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub oldest_ms: u32,
+    /// Requests sent.
+    #[prost(uint32, tag = "4")]
+    pub sent: u32,
+    /// Responses received.
+    #[prost(uint32, tag = "5")]
+    pub answered: u32,
+    /// Time that the upstream took for these without waiting, in microseconds; wraps around.
+    #[prost(uint64, tag = "6")]
+    pub work_us: u64,
+}
+
+impl PlainLoad {
+    /// Returns `true` if both tell the same of the sender's requests; their age is no difference.
+    pub fn is_same_state(&self, other: &PlainLoad) -> bool {
+        let state = |load: &PlainLoad| (load.upstream, load.running, load.sent, load.answered);
+        state(self) == state(other)
+    }
+}
+
+impl From<&balance::Report> for PlainLoad {
+    fn from(report: &balance::Report) -> Self {
+        PlainLoad {
+            upstream: report.upstream,
+            running: report.running,
+            oldest_ms: report.oldest.as_millis() as u32,
+            sent: report.sent,
+            answered: report.answered,
+            work_us: report.work_us,
+        }
+    }
+}
+
+impl From<&PlainLoad> for balance::Report {
+    fn from(load: &PlainLoad) -> Self {
+        balance::Report {
+            upstream: load.upstream,
+            running: load.running,
+            oldest: Duration::from_millis(u64::from(load.oldest_ms)),
+            sent: load.sent,
+            answered: load.answered,
+            work_us: load.work_us,
+        }
+    }
+}
+
 /// A prompt that an engine has prefilled for the sender.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Prefill {
@@ -301,6 +359,9 @@
     /// Version of the sender's configuration; 0 if it has none.
     #[prost(uint64, tag = "12")]
     pub config_version: u64,
+    /// Loads of the plain upstreams that the sender has used lately.
+    #[prost(message, repeated, tag = "14")]
+    pub plain_loads: Vec<PlainLoad>,
 }
 
 /// Returns the interval after a datagram of `bytes` to each of `peers`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod availability;
+pub mod balance;
 pub mod catalog;
 pub mod cli;
 pub mod clock;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -55,6 +55,17 @@
     pub max_calls_per_s: f64,
 }
 
+/// Default of the cost of another failure domain beside its response time: a round trip.
+const DEFAULT_CROSS_DOMAIN_COST: Duration = Duration::from_millis(2);
+
+/// How requests to plain services are balanced over all hosts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Balance {
+    /// Time by which a response from another failure domain has to come sooner than one from the
+    /// host's own to be preferred.
+    pub cross_domain_cost: Duration,
+}
+
 /// Settings of one gateway process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -84,6 +95,8 @@
     pub lease: Duration,
     /// Share of a service's engines that prefill for others.
     pub read_share: f64,
+    /// Balance of plain services over all hosts; `None` if each host goes by its own requests.
+    pub balance: Option<Balance>,
     /// Calls to the platform for all hosts; `None` if the deployment has none.
     pub duties: Option<Duties>,
     /// Maximum time after a key was taken away for which requests with it may still run; `None` if
@@ -130,7 +143,12 @@
         let usage_due = source.optional("duties", "usage_due", unit::duration);
         let max_calls_per_s = source.optional("duties", "max_calls_per_s", unit::weight);
         let max_revocation = source.optional("accounts", "max_revocation", unit::duration);
+        let has_balance = source.optional("balance", "enabled", unit::flag);
+        let cross_domain_cost = source.optional("balance", "cross_domain_cost", unit::duration);
         source.finish()?;
+        let balance = has_balance.unwrap_or(false).then(|| Balance {
+            cross_domain_cost: cross_domain_cost.unwrap_or(DEFAULT_CROSS_DOMAIN_COST),
+        });
         let duties = platform.map(|address| Duties {
             address,
             perform: perform.unwrap_or_default(),
@@ -156,6 +174,7 @@
             shutdown_limit: shutdown_limit.unwrap_or(DEFAULT_SHUTDOWN_LIMIT),
             lease: lease.unwrap_or(DEFAULT_LEASE),
             read_share: read_share.unwrap_or(DEFAULT_PREFILL_SHARE),
+            balance,
             duties,
             max_revocation,
         })
