Balance: tests by load; follow a pace only when it has clearly changed

Cause: decisions/balance at 300 hosts with loads 0.4 s old sent 157, 115 and 50 requests in a second to three equal upstreams: differences in pace that came from waiting were followed by all hosts at once, and requests that peers had reported were taken for unanswered ones.

Change: a peer's request counts with the age that it reported, only certain waiting is taken off a measured time, and the recent pace counts from a factor of 1.5.

--- a/src/balance/board.rs
+++ b/src/balance/board.rs
@@ -86,14 +86,6 @@
         })
     }
 
-    fn oldest(&self, now: Instant) -> Option<Instant> {
-        let own = self.running.iter().map(|(_, at)| *at);
-        let others = self
-            .live_peers(now)
-            .filter_map(|peer| peer.at.checked_sub(peer.report.oldest));
-        own.chain(others).min()
-    }
-
     /// Returns the requests in flight from peers that are probably still there.
     fn peers_load(&self, response_s: f64, now: Instant) -> f64 {
         let loads = self.live_peers(now).map(|peer| {
@@ -103,16 +95,24 @@
         loads.sum()
     }
 
+    /// Returns the time since the last response if requests have been without one for unusually
+    /// long, or else 0. A peer's requests count with the age that it reported: they may have been
+    /// answered since.
     fn silence(&self, response_s: f64, now: Instant) -> f64 {
-        let Some(oldest) = self.oldest(now) else {
-            return 0.0;
-        };
-        let since = self.answered_at.map_or(oldest, |at| at.max(oldest));
-        let silence = now.saturating_duration_since(since).as_secs_f64();
-        match silence > MAX_SILENCE_FACTOR * response_s {
-            true => silence,
-            false => 0.0,
-        }
+        let own = self.running.iter().map(|(_, sent)| (*sent, now));
+        let others = self
+            .live_peers(now)
+            .filter_map(|peer| Some((peer.at.checked_sub(peer.report.oldest)?, peer.at)));
+        let max_silence = Duration::from_secs_f64(MAX_SILENCE_FACTOR * response_s);
+        let answered_at = self.answered_at;
+        let silent_since = own.chain(others).filter_map(|(sent, seen)| {
+            let since = answered_at.map_or(sent, |at| at.max(sent));
+            (seen.saturating_duration_since(since) > max_silence).then_some(since)
+        });
+        let since = silent_since.min();
+        since.map_or(0.0, |since| {
+            now.saturating_duration_since(since).as_secs_f64()
+        })
     }
 }
 
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -108,6 +108,8 @@
         load: f64,
         /// Forecast of its response time.
         response: Duration,
+        /// Share of the response time that is certainly not spent waiting.
+        service_share: f64,
     },
     /// It is decided on again after this time.
     Wait(Duration),
@@ -177,13 +179,14 @@
     let index = drawn.or(places.len().checked_sub(1))?;
     let place = places[index];
     let others = added[index] * unseen / (unseen + 1.0);
+    let load = place.load + others;
     let response_s = place.response_s(others);
     let queued_s = response_s - place.service_s;
-    let is_queued = place.load + others >= place.slots;
+    let is_queued = load >= place.slots;
     if is_queued && response_s > request.left.as_secs_f64() {
         return Some(Decision::Refuse(retry_after(queued_s, request, pause_draw)));
     }
-    let excess = place.load + others - max_load(&place, response_s, request);
+    let excess = load - max_load(&place, response_s, request);
     if excess > 0.0 {
         let drain_s = excess * place.service_s / place.slots;
         let pause = Duration::from_secs_f64(drain_s * (0.5 + pause_draw));
@@ -197,8 +200,9 @@
     }
     Some(Decision::Send {
         index,
-        load: place.load + others,
+        load,
         response: Duration::from_secs_f64(response_s),
+        service_share: place.slots / (load + 1.0).max(place.slots),
     })
 }
 
--- a/src/balance/pace.rs
+++ b/src/balance/pace.rs
@@ -9,6 +9,9 @@
 const LASTING: Duration = Duration::from_secs(10);
 /// Weight of the lasting pace beside recent responses.
 const LASTING_WEIGHT: f64 = 2.0;
+/// Factor by which the recent pace has to differ from the lasting one to count. Smaller differences
+/// come from waiting that was not forecast; hosts that followed them would all move at once.
+const MIN_CHANGE_FACTOR: f64 = 1.5;
 /// Time constant of a rate.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 
@@ -73,7 +76,10 @@
         let lasting_s = self.lasting.sum / self.lasting.weight;
         let recent = self.recent.at(RECENT, now);
         let sum = recent.sum + LASTING_WEIGHT * lasting_s;
-        Some(sum / (recent.weight + LASTING_WEIGHT))
+        let recent_s = sum / (recent.weight + LASTING_WEIGHT);
+        let is_changed =
+            recent_s > lasting_s * MIN_CHANGE_FACTOR || recent_s * MIN_CHANGE_FACTOR < lasting_s;
+        Some(if is_changed { recent_s } else { lasting_s })
     }
 }
 
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -162,16 +162,20 @@
     };
     let turn = turn(gateway, call, response > request.target_left);
     let pause = match decision {
-        Some(Decision::Send { index, load, .. }) => {
+        Some(Decision::Send {
+            index,
+            load,
+            service_share,
+            ..
+        }) => {
             let queues = gateway.balancer.queues.borrow();
             let queue = queues.get(&call.service);
             if queue.is_none_or(|queue| queue.is_first(&turn)) {
                 let target = Rc::clone(&targets[index]);
-                let service_s = places[index].service_s;
                 let forecast = Some(Forecast {
                     load,
                     response,
-                    service_share: service_s / response.as_secs_f64().max(service_s),
+                    service_share,
                 });
                 return Choice::Send(Chosen { target, forecast });
             }
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions, tested without network and clock, each under the load or failure that it handles.
 
 mod availability;
+mod balance;
 mod blame;
 mod budget;
 mod catalog;
