Decide when leaving the failure domain pays

Cause: leaving cost half a request in flight or 4 ms, whatever the bytes, the load there, the link or the price; nobody decided how much to send.

Change: src/spill weighs the wait here against wait, way and price of bytes there, shares the room of the other side among hosts, keeps its choice while both sides are alike and learns links that are cut, lossy or slow. It decides for requests to plain services, and prices the move of a KV cache. Off unless [spill] enabled; without it a move costs 4 ms as before.

Tests: placement requests in decisions/placement name the cost of the move, 4 ms as before.

--- a/src/balance/board.rs
+++ b/src/balance/board.rs
@@ -311,6 +311,12 @@
         per_s * response_s * (1.0 - (-age_s / response_s).exp())
     }
 
+    /// Returns the time since any peer last reported; zero if there are no peers.
+    pub fn age(&self, now: Instant) -> Duration {
+        let newest = self.heard.values().max();
+        newest.map_or(Duration::ZERO, |at| now.saturating_duration_since(*at))
+    }
+
     /// Returns `true` if a response of the upstream is known.
     pub fn is_known(&self, upstream: u32, now: Instant) -> bool {
         let entry = self.upstreams.get(&upstream);
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -81,7 +81,9 @@
         self.service_s * (1.0 + queued / self.slots)
     }
 
-    fn cost(&self, added: f64) -> f64 {
+    /// Returns the cost of one more request there, in seconds, if `added` requests are in flight
+    /// beside the forecast load.
+    pub fn cost(&self, added: f64) -> f64 {
         self.response_s(added).max(self.silence_s) + self.extra_s
     }
 }
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -15,6 +15,7 @@
 use super::exchange::Failure;
 use super::exchange::FullResponse;
 use super::plain;
+use super::spill;
 use super::target::Target;
 use crate::balance;
 use crate::balance::Board;
@@ -25,6 +26,7 @@
 use crate::balance::Turn;
 use crate::gossip::Datagram;
 use crate::gossip::PlainLoad;
+use crate::id::DomainId;
 use crate::id::HostId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
@@ -144,13 +146,17 @@
     now: Instant,
 ) -> Choice {
     waiting.leave();
-    let Some((targets, places, unseen)) = places(gateway, call, tried, now) else {
+    let Some(mut candidates) = candidates(gateway, call, tried, now) else {
         return Choice::Unbalanced;
     };
     let request = request(call, now);
-    let mut random = rand::rng();
-    let (draw, pause_draw) = (random.random(), random.random());
-    let decision = balance::decide(&places, unseen, &request, draw, pause_draw);
+    let mut decision = candidates.decide(&request);
+    if let Some(Decision::Send { index, .. }) = decision
+        && let Some(own) = spill::confine(gateway, call, &candidates, index, now)
+    {
+        decision = own.decide(&request);
+        candidates = own;
+    }
     let response = match decision {
         Some(Decision::Send { response, .. }) => response,
         Some(Decision::Wait(_)) => request.target_left,
@@ -171,7 +177,7 @@
             let queues = gateway.balancer.queues.borrow();
             let queue = queues.get(&call.service);
             if queue.is_none_or(|queue| queue.is_first(&turn)) {
-                let target = Rc::clone(&targets[index]);
+                let target = Rc::clone(&candidates.targets[index]);
                 let forecast = Some(Forecast {
                     load,
                     response,
@@ -191,9 +197,10 @@
 
 /// Returns when a refused caller should retry; `None` if the balance is off.
 pub fn retry_after(gateway: &Gateway, call: &Call, now: Instant) -> Option<Duration> {
-    let (_, places, unseen) = places(gateway, call, &[], now)?;
-    let share = unseen / places.len() as f64;
-    let queued = places
+    let candidates = candidates(gateway, call, &[], now)?;
+    let share = candidates.unseen / candidates.places.len() as f64;
+    let queued = candidates
+        .places
         .iter()
         .map(|place| place.response_s(share) - place.service_s);
     let least = queued.min_by(f64::total_cmp)?;
@@ -224,11 +231,67 @@
     }
 }
 
-type Places = (Vec<Rc<Target>>, Vec<Place>, f64);
+/// Upstreams that a request may go to.
+#[derive(Debug)]
+pub struct Candidates {
+    /// The upstreams.
+    pub targets: Vec<Rc<Target>>,
+    /// How the request finds them, in the same order.
+    pub places: Vec<Place>,
+    /// Number of requests from peers that are in flight there and that no report names yet.
+    pub unseen: f64,
+}
+
+impl Candidates {
+    fn decide(&self, request: &Request) -> Option<Decision> {
+        let mut random = rand::rng();
+        let (draw, pause_draw) = (random.random(), random.random());
+        balance::decide(&self.places, self.unseen, request, draw, pause_draw)
+    }
 
-/// Returns the upstreams that a request may go to, how it finds them, and the number of requests
-/// from peers that no report names yet; `None` if the balance is off or there is no upstream.
-fn places(gateway: &Gateway, call: &Call, tried: &[UpstreamId], now: Instant) -> Option<Places> {
+    /// Returns those of a failure domain, with their part of the requests that no report names.
+    pub fn in_domain(&self, domain: &DomainId) -> Self {
+        let pairs = self.targets.iter().zip(&self.places);
+        let (targets, places): (Vec<_>, Vec<_>) = pairs
+            .filter(|(target, _)| target.entry.domain == *domain)
+            .map(|(target, place)| (Rc::clone(target), *place))
+            .unzip();
+        let unseen = self.unseen * places.len() as f64 / self.places.len().max(1) as f64;
+        Candidates {
+            targets,
+            places,
+            unseen,
+        }
+    }
+
+    /// Returns the forecast response time of one of them.
+    pub fn response(&self, index: usize) -> Duration {
+        let share = self.unseen / self.places.len() as f64;
+        Duration::from_secs_f64(self.places[index].response_s(share))
+    }
+
+    /// Returns the least cost of sending the request to one of them; `None` if there is none.
+    pub fn best_cost(&self) -> Option<Duration> {
+        let share = self.unseen / self.places.len().max(1) as f64;
+        let costs = self.places.iter().map(|place| place.cost(share));
+        let least = costs.min_by(f64::total_cmp)?;
+        Some(Duration::from_secs_f64(least))
+    }
+
+    /// Returns the number of requests that they have room for.
+    pub fn spare(&self) -> f64 {
+        let free = self.places.iter().map(|place| place.slots - place.load);
+        free.map(|free| free.max(0.0)).sum()
+    }
+}
+
+/// Returns the upstreams that a request may go to; `None` if the balance is off or there is none.
+fn candidates(
+    gateway: &Gateway,
+    call: &Call,
+    tried: &[UpstreamId],
+    now: Instant,
+) -> Option<Candidates> {
     gateway.settings.balance.as_ref()?;
     let mut targets = gateway.targets(&call.service, now);
     targets.retain(|target| !tried.contains(&target.entry.id));
@@ -257,7 +320,11 @@
     let mean_s = responses.sum::<f64>() / places.len() as f64;
     let unseen = board.unseen(&digests, mean_s, now);
     drop(board);
-    Some((targets, places, unseen))
+    Some(Candidates {
+        targets,
+        places,
+        unseen,
+    })
 }
 
 /// Returns the cost of an upstream beside its response time, in seconds: what a failure there
@@ -278,7 +345,8 @@
     if let Some(settings) = &gateway.settings.balance
         && target.entry.domain != gateway.settings.domain
     {
-        extra_s += settings.cross_domain_cost.as_secs_f64();
+        let min = settings.cross_domain_cost;
+        extra_s += spill::crossing_s(gateway, call, &target.entry.domain, min, now);
     }
     if call.route.is_idempotent() && !target.has_idle_connection(now) {
         extra_s += CONNECT_COST_S;
@@ -293,6 +361,7 @@
     upstream: u32,
     ticket: Option<u64>,
     forecast: Option<Forecast>,
+    domain: DomainId,
     at: Instant,
 }
 
@@ -313,6 +382,7 @@
             upstream,
             ticket,
             forecast,
+            domain: target.entry.domain.clone(),
             at,
         }
     }
@@ -323,6 +393,9 @@
             return;
         };
         let now = Instant::now();
+        let took_s = now.saturating_duration_since(self.at).as_secs_f64();
+        let excess_s = took_s - forecast.response.as_secs_f64();
+        spill::record(&self.gateway, &self.domain, ended, excess_s, now);
         let mut board = self.gateway.balancer.board.borrow_mut();
         match ended {
             Ok(response) if response.head.status.is_success() => {
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -20,6 +20,7 @@
 use super::reply;
 use super::reply::Reply;
 use super::shutdown;
+use super::spill;
 use super::stream;
 use super::suspect;
 use super::target::Target;
@@ -153,6 +154,7 @@
         prompt,
         target_left: (call.arrived + call.route.target_latency).saturating_duration_since(now),
         left: call.remaining(now),
+        kv_crossing: spill::kv_crossing(gateway, call, prompt),
     };
     placement::plan(&request, &engines)
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 pub mod reply;
 pub mod serve;
 pub mod shutdown;
+pub mod spill;
 pub mod stream;
 pub mod suspect;
 pub mod target;
@@ -105,6 +106,8 @@
     pub board: RefCell<placement::Board>,
     /// Balance of plain services over all hosts.
     pub balancer: balance::Balancer,
+    /// Requests to other failure domains.
+    pub spiller: spill::Spiller,
     /// Bytes of responses that are held until their callers have read them.
     pub held_responses: held::Budget,
     /// Bytes of requests that are held until they are answered.
@@ -151,6 +154,7 @@
             stored_suspects: Cell::default(),
             board: RefCell::default(),
             balancer: balance::Balancer::default(),
+            spiller: spill::Spiller::default(),
             held_responses: held::Budget::new(exchange::MAX_ALL_HELD_BYTES),
             held_requests: held::Budget::new(serve::MAX_ALL_HELD_BYTES),
             pending_updates: RefCell::default(),
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -61,8 +61,13 @@
 
     /// Adds one to a counter.
     pub fn add(&self, name: &str) {
+        self.add_many(name, 1);
+    }
+
+    /// Adds a number to a counter.
+    pub fn add_many(&self, name: &str, number: u64) {
         let mut counts = self.counts.lock().expect("counter lock");
-        *counts.entry(name.into()).or_default() += 1;
+        *counts.entry(name.into()).or_default() += number;
     }
 
     /// Counts a decision not to forward a request, by its reason.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod service;
 pub mod settings;
 pub mod snapshot;
+pub mod spill;
 pub mod standin;
 pub mod status;
 pub mod suspicion;
--- a/src/placement/cost.rs
+++ b/src/placement/cost.rs
@@ -18,8 +18,8 @@
 const MAX_STEP_TOKENS: f64 = 4096.0;
 /// Cost in seconds that each running request adds to an engine.
 const CONTENTION_S_PER_REQUEST: f64 = 0.0004;
-/// Cost in seconds of moving a KV cache between failure domains.
-const CROSS_DOMAIN_PENALTY_S: f64 = 0.004;
+/// Cost of moving a KV cache between failure domains, unless the price of its bytes is known.
+pub const CROSS_DOMAIN_PENALTY: Duration = Duration::from_millis(4);
 
 /// Returns the prefill time of a prompt whose first `cached` tokens the engine has cached.
 ///
@@ -51,11 +51,3 @@
 pub fn contention(running: usize) -> f64 {
     running as f64 * CONTENTION_S_PER_REQUEST
 }
-
-/// Returns the cost of moving a KV cache, in seconds; it is zero within a failure domain.
-pub fn cross_domain_penalty(is_cross_domain: bool) -> f64 {
-    match is_cross_domain {
-        true => CROSS_DOMAIN_PENALTY_S,
-        false => 0.0,
-    }
-}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -87,6 +87,8 @@
     pub target_left: Duration,
     /// Time until the caller or the route gives up.
     pub left: Duration,
+    /// Cost of moving the prompt's KV cache to another failure domain.
+    pub kv_crossing: Duration,
 }
 
 /// Placement of a request.
@@ -329,7 +331,10 @@
     )
     .mul_f64(prefill_engine.slowdown);
     let load = |engine: &Engine| {
-        let penalty = cost::cross_domain_penalty(engine.domain != prefill_engine.domain);
+        let penalty = match engine.domain != prefill_engine.domain {
+            true => request.kv_crossing.as_secs_f64(),
+            false => 0.0,
+        };
         engine.backlog.as_secs_f64() / 2.0
             + cost::contention(engine.running) * engine.slowdown
             + penalty
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -11,6 +11,7 @@
 use crate::platform::duties;
 use crate::platform::duties::Duty;
 use crate::retry::window::Bounds;
+use crate::spill::Terms;
 
 /// Section that marks a settings file as that of a gateway.
 pub const SECTION: &str = "gateway";
@@ -97,6 +98,9 @@
     pub read_share: f64,
     /// Balance of plain services over all hosts; `None` if each host goes by its own requests.
     pub balance: Option<Balance>,
+    /// What leaving the failure domain has to be worth; `None` if only the way there counts.
+    /// Needs `balance`.
+    pub spill: Option<Terms>,
     /// Calls to the platform for all hosts; `None` if the deployment has none.
     pub duties: Option<Duties>,
     /// Maximum time after a key was taken away for which requests with it may still run; `None` if
@@ -145,7 +149,16 @@
         let max_revocation = source.optional("accounts", "max_revocation", unit::duration);
         let has_balance = source.optional("balance", "enabled", unit::flag);
         let cross_domain_cost = source.optional("balance", "cross_domain_cost", unit::duration);
+        let has_spill = source.optional("spill", "enabled", unit::flag);
+        let price_per_gib = source.optional("spill", "price_per_gib", unit::duration);
         source.finish()?;
+        let spill = has_spill.unwrap_or(false).then(|| {
+            let terms = Terms::default();
+            Terms {
+                price_per_gib: price_per_gib.unwrap_or(terms.price_per_gib),
+                ..terms
+            }
+        });
         let balance = has_balance.unwrap_or(false).then(|| Balance {
             cross_domain_cost: cross_domain_cost.unwrap_or(DEFAULT_CROSS_DOMAIN_COST),
         });
@@ -175,6 +188,7 @@
             lease: lease.unwrap_or(DEFAULT_LEASE),
             read_share: read_share.unwrap_or(DEFAULT_PREFILL_SHARE),
             balance,
+            spill,
             duties,
             max_revocation,
         })
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -17,6 +17,7 @@
 mod reassign;
 mod share;
 mod shutdown;
+mod spill;
 mod suspicion;
 mod target;
 mod term;
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -73,6 +73,7 @@
         prompt,
         target_left: Duration::from_millis(150),
         left: Duration::from_secs(2),
+        kv_crossing: cost::CROSS_DOMAIN_PENALTY,
     }
 }
 
@@ -318,6 +319,7 @@
         prompt: &prompt,
         target_left: Duration::from_millis(800),
         left,
+        kv_crossing: cost::CROSS_DOMAIN_PENALTY,
     };
     placement::plan(&request, &engines)
 }
@@ -394,3 +396,34 @@
     }
     assert_eq!(chosen, 3, "the three other candidates");
 }
+
+/// Guards against bytes between failure domains that cost more than the wait that they save, and
+/// against engines left idle there: the price decides.
+#[rstest]
+#[case::dear(Duration::from_millis(40), "near")]
+#[case::cheap(Duration::ZERO, "far")]
+fn a_kv_cache_crosses_between_failure_domains_if_its_bytes_are_worth_it(
+    #[case] kv_crossing: Duration,
+    #[case] expected: &str,
+) {
+    let prompt = long_prompt(4);
+    let engine = |id: &str, role, domain: &str, running| Engine {
+        domain: domain.into(),
+        running,
+        ..engine(id, role)
+    };
+    let engines = [
+        engine("reader", Role::Prefill, "one", 0),
+        engine("near", Role::Decode, "one", 20),
+        engine("far", Role::Decode, "two", 0),
+    ];
+    let request = Request {
+        kv_crossing,
+        ..request(&prompt)
+    };
+    let plan = placement::plan(&request, &engines);
+    assert!(
+        matches!(&plan, Plan::Split { decode_engine, .. } if decode_engine == expected),
+        "{plan:?}"
+    );
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway as a process, against stand-ins for the platform's store and upstreams.
 
+mod balance;
 mod belief;
 mod deadly;
 mod deadly_blocks;
