Balance: a rejection bounds the load for a moment only

Change: the room learned from a rejection is at least the load at which requests were taken, and counts for 100 ms.

--- a/src/balance/board.rs
+++ b/src/balance/board.rs
@@ -26,6 +26,9 @@
 const REPORT_TIME: Duration = Duration::from_secs(1);
 /// Forecast response times without a response after which an upstream counts as silent.
 const MAX_SILENCE_FACTOR: f64 = 3.0;
+/// Time after a rejection for which it bounds the load; the forecast at which it came may have been
+/// too low.
+const ROOM_TTL: Duration = Duration::from_millis(100);
 /// Weight of the newest interval between two reports of a peer in the mean.
 const INTERVAL_SMOOTHING: f64 = 0.05;
 
@@ -75,7 +78,9 @@
     pace: Pace,
     rate: Rate,
     answered_at: Option<Instant>,
-    room: Option<f64>,
+    /// Maximum forecast load at which a request was taken.
+    max_admitted: f64,
+    room: f64,
     rejected_at: Option<Instant>,
 }
 
@@ -166,15 +171,14 @@
     /// Records that an upstream rejected a request when its load was forecast as `load`.
     pub fn record_rejection(&mut self, upstream: u32, load: f64, now: Instant) {
         let entry = self.upstreams.entry(upstream).or_default();
-        let min = 2.0 * f64::from(entry.slots);
-        entry.room = Some(entry.room.map_or(load, |room| room.min(load)).max(min));
+        entry.room = load.max(entry.max_admitted);
         entry.rejected_at = Some(now);
     }
 
     /// Records that an upstream took a request when its load was forecast as `load`.
     pub fn record_admission(&mut self, upstream: u32, load: f64) {
         let entry = self.upstreams.entry(upstream).or_default();
-        entry.room = entry.room.map(|room| room.max(load + 1.0));
+        entry.max_admitted = entry.max_admitted.max(load + 1.0);
     }
 
     /// Takes in a peer's reports of all upstreams that it uses; returns why some were ignored.
@@ -277,11 +281,13 @@
         place.load = own + f64::from(reported);
         let response_s = place.response_s(0.0);
         place.load = own + entry.peers_load(response_s, now);
-        place.room = entry.room.unwrap_or(f64::INFINITY);
         if let Some(at) = entry.rejected_at {
-            let since = now.saturating_duration_since(at).as_secs_f64();
-            let drained = since * place.slots / place.service_s;
-            place.load = place.load.max(place.room - drained);
+            let since = now.saturating_duration_since(at);
+            let drained = since.as_secs_f64() * place.slots / place.service_s;
+            place.load = place.load.max(entry.room - drained);
+            if since < ROOM_TTL {
+                place.room = entry.room.max(place.slots);
+            }
         }
         place.silence_s = entry.silence(place.response_s(0.0), now);
         place
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -49,7 +49,7 @@
     /// Time for which it has answered nothing although requests are in flight, in seconds; 0 unless
     /// that is unusual.
     pub silence_s: f64,
-    /// Requests in flight from which it has rejected others; infinite if it never has.
+    /// Requests in flight from which it has rejected others; infinite if it has not lately.
     pub room: f64,
     /// Cost of choosing it beside its response time, in seconds.
     pub extra_s: f64,
--- a/tests/decisions/balance.rs
+++ b/tests/decisions/balance.rs
@@ -523,3 +523,22 @@
     let place = board.place(0, SLOTS, 0.5, now);
     assert!((place.service_s - 0.03).abs() < 0.001, "{place:?}");
 }
+
+/// Guards against requests that wait at their hosts before an upstream with room, since it once
+/// rejected a request when its load was forecast too low.
+#[test]
+fn a_rejection_holds_requests_back_for_a_moment_only() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.set_upstreams([(0, SLOTS)].into_iter(), now);
+    for _ in 0..8 {
+        board.begin(0, now);
+    }
+    board.record_rejection(0, 7.0, now);
+    let decide_after = |millis| {
+        let place = board.place(0, SLOTS, 0.03, now + Duration::from_millis(millis));
+        decide(place, &request(0, 150, 1500))
+    };
+    assert!(matches!(decide_after(1), Decision::Wait(_)));
+    assert!(matches!(decide_after(110), Decision::Send { .. }));
+}
