Balance: share rejections, and wait for the last upstream's room

Change: rejections travel with the loads; a request that all upstreams have rejected waits for room within its attempts and its deadline.

--- a/src/balance/board.rs
+++ b/src/balance/board.rs
@@ -46,7 +46,9 @@
     pub sent: u32,
     /// Responses received.
     pub answered: u32,
-    /// Time that the upstream took for these without waiting, in microseconds; wraps around.
+    /// Requests that it rejected without running them.
+    pub rejected: u32,
+    /// Time that the upstream took for the answered ones without waiting, in microseconds; wraps around.
     pub work_us: u64,
 }
 
@@ -171,8 +173,9 @@
     /// Records that an upstream rejected a request when its load was forecast as `load`.
     pub fn record_rejection(&mut self, upstream: u32, load: f64, now: Instant) {
         let entry = self.upstreams.entry(upstream).or_default();
-        entry.room = load.max(entry.max_admitted);
-        entry.rejected_at = Some(now);
+        entry.own.rejected = entry.own.rejected.wrapping_add(1);
+        entry.used_at = Some(now);
+        entry.bound(load, now);
     }
 
     /// Records that an upstream took a request when its load was forecast as `load`.
@@ -331,6 +334,12 @@
 }
 
 impl Upstream {
+    /// Records that no more than `load` requests, or than it has taken before, find room.
+    fn bound(&mut self, load: f64, now: Instant) {
+        self.room = load.max(self.max_admitted);
+        self.rejected_at = Some(now);
+    }
+
     fn merge(
         &mut self,
         peer: &HostId,
@@ -368,7 +377,13 @@
             self.pace.record(answered, work, now);
             self.answered_at = Some(now);
         }
+        let is_rejecting = report.rejected != before.rejected;
         self.insert(peer, started_at, report, now);
+        if is_rejecting {
+            let peers = self.live_peers(now).map(|peer| peer.report.running);
+            let load = self.running.len() as u32 + peers.sum::<u32>();
+            self.bound(f64::from(load), now);
+        }
         Ok(())
     }
 
--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -195,6 +195,13 @@
     Choice::Wait(pause)
 }
 
+/// Returns `true` if the balance is on and all upstreams that take work have been tried.
+pub fn is_exhausted(gateway: &Gateway, call: &Call, tried: &[UpstreamId], now: Instant) -> bool {
+    let targets = gateway.targets(&call.service, now);
+    let is_tried = |target: &Rc<Target>| tried.contains(&target.entry.id);
+    gateway.settings.balance.is_some() && targets.iter().all(is_tried)
+}
+
 /// Returns when a refused caller should retry; `None` if the balance is off.
 pub fn retry_after(gateway: &Gateway, call: &Call, now: Instant) -> Option<Duration> {
     let candidates = candidates(gateway, call, &[], now)?;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -64,7 +64,12 @@
         if now >= call.deadline {
             return give_up(call, &attempt_budget, buffered, RETRY_AFTER, trace);
         }
-        let other = match balance::choose(gateway, call, &tried, &mut waiting, now) {
+        let avoided = match last {
+            // An upstream that had no room may have some when the request has waited.
+            Some(Failure::NotRun(_)) if balance::is_exhausted(gateway, call, &tried, now) => &[],
+            _ => &tried[..],
+        };
+        let other = match balance::choose(gateway, call, avoided, &mut waiting, now) {
             Choice::Send(chosen) => Some(chosen),
             Choice::Wait(pause) => {
                 tokio::time::sleep(pause).await;
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -76,12 +76,18 @@
     /// Time that the upstream took for these without waiting, in microseconds; wraps around.
     #[prost(uint64, tag = "6")]
     pub work_us: u64,
+    /// Requests that the upstream rejected without running them.
+    #[prost(uint32, tag = "7")]
+    pub rejected: u32,
 }
 
 impl PlainLoad {
     /// Returns `true` if both tell the same of the sender's requests; their age is no difference.
     pub fn is_same_state(&self, other: &PlainLoad) -> bool {
-        let state = |load: &PlainLoad| (load.upstream, load.running, load.sent, load.answered);
+        let state = |load: &PlainLoad| {
+            let counts = (load.sent, load.answered, load.rejected);
+            (load.upstream, load.running, counts)
+        };
         state(self) == state(other)
     }
 }
@@ -95,6 +101,7 @@
             sent: report.sent,
             answered: report.answered,
             work_us: report.work_us,
+            rejected: report.rejected,
         }
     }
 }
@@ -108,6 +115,7 @@
             sent: load.sent,
             answered: load.answered,
             work_us: load.work_us,
+            rejected: load.rejected,
         }
     }
 }
--- a/tests/decisions/balance.rs
+++ b/tests/decisions/balance.rs
@@ -542,3 +542,28 @@
     assert!(matches!(decide_after(1), Decision::Wait(_)));
     assert!(matches!(decide_after(110), Decision::Send { .. }));
 }
+
+/// Guards against hosts that each have to be rejected themselves: with a request a second at each
+/// of them, what one learns is over before its next request.
+#[test]
+fn a_rejection_at_one_host_holds_back_the_others() {
+    let now = Instant::now();
+    let mut board = Board::default();
+    board.set_upstreams([(0, SLOTS)].into_iter(), now);
+    let report = Report {
+        running: 25,
+        ..Report::default()
+    };
+    board.record_peer(&"h2".into(), 1, &[report], now);
+    let rejecting = Report {
+        rejected: 1,
+        ..report
+    };
+    board.record_peer(&"h2".into(), 1, &[rejecting], now);
+    let place = board.place(0, SLOTS, 0.03, now + STEP);
+    let late = request(0, 0, 1500);
+    assert!(
+        matches!(decide(place, &late), Decision::Wait(_)),
+        "{place:?}"
+    );
+}
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -7,6 +7,7 @@
 use pistachiohall::gossip;
 use pistachiohall::gossip::Datagram;
 use pistachiohall::gossip::PlainLoad;
+use pistachiohall::standin::fleet::replica::Behavior;
 
 use super::site::NO_ORDERS;
 use super::site::Site;
@@ -114,3 +115,20 @@
         assert_eq!(call(&site, number), 200);
     }
 }
+
+/// Guards against a refusal by the only upstream that has no room for a moment, while the caller
+/// has time left.
+#[test]
+fn a_request_rejected_for_a_moment_is_served() {
+    let site = Site::start(&["c1"], &[], &format!("{NO_ORDERS}{BALANCED}"));
+    let replica = &site.replicas["c1"];
+    replica.set_behavior(Behavior::Shed);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            wait_for("the rejection", || !replica.received().is_empty());
+            replica.set_behavior(Behavior::Sound);
+        });
+        assert_eq!(call(&site, 1), 200);
+    });
+    assert_eq!(site.runs(), 1);
+}
