Balance: wait a service time for room after all upstreams rejected

Cause: a request that the last upstream had rejected tried again at once, when the forecast load was low, and was rejected again.

Change: it waits about one service time, at most a third of the time left.

--- a/src/gateway/balance.rs
+++ b/src/gateway/balance.rs
@@ -202,6 +202,19 @@
     gateway.settings.balance.is_some() && targets.iter().all(is_tried)
 }
 
+/// Returns the time for which a request that all upstreams have rejected waits for room: about as
+/// long as each slot takes for one request, and at most a third of the time left.
+pub fn pause_for_room(gateway: &Gateway, call: &Call, now: Instant) -> Duration {
+    let max = call.remaining(now) / 3;
+    let Some(candidates) = candidates(gateway, call, &[], now) else {
+        return balance::MIN_WAIT.min(max);
+    };
+    let services = candidates.places.iter().map(|place| place.service_s);
+    let service_s = services.min_by(f64::total_cmp).unwrap_or_default();
+    let draw: f64 = rand::rng().random();
+    Duration::from_secs_f64(service_s * (0.5 + draw)).min(max)
+}
+
 /// Returns when a refused caller should retry; `None` if the balance is off.
 pub fn retry_after(gateway: &Gateway, call: &Call, now: Instant) -> Option<Duration> {
     let candidates = candidates(gateway, call, &[], now)?;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -51,6 +51,7 @@
     let mut buffered = None;
     let mut last = None;
     let mut waiting = Waiting::default();
+    let mut paused_after = 0;
     loop {
         if let Some(retry_after) = suspect::refusal(gateway, call).await {
             trace.decide(suspect::REFUSAL_REASON);
@@ -64,11 +65,15 @@
         if now >= call.deadline {
             return give_up(call, &attempt_budget, buffered, RETRY_AFTER, trace);
         }
-        let avoided = match last {
-            // An upstream that had no room may have some when the request has waited.
-            Some(Failure::NotRun(_)) if balance::is_exhausted(gateway, call, &tried, now) => &[],
-            _ => &tried[..],
-        };
+        let is_rejected = matches!(last, Some(Failure::NotRun(_)));
+        let is_exhausted = is_rejected && balance::is_exhausted(gateway, call, &tried, now);
+        if is_exhausted && paused_after != tried.len() {
+            paused_after = tried.len();
+            tokio::time::sleep(balance::pause_for_room(gateway, call, now)).await;
+            continue;
+        }
+        // An upstream that had no room may have some when the request has waited.
+        let avoided = if is_exhausted { &[] } else { &tried[..] };
         let other = match balance::choose(gateway, call, avoided, &mut waiting, now) {
             Choice::Send(chosen) => Some(chosen),
             Choice::Wait(pause) => {
