--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -20,6 +20,7 @@
 use super::reply;
 use super::reply::Reply;
 use super::shutdown;
+use super::spill;
 use super::stream;
 use super::suspect;
 use super::target::Target;
@@ -159,6 +160,7 @@
         target_left: (call.arrived + call.route.target_latency).saturating_duration_since(now),
         left: call.remaining(now),
         is_above_share: gateway.is_above_share(call, now),
+        kv_crossing: spill::kv_crossing(gateway, call, prompt),
     };
     rank(gateway, call, placement::plan(&request, &engines))
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod account;
 pub mod allowance;
+pub mod balance;
 pub mod belief;
 pub mod bootstrap;
 pub mod call;
@@ -33,6 +34,7 @@
 pub mod reply;
 pub mod serve;
 pub mod shutdown;
+pub mod spill;
 pub mod stream;
 pub mod suspect;
 pub mod target;
@@ -108,6 +110,10 @@
     pub fairness: RefCell<fairness::Ledgers>,
     /// Loads and cached prompt blocks of engines.
     pub board: RefCell<placement::Board>,
+    /// Balance of plain services over all hosts.
+    pub balancer: balance::Balancer,
+    /// Requests to other failure domains.
+    pub spiller: spill::Spiller,
     /// Bytes of responses that are held until their callers have read them.
     pub held_responses: held::Budget,
     /// Bytes of requests that are held until they are answered.
@@ -156,6 +162,8 @@
             stored_suspects: Cell::default(),
             fairness: RefCell::default(),
             board: RefCell::default(),
+            balancer: balance::Balancer::default(),
+            spiller: spill::Spiller::default(),
             held_responses: held::Budget::new(exchange::MAX_ALL_HELD_BYTES),
             held_requests: held::Budget::new(serve::MAX_ALL_HELD_BYTES),
             pending_updates: RefCell::default(),
@@ -243,6 +251,7 @@
         self.age_observer.record_adopted(&view, Instant::now());
         self.update_targets(&view);
         self.update_board(&view);
+        self.update_balancer(&view);
         *self.view.borrow_mut() = view;
     }
 
@@ -307,6 +316,22 @@
         board.retain(|id| view.entries.iter().any(|entry| entry.id == *id));
     }
 
+    fn update_balancer(&self, view: &View) {
+        let Some(catalog) = &view.catalog else {
+            return;
+        };
+        let is_plain = |entry: &&Entry| {
+            let service = catalog.service(&entry.service);
+            service.is_some_and(|service| service.engine.is_none())
+        };
+        let upstreams = view.entries.iter().filter(is_plain).map(|entry| {
+            let digest = gossip::incarnation_digest(&entry.id, entry.started_at);
+            (digest, u32::try_from(entry.slots).unwrap_or(u32::MAX))
+        });
+        let mut board = self.balancer.board.borrow_mut();
+        board.set_upstreams(upstreams, Instant::now());
+    }
+
     /// Returns the upstreams of a service that take new work at `now`.
     pub fn targets(&self, service: &ServiceId, now: Instant) -> Vec<Rc<Target>> {
         self.targets
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,6 +19,7 @@
 
 use super::Gateway;
 use super::account;
+use super::balance;
 use super::call::Block;
 use super::keys;
 use crate::clock::Clock;
@@ -188,6 +189,7 @@
     urgent_sent_at: Instant,
     interval: Duration,
     loads: Vec<gossip::Load>,
+    plain_loads: Vec<gossip::PlainLoad>,
     live_peers: usize,
     pending_changes: Vec<u32>,
     unreachable: Vec<u32>,
@@ -204,6 +206,7 @@
             urgent_sent_at: Instant::now(),
             interval: gossip::MIN_INTERVAL,
             loads: Vec::new(),
+            plain_loads: Vec::new(),
             live_peers: 0,
             pending_changes: Vec::new(),
             unreachable: Vec::new(),
@@ -218,6 +221,7 @@
             started_at: self.started_at,
             sequence: self.sequence,
             loads: self.loads.clone(),
+            plain_loads: self.plain_loads.clone(),
             pending_changes: self.pending_changes.clone(),
             unreachable: self.unreachable.clone(),
             config_version: gateway.config_version(),
@@ -318,10 +322,13 @@
             return;
         }
         let loads = loads(gateway);
+        let plain_loads = balance::loads(gateway, now);
         let updates = gateway.pending_updates.take();
         gateway.record_pending_changes(&self.pending_changes, now);
         let unreachable = gateway.unreachable(now);
-        let has_same_state = loads == self.loads && unreachable == self.unreachable;
+        let has_same_state = loads == self.loads
+            && balance::is_same_state(&plain_loads, &self.plain_loads)
+            && unreachable == self.unreachable;
         let suspects = gateway
             .suspicion
             .borrow_mut()
@@ -336,6 +343,7 @@
         self.record_sent();
         self.sent_at = now;
         self.loads = loads;
+        self.plain_loads = plain_loads;
         self.unreachable = unreachable;
         let unproved =
             peers.last_datagrams_of_unproved(account::MAX_RECENT_AGE, MAX_PROVED_PEERS, now);
@@ -491,6 +499,7 @@
         });
         board.record_peer(&host, &loads.collect(), now);
         gateway.record_peer_sums(&host, &datagram.account_sums, now);
+        balance::record_peer(gateway, &host, &datagram, now);
     }
     Some(datagram)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod availability;
+pub mod balance;
 pub mod catalog;
 pub mod check;
 pub mod cli;
@@ -45,6 +46,7 @@
 pub mod service;
 pub mod settings;
 pub mod snapshot;
+pub mod spill;
 pub mod standin;
 pub mod status;
 pub mod suspicion;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -93,6 +93,8 @@
     /// Whether its client account has had more than its share of the service, so that it yields to
     /// other requests while room is short.
     pub is_above_share: bool,
+    /// Cost of moving the prompt's KV cache to another failure domain.
+    pub kv_crossing: Duration,
 }
 
 /// Placement of a request.
@@ -384,7 +386,10 @@
     )
     .mul_f64(prefill_engine.slowdown);
     let load = |engine: &Engine| {
-        let penalty = cost::cross_domain_penalty(engine.domain != prefill_engine.domain);
+        let penalty = match engine.domain != prefill_engine.domain {
+            true => request.kv_crossing.as_secs_f64(),
+            false => 0.0,
+        };
         engine.backlog.as_secs_f64() / 2.0
             + cost::contention(engine.running) * engine.slowdown
             + penalty
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod availability;
+mod balance;
 mod blame;
 mod budget;
 mod catalog;
@@ -19,6 +20,7 @@
 mod reassign;
 mod share;
 mod shutdown;
+mod spill;
 mod suspicion;
 mod target;
 mod term;
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway as a process, against stand-ins for the platform's store and upstreams.
 
 mod accounts;
+mod balance;
 mod belief;
 mod deadly;
 mod deadly_blocks;
