Share the connections that an upstream accepts among all hosts

Cause: each host opened at least eight connections to an upstream, so that 73 hosts could open 584 where it accepts 500; it reset the others while it had free slots.

Change: a host opens its share and at least one; a pure function with a test for 8 to 410 hosts.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -82,10 +82,6 @@
 const PENDING_CHANGE_TTL: Duration = Duration::from_millis(1200);
 /// Time without a request after which a host counts as idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Minimum number of connections to an upstream that a host may open, however many hosts there are.
-const MIN_CONNECTIONS: usize = 8;
-/// Share of an upstream's connections that the known hosts use; the rest is for unknown hosts.
-const CONNECTION_SHARE: f64 = 0.8;
 
 /// State of the request loop.
 #[derive(Debug)]
@@ -292,8 +288,7 @@
         let max_connections = catalog
             .and_then(|catalog| catalog.service(service))
             .map_or(0, |service| service.max_connections);
-        let share = max_connections as f64 * CONNECTION_SHARE / self.host_count.get().max(1) as f64;
-        (share as usize).max(MIN_CONNECTIONS)
+        pool::connection_share(max_connections, self.host_count.get())
     }
 
     fn update_board(&self, view: &View) {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -26,6 +26,24 @@
 use super::inflow::HeadMeter;
 use super::inflow::Inflow;
 
+/// Share of an upstream's connections that the known hosts use; the rest is for unknown hosts.
+const CONNECTION_SHARE: f64 = 0.8;
+
+/// Returns the number of connections that one of `hosts` may open to an upstream that accepts
+/// `max_connections` from all of them. An upstream resets those beyond its maximum, also while it has
+/// slots for the requests on them.
+///
+/// ```
+/// use pistachiohall::gateway::pool;
+/// assert_eq!(pool::connection_share(370, 8), 37);
+/// assert!(pool::connection_share(500, 73) * 73 <= 500);
+/// assert_eq!(pool::connection_share(500, 1000), 1);
+/// ```
+pub fn connection_share(max_connections: usize, hosts: usize) -> usize {
+    let share = max_connections as f64 * CONNECTION_SHARE / hosts.max(1) as f64;
+    (share as usize).max(1)
+}
+
 /// Maximum wait for a connection; upstreams are at most a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Age of unacknowledged data at which a connection is closed; below callers' usual deadlines.
--- a/tests/decisions/target.rs
+++ b/tests/decisions/target.rs
@@ -76,3 +76,16 @@
     assert!(!found_again.takes_work(now));
     assert!(Target::new(entry(2, State::Ready), 8, None, &incarnations).takes_work(now));
 }
+
+/// Many hosts before one plain upstream: their connections together stay below those that it accepts,
+/// since it resets the others even while it has free slots.
+#[rstest::rstest]
+#[case(370, 8)]
+#[case(500, 73)]
+#[case(550, 81)]
+#[case(500, 300)]
+#[case(500, 410)]
+fn the_connections_of_all_hosts_stay_below_the_maximum(#[case] max: usize, #[case] hosts: usize) {
+    let share = pistachiohall::gateway::pool::connection_share(max, hosts);
+    assert!(share >= 1 && share * hosts <= max, "{share}");
+}
