Report usage once a window, settled in the store

Cause: deployments with client accounts owe the platform a report of each window of the wall clock; nobody counted.

Change: hosts count requests that upstreams begin to run, by the median of their clocks, and send sums to three collectors; the holder of a term settles a window in a keyed topic under a condition, and only then reports it, so that a successor repeats it exactly. While a host is silent that was heard lately, windows are final later; a holder that shuts down leaves its term at once.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod stream;
 pub mod suspect;
 pub mod target;
+pub mod usage;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -88,6 +89,8 @@
     pub settings: Settings,
     /// Counters, gauges and histograms.
     pub metrics: Arc<Metrics>,
+    /// Counts requests by account.
+    pub usage: usage::Meter,
     /// Observes the age of the views that requests are served on.
     pub age_observer: AgeObserver,
     /// Availability that upstreams have announced in their responses.
@@ -136,6 +139,7 @@
         let suspicion = RefCell::new(Tracker::new(gossip::digest(&settings.name)));
         Gateway {
             started_at: Instant::now(),
+            usage: usage::Meter::new(&settings),
             host_count: Cell::new(settings.hosts_expected),
             retry_bounds: Cell::new(settings.retries),
             settings,
@@ -233,6 +237,8 @@
         self.age_observer.record_adopted(&view, Instant::now());
         self.update_targets(&view);
         self.update_board(&view);
+        let accounts = view.catalog.as_ref().and_then(|catalog| catalog.accounts());
+        self.usage.set_enabled(accounts.is_some());
         *self.view.borrow_mut() = view;
     }
 
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -208,6 +208,12 @@
             start(gateway, target, &progress.call, options, slot).await
         }
     };
+    match &started {
+        // The first event shows that the request has begun to run.
+        Ok(Start::Stream(stream)) if !stream.first.is_empty() => progress.trace.run.begin(),
+        Ok(Start::Full(response)) => progress.trace.run.answer(response.head.status),
+        Ok(Start::Stream(_)) | Err(_) => (),
+    }
     let outcome = summary(&started);
     progress
         .trace
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -115,6 +115,7 @@
                 let now = Instant::now();
                 if now.saturating_duration_since(sharing_set_at) >= SHARING_INTERVAL {
                     sharing_set_at = now;
+                    sender.send_usage(&gateway, &socket);
                     let counts_unheard = started_at.elapsed() < gossip::SHARING_TIMEOUT;
                     let hosts = peers.sharing(&gateway.settings.name, counts_unheard, now);
                     // Until the store or a peer has named the others, a usual number is assumed.
@@ -212,6 +213,7 @@
             pending_changes: self.pending_changes.clone(),
             unreachable: self.unreachable.clone(),
             config_version: gateway.config_version(),
+            usage: gateway.usage.announcement(),
             ..Datagram::default()
         }
     }
@@ -263,6 +265,18 @@
         send(socket, &datagram.encode_to_vec(), &near);
     }
 
+    /// Sends counts of usage to the hosts that collect them.
+    fn send_usage(&mut self, gateway: &Gateway, socket: &UdpSocket) {
+        for message in gateway.usage.due() {
+            self.record_sent(Instant::now());
+            let mut datagram = self.datagram(gateway);
+            if let Some(usage) = &mut datagram.usage {
+                usage.windows.push(message.counts);
+            }
+            send(socket, &datagram.encode_to_vec(), &message.to);
+        }
+    }
+
     /// Sends suspects to the live peers without waiting for the next regular datagram.
     fn send_urgent(&mut self, gateway: &Gateway, socket: &UdpSocket, peers: &Peers) {
         let now = Instant::now();
@@ -422,6 +436,7 @@
     };
     let now = Instant::now();
     gateway.record_peer(from);
+    gateway.usage.record_peer(&datagram, from);
     let mut announcement = gateway.announcement.borrow_mut();
     announcement.record(from, datagram.config_version, now);
     let known = peers.count_known();
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -76,8 +76,10 @@
         let has_other = pick(gateway, call, &tried, now).is_some();
         let until = attempt_deadline(call, &attempt_budget, has_other, now);
         let may_reuse = call.route.is_idempotent() && tried.len() == 1;
+        trace.run.offer();
         match attempt(gateway, &target, call, may_reuse, until).await {
             Ok(response) => {
+                trace.run.answer(response.head.status);
                 trace.step(format_args!(
                     "{}={}",
                     target.entry.id,
@@ -95,6 +97,7 @@
                 buffered = Some(response);
             }
             Err(failure) => {
+                trace.run.fail(failure.is_not_run());
                 trace.step(format_args!("{}={failure:?}", target.entry.id));
                 attempt_budget.record_failure(&failure);
                 last = Some(failure);
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -49,6 +49,7 @@
 use crate::follow::ViewPublisher;
 use crate::follow::suspects::Message;
 use crate::log::keyed::Keyed;
+use crate::platform::duties;
 use crate::platform::ingress;
 use crate::platform::store::Store;
 use crate::reassign;
@@ -57,6 +58,7 @@
 use crate::reassign::duty::PendingChanges;
 use crate::settings::gateway::Settings;
 use crate::suspicion::Report;
+use crate::usage;
 
 /// Interval at which idle connections are closed, suspects reconciled and gauges updated.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -134,6 +136,7 @@
         .build()
         .context("cannot start the request loop")?;
     let gateway = Rc::new(Gateway::new(settings, metrics, incarnations));
+    start_duties(&gateway, clock, &store)?;
     let peers = peers::Inputs {
         hosts,
         pending_changes: pending_change_updates,
@@ -156,6 +159,31 @@
     runtime.block_on(LocalSet::new().run_until(serve_until_shutdown(gateway, inputs)))
 }
 
+/// Starts the threads of the duties that one host at a time has.
+fn start_duties<C>(gateway: &Gateway, clock: &C, store: &Store) -> Result<()>
+where
+    C: Clock + Clone,
+{
+    let settings = &gateway.settings;
+    if let (Some(duties), Some(book)) = (&settings.duties, gateway.usage.book()) {
+        let config = usage::duty::Config {
+            host: settings.name.clone(),
+            lease: settings.lease,
+            max_calls_per_s: duties.max_calls_per_s,
+        };
+        let platform = duties::Client::new(duties.address);
+        usage::duty::start(
+            config,
+            Arc::clone(book),
+            platform,
+            &gateway.metrics,
+            clock,
+            store,
+        )?;
+    }
+    Ok(())
+}
+
 fn signals() -> Result<mpsc::Receiver<Command>> {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_SIGNALS);
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
@@ -397,6 +425,7 @@
     let limit = settings.shutdown_limit.saturating_sub(DRAIN_MARGIN);
     let schedule = Schedule::new(started_at, settings.balancer_lag, limit);
     gateway.leave(schedule);
+    gateway.usage.leave();
     phase.send_replace(Phase::Closing);
     info!(
         connections = connections.open(),
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 
 use super::call::Call;
+use super::usage::Run;
 use crate::id::RouteId;
 use crate::logging::sample::Sampler;
 use crate::logging::sample::Verdict;
@@ -201,6 +202,8 @@
     trail: Vec<Step>,
     outcome: Option<Outcome>,
     first: Option<Duration>,
+    /// Counts the request for its account.
+    pub run: Run,
 }
 
 impl Trace {
@@ -217,6 +220,7 @@
             trail: Vec::new(),
             outcome: None,
             first: None,
+            run: Run::default(),
         }
     }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -185,6 +185,7 @@
 
 async fn run(gateway: &Rc<Gateway>, call: Call) -> Reply {
     let mut trace = Trace::new(&call, &gateway.metrics);
+    trace.run = gateway.usage.run(&call);
     gateway.record_request(&call.service, call.arrived);
     match call.route.kind {
         Kind::Safe | Kind::Unsafe => plain::serve(gateway, &call, &mut trace).await,
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -213,6 +213,48 @@
     pub unchanged_ms: u32,
 }
 
+/// Number of requests of an account that upstreams began to run.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct AccountCount {
+    /// Name of the account.
+    #[prost(string, tag = "1")]
+    pub account: String,
+    /// Number of requests since the start of the window, so that a repeated datagram does no harm.
+    #[prost(uint64, tag = "2")]
+    pub count: u64,
+}
+
+/// Counts of the sender within one window.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct WindowCounts {
+    /// Number of the window.
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    /// Accounts; those that are missing are unchanged.
+    #[prost(message, repeated, tag = "2")]
+    pub accounts: Vec<AccountCount>,
+}
+
+/// What the sender knows of usage.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Usage {
+    /// Sender's wall clock, in milliseconds since the Unix epoch.
+    #[prost(fixed64, tag = "1")]
+    pub wall_ms: u64,
+    /// Newest fencing token of the sender, if it reports usage.
+    #[prost(uint64, optional, tag = "2")]
+    pub fencing_token: Option<u64>,
+    /// Newest window that is known to be reported.
+    #[prost(uint64, optional, tag = "3")]
+    pub reported: Option<u64>,
+    /// `true` if the sender did not reach the store or the platform lately.
+    #[prost(bool, tag = "4")]
+    pub is_unavailable: bool,
+    /// Counts; sent only to the hosts that collect them.
+    #[prost(message, repeated, tag = "5")]
+    pub windows: Vec<WindowCounts>,
+}
+
 /// Identifies a datagram by its sender's incarnation and its sequence number.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct DatagramId {
@@ -301,6 +343,9 @@
     /// Version of the sender's configuration; 0 if it has none.
     #[prost(uint64, tag = "12")]
     pub config_version: u64,
+    /// Usage; absent if the sender doesn't report it.
+    #[prost(message, optional, tag = "13")]
+    pub usage: Option<Usage>,
 }
 
 /// Returns the interval after a datagram of `bytes` to each of `peers`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,4 +49,5 @@
 pub mod term;
 pub mod throttle;
 pub mod upstream;
+pub mod usage;
 pub mod wire;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -48,6 +48,8 @@
 pub const LEASE_TOPIC: &str = "keyed.lease";
 /// Topic of the lease under which usage is reported.
 pub const USAGE_LEASE_TOPIC: &str = "keyed.usage-lease";
+/// Topic of the settled counts of the last windows of usage.
+pub const USAGE_TOPIC: &str = "keyed.usage";
 /// Topic of the lease under which upstreams are ordered.
 pub const CAPACITY_LEASE_TOPIC: &str = "keyed.capacity-lease";
 /// Key of the lease.
--- a/src/term/mod.rs
+++ b/src/term/mod.rs
@@ -98,6 +98,7 @@
     era: (Era, Duration),
     last_read: Option<LastRead>,
     grant: Option<Grant>,
+    has_store_failed: bool,
 }
 
 impl LeaseState {
@@ -114,6 +115,7 @@
             era: (0, Duration::ZERO),
             last_read: None,
             grant: None,
+            has_store_failed: false,
         }
     }
 
@@ -132,9 +134,11 @@
             return Some(grant);
         }
         self.grant = None;
+        self.has_store_failed = false;
         let read = self.read_record(now, store);
         self.record_era(store.newest_era(), now);
         if let Err(error) = read {
+            self.has_store_failed = true;
             warn!(
                 dependency = "store",
                 topic:% = self.subject.topic,
@@ -180,10 +184,12 @@
                 "lease lost to another host"
             ),
             Err(ConditionError::Append(AppendError::Refused(cause))) => {
+                self.has_store_failed = true;
                 info!(lease = "none", outcome = "refused", cause:% = cause; "lease refused");
             }
             // If the record was written, the next read finds it as this host's own.
             Err(ConditionError::Append(AppendError::Unknown(cause))) => {
+                self.has_store_failed = true;
                 info!(
                     lease = "none",
                     outcome = "unknown",
@@ -204,6 +210,12 @@
         }
     }
 
+    /// Returns `true` if the last attempt to acquire the lease failed for want of the store, rather than
+    /// because another host holds it.
+    pub fn has_store_failed(&self) -> bool {
+        self.has_store_failed
+    }
+
     /// Releases the lease, for example after an engine refused its fencing token.
     pub fn release(&mut self) {
         self.grant = None;
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -20,6 +20,7 @@
 mod target;
 mod term;
 mod throttle;
+mod usage;
 
 use pistachiohall::fleet::Entry;
 use pistachiohall::fleet::State;
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod refusals;
 mod restored;
 mod shutdown;
+mod usage;
 
 mod deployment;
 mod site;
