--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -108,11 +108,13 @@
         let has_other = pick(gateway, call, &tried, now).is_some();
         let until = attempt_deadline(call, &attempt_budget, has_other, now);
         let may_reuse = call.route.is_idempotent() && tried.len() == 1;
+        trace.run.offer();
         let sent = balance::Sent::new(gateway, &target, forecast, now);
         let ended = attempt(gateway, &target, call, may_reuse, until).await;
         sent.record(&ended);
         match ended {
             Ok(response) => {
+                trace.run.answer(response.head.status);
                 trace.step(format_args!(
                     "{}={}",
                     target.entry.id,
@@ -131,6 +133,7 @@
                 buffered = Some(response);
             }
             Err(failure) => {
+                trace.run.fail(failure.is_not_run());
                 trace.step(format_args!("{}={failure:?}", target.entry.id));
                 attempt_budget.record_failure(&failure);
                 last = Some(failure);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -15,6 +15,7 @@
 use super::call::Call;
 use super::heaviest::Count;
 use super::heaviest::Heaviest;
+use super::usage::Run;
 use crate::id::AccountId;
 use crate::id::RouteId;
 use crate::logging::sample::Sampler;
@@ -241,6 +242,8 @@
     trail: Vec<Step>,
     outcome: Option<Outcome>,
     first: Option<Duration>,
+    /// Counts the request for its account.
+    pub run: Run,
 }
 
 impl Trace {
@@ -257,6 +260,7 @@
             trail: Vec::new(),
             outcome: None,
             first: None,
+            run: Run::default(),
         }
     }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -236,6 +236,7 @@
 
 async fn run(gateway: &Rc<Gateway>, call: Call) -> Reply {
     let mut trace = Trace::new(&call, &gateway.metrics);
+    trace.run = gateway.usage.run(&call);
     gateway.record_request(&call.service, call.arrived);
     gateway.record_offered(&call, call.arrived);
     match call.route.kind {
