Order upstreams by demand, kind and failure domain

Replicas are billed by the second and the number at the start was kept whatever the load. A pure plan now decides how many of each kind each failure domain needs, so that one of them may lose its withdrawable ones at once, and one host under a lease orders them. Demand travels in datagrams (tag 17).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -60,6 +60,12 @@
     pub state: State,
     /// Maximum number of concurrent requests.
     pub slots: usize,
+    /// Whether the platform may withdraw it at short notice.
+    #[serde(default)]
+    pub may_be_withdrawn: bool,
+    /// Time from the writing of the entry until the upstream is ended, if it was told one.
+    #[serde(default)]
+    pub leaves_in: Option<Duration>,
 }
 
 /// Number of times an upstream has written its entry within one incarnation.
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -10,6 +10,7 @@
 use super::Gateway;
 use super::allowance::AttemptBudget;
 use super::call::Call;
+use super::demand;
 use super::exchange::Continuation;
 use super::open;
 use super::open::OpenStream;
@@ -66,6 +67,9 @@
             return fail(progress, RETRY_AFTER);
         }
         let plan = plan(gateway, &progress.call, &progress.tried, now);
+        if !may_have_run && progress.tried.is_empty() {
+            demand::record(gateway, &progress.call, &plan, now);
+        }
         if let Plan::Refuse {
             retry_after,
             reason,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod belief;
 pub mod bootstrap;
 pub mod call;
+pub mod demand;
 pub mod doubt;
 pub mod events;
 pub mod exchange;
@@ -50,6 +51,7 @@
 use crate::availability;
 use crate::availability::Incarnations;
 use crate::availability::Unavailability;
+use crate::capacity::demand::Meter;
 use crate::catalog::Catalog;
 use crate::catalog::Version;
 use crate::fleet::Entry;
@@ -102,6 +104,8 @@
     pub stored_suspects: Cell<suspect::Loading>,
     /// Loads and cached prompt blocks of engines.
     pub board: RefCell<placement::Board>,
+    /// Work that arrives at this host.
+    pub demand: RefCell<Meter>,
     /// Bytes of responses that are held until their callers have read them.
     pub held_responses: held::Budget,
     /// Bytes of requests that are held until they are answered.
@@ -147,6 +151,7 @@
             suspect_log_limiter: suspect::LogLimiter::default(),
             stored_suspects: Cell::default(),
             board: RefCell::default(),
+            demand: RefCell::default(),
             held_responses: held::Budget::new(exchange::MAX_ALL_HELD_BYTES),
             held_requests: held::Budget::new(serve::MAX_ALL_HELD_BYTES),
             pending_updates: RefCell::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,6 +19,8 @@
 
 use super::Gateway;
 use super::call::Block;
+use super::demand::Gatherer;
+use crate::capacity::duty::Outlook;
 use crate::follow::hosts::Hosts;
 use crate::follow::share;
 use crate::follow::share::Exchange;
@@ -69,6 +71,8 @@
     pub exchange: Exchange,
     /// Whether many of the known peers are silent.
     pub is_partial: Arc<AtomicBool>,
+    /// Demand of all hosts.
+    pub outlook: watch::Sender<Outlook>,
 }
 
 /// Opens the socket that peers send datagrams to, and a listener at the same address for their
@@ -97,7 +101,9 @@
         constraints,
         mut exchange,
         is_partial,
+        outlook,
     } = inputs;
+    let mut gatherer = Gatherer::new(outlook);
     let mut peers = Peers::default();
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut tick = time::interval(gossip::MIN_INTERVAL);
@@ -133,6 +139,7 @@
                     is_idle: gateway.is_idle(now),
                     pending_changes: gateway.pending_changes(now),
                 };
+                gatherer.publish(&gateway, newest.rank, peers.count_known(), now);
                 constraints.send_if_modified(|current| {
                     let is_changed = *current != newest;
                     *current = newest;
@@ -142,6 +149,7 @@
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
                     if let Some(datagram) = receive(&gateway, &mut peers, &buffer[..length], from) {
+                        gatherer.receive(&datagram, Instant::now());
                         sender.deliver_segments(&gateway, &exchange, datagram);
                     }
                 }
@@ -212,6 +220,7 @@
             pending_changes: self.pending_changes.clone(),
             unreachable: self.unreachable.clone(),
             config_version: gateway.config_version(),
+            demands: gateway.demand.borrow().report(Instant::now()),
             ..Datagram::default()
         }
     }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -32,6 +32,7 @@
 
 use super::Gateway;
 use super::bootstrap;
+use super::demand;
 use super::listen;
 use super::listen::Connections;
 use super::listen::Phase;
@@ -43,12 +44,15 @@
 use super::shutdown::Schedule;
 use super::suspect;
 use crate::availability::Incarnations;
+use crate::capacity;
+use crate::capacity::duty::Outlook;
 use crate::clock::Clock;
 use crate::follow;
 use crate::follow::View;
 use crate::follow::ViewPublisher;
 use crate::follow::suspects::Message;
 use crate::log::keyed::Keyed;
+use crate::platform::duties::Client;
 use crate::platform::ingress;
 use crate::platform::store::Store;
 use crate::reassign;
@@ -126,6 +130,30 @@
         clock,
         &store,
     )?;
+    let (outlook, outlooks) = watch::channel(Outlook::default());
+    if let Some(duties) = settings
+        .duties
+        .as_ref()
+        .filter(|_| demand::is_ordered(&settings))
+    {
+        let config = capacity::duty::Config {
+            host: settings.name.clone(),
+            lease: settings.lease,
+            second_worth: settings.second_worth,
+            max_calls_per_s: duties.max_calls_per_s,
+            incarnations: Arc::clone(&incarnations),
+        };
+        let client = Client::new(duties.address);
+        capacity::duty::start(
+            config,
+            client,
+            &metrics,
+            view.clone(),
+            outlooks,
+            clock,
+            &store,
+        )?;
+    }
     if let Some(address) = settings.metrics_listen {
         super::metrics::start(address, &metrics);
     }
@@ -140,6 +168,7 @@
         constraints,
         exchange,
         is_partial,
+        outlook,
     };
     let inputs = Inputs {
         views,
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -184,6 +184,26 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// Work that arrives at the sender for one service, in thousandths of what one upstream does.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Demand {
+    /// Digest of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Requests, in thousandths per second.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    /// Prefill work with the blocks that are cached now.
+    #[prost(uint32, tag = "3")]
+    pub prefill: u32,
+    /// Prefill work that the cached blocks save.
+    #[prost(uint32, tag = "4")]
+    pub saved: u32,
+    /// Decode work.
+    #[prost(uint32, tag = "5")]
+    pub decode: u32,
+}
+
 /// Records that the sender read from the store.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Segment {
@@ -301,6 +321,9 @@
     /// Version of the sender's configuration; 0 if it has none.
     #[prost(uint64, tag = "12")]
     pub config_version: u64,
+    /// Work that arrives at the sender, by service; empty unless upstreams are ordered.
+    #[prost(message, repeated, tag = "17")]
+    pub demands: Vec<Demand>,
 }
 
 /// Returns the interval after a datagram of `bytes` to each of `peers`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod availability;
+pub mod capacity;
 pub mod catalog;
 pub mod cli;
 pub mod clock;
--- a/src/placement/cost.rs
+++ b/src/placement/cost.rs
@@ -16,6 +16,8 @@
 const STEP_OVERHEAD_MS: f64 = 0.7;
 /// Maximum prompt tokens of a prefill step.
 const MAX_STEP_TOKENS: f64 = 4096.0;
+/// Requests for which one step of an engine generates a token, where it isn't nearly full.
+const DECODE_BATCH: f64 = 2.0;
 /// Cost in seconds that each running request adds to an engine.
 const CONTENTION_S_PER_REQUEST: f64 = 0.0004;
 /// Cost in seconds of moving a KV cache between failure domains.
@@ -47,6 +49,19 @@
     Duration::from_secs_f64(millis / 1000.0)
 }
 
+/// Returns the time of an engine that the tokens generated for a prompt take.
+///
+/// ```
+/// use pistachiohall::gateway::call::Prompt;
+/// use pistachiohall::placement::cost;
+/// let prompt = Prompt { max_generated: 72, ..Prompt::default() };
+/// assert!(cost::decode_time(&prompt) > cost::decode_time(&Prompt::default()));
+/// ```
+pub fn decode_time(prompt: &Prompt) -> Duration {
+    let steps = prompt.max_generated as f64 / DECODE_BATCH;
+    Duration::from_secs_f64(steps * STEP_OVERHEAD_MS / 1000.0)
+}
+
 /// Returns the cost that running requests add to an engine, in seconds.
 pub fn contention(running: usize) -> f64 {
     running as f64 * CONTENTION_S_PER_REQUEST
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -1,6 +1,7 @@
 //! Decodes the entries that upstreams write about themselves.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use compact_str::CompactString;
 use serde::Deserialize;
@@ -18,6 +19,9 @@
 /// where numbers are floating-point.
 const MAX_INTEGER: u64 = (1 << 53) - 1;
 
+/// Maximum time until an upstream leaves; a longer one is reduced to this.
+const MAX_LEAVES_MS: f64 = 3_600_000.0;
+
 #[derive(Debug, Deserialize)]
 struct EntryText {
     service: CompactString,
@@ -36,6 +40,12 @@
     /// reuses its name.
     #[serde(default)]
     born: u64,
+    /// Whether the platform may withdraw the upstream.
+    #[serde(default)]
+    spot: bool,
+    /// Time until the platform ends an upstream that it withdraws.
+    #[serde(default)]
+    leaves_ms: Option<f64>,
 }
 
 #[derive(Debug, Clone, Copy, Deserialize)]
@@ -113,6 +123,11 @@
             StateText::Draining => State::Draining,
         },
         slots: value.slots,
+        may_be_withdrawn: value.spot,
+        leaves_in: value
+            .leaves_ms
+            .filter(|left| !left.is_nan())
+            .map(|left| Duration::from_secs_f64(left.clamp(0.0, MAX_LEAVES_MS) / 1000.0)),
     };
     Ok((entry, value.sequence))
 }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -40,6 +40,10 @@
 /// Default number of calls to the platform per second, of all hosts together.
 const DEFAULT_DUTY_CALLS_PER_S: f64 = 10.0;
 
+/// Default worth of a second of an upstream, in served requests: a request that a caller misses
+/// weighs as much as a second of an upstream, which serves many.
+const DEFAULT_SECOND_WORTH: f64 = 1.0;
+
 /// Calls to the platform that one host at a time makes for all.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Duties {
@@ -89,6 +93,8 @@
     /// Maximum time after a key was taken away for which requests with it may still run; `None` if
     /// a key is served for as long as no newer configuration is known.
     pub max_revocation: Option<Duration>,
+    /// What a second of an upstream whose price is 1 is worth in served requests.
+    pub second_worth: f64,
 }
 
 impl Settings {
@@ -130,6 +136,7 @@
         let usage_due = source.optional("duties", "usage_due", unit::duration);
         let max_calls_per_s = source.optional("duties", "max_calls_per_s", unit::weight);
         let max_revocation = source.optional("accounts", "max_revocation", unit::duration);
+        let second_worth = source.optional("capacity", "second_worth", unit::weight);
         source.finish()?;
         let duties = platform.map(|address| Duties {
             address,
@@ -158,6 +165,7 @@
             read_share: read_share.unwrap_or(DEFAULT_PREFILL_SHARE),
             duties,
             max_revocation,
+            second_worth: second_worth.unwrap_or(DEFAULT_SECOND_WORTH),
         })
     }
 }
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -22,6 +22,8 @@
         role: Role::Decode,
         state: State::Ready,
         slots: 8,
+        may_be_withdrawn: false,
+        leaves_in: None,
     }
 }
 
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -3,6 +3,7 @@
 mod availability;
 mod blame;
 mod budget;
+mod capacity;
 mod catalog;
 mod delivery;
 mod doubt;
@@ -36,5 +37,7 @@
         role: Role::Mixed,
         state,
         slots: 6,
+        may_be_withdrawn: false,
+        leaves_in: None,
     }
 }
--- a/tests/decisions/reassign.rs
+++ b/tests/decisions/reassign.rs
@@ -23,6 +23,8 @@
             },
             state: State::Ready,
             slots: 64,
+            may_be_withdrawn: false,
+            leaves_in: None,
         })
         .collect()
 }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway as a process, against stand-ins for the platform's store and upstreams.
 
 mod belief;
+mod capacity;
 mod deadly;
 mod deadly_blocks;
 mod endless;
