--- a/src/capacity/controller.rs
+++ b/src/capacity/controller.rs
@@ -5,7 +5,6 @@
 use std::time::Instant;
 
 use super::Counts;
-use super::Domain;
 use super::Domains;
 use super::Need;
 use super::Plan;
@@ -42,14 +41,16 @@
 }
 
 /// Orders to be sent, and why.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Decision {
     /// Orders; those for more upstreams come first.
     pub orders: Vec<CapacityOrder>,
     /// Numbers that the service should have.
     pub plan: Plan,
-    /// Present and expected work, in thousandths of a busy upstream.
-    pub work_milli: (u64, u64),
+    /// Work that arrives now.
+    pub rate: Rate,
+    /// Work to be ready for, in busy upstreams.
+    pub expected: f64,
 }
 
 /// State of the orders of one service.
@@ -119,11 +120,11 @@
             }
         }
         orders.sort_by_key(|(is_reduction, order)| (*is_reduction, !order.is_spot));
-        let milli = |value: f64| (value * 1000.0) as u64;
         Some(Decision {
             orders: orders.into_iter().map(|(_, order)| order).collect(),
             plan,
-            work_milli: (milli(need.present), milli(need.expected)),
+            rate,
+            expected: need.expected,
         })
     }
 
@@ -189,9 +190,7 @@
         let mut domains = Domains::new();
         let listed = entries.iter().filter(|entry| entry.service == service.name);
         for entry in listed {
-            let domain = domains
-                .entry(entry.domain.clone())
-                .or_insert_with(Domain::default);
+            let domain = domains.entry(entry.domain.clone()).or_default();
             match (entry.state, entry.may_be_withdrawn) {
                 (State::Ready, false) => domain.serving.stable += 1,
                 (State::Ready, true) => domain.serving.withdrawable += 1,
@@ -203,7 +202,7 @@
             .into_iter()
             .flat_map(|scale| scale.domain_prices.keys());
         for id in priced {
-            domains.entry(id.clone()).or_insert_with(Domain::default);
+            domains.entry(id.clone()).or_default();
         }
         let boot = scale.map_or(Duration::ZERO, |scale| scale.boot_duration);
         for (id, domain) in &mut domains {
--- a/src/capacity/duty.rs
+++ b/src/capacity/duty.rs
@@ -99,6 +99,15 @@
     }
 }
 
+/// Channels from other threads.
+#[derive(Debug)]
+pub struct Inputs {
+    /// Configuration and upstreams.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Demand of all hosts.
+    pub outlook: watch::Receiver<Outlook>,
+}
+
 /// Platform that takes orders.
 pub trait Platform {
     /// Orders upstreams.
@@ -132,8 +141,7 @@
     config: Config,
     client: Client,
     metrics: &Arc<Metrics>,
-    view: watch::Receiver<Arc<View>>,
-    outlook: watch::Receiver<Outlook>,
+    inputs: Inputs,
     clock: &C,
     store: &Store,
 ) -> Result<()>
@@ -147,8 +155,8 @@
         .spawn(move || {
             loop {
                 clock.sleep(CHECK_INTERVAL);
-                let current_view = Arc::clone(&view.borrow());
-                let current_outlook = outlook.borrow().clone();
+                let current_view = Arc::clone(&inputs.view.borrow());
+                let current_outlook = inputs.outlook.borrow().clone();
                 duty.step(&current_view, &current_outlook, &clock, &store);
             }
         })?;
@@ -296,8 +304,11 @@
             desired = order.desired,
             serving = before,
             needed = decision.plan.needed,
-            work_milli = decision.work_milli.0,
-            expected_milli = decision.work_milli.1,
+            requests = decision.rate.requests,
+            prefill = decision.rate.prefill,
+            decode = decision.rate.decode,
+            saved = decision.rate.saved,
+            expected = decision.expected,
             reason = decision.plan.reason,
             lease = authority.fencing_token,
             outcome:? = outcome;
--- a/src/capacity/history.rs
+++ b/src/capacity/history.rs
@@ -17,6 +17,9 @@
 /// Ratio to the remembered peaks from which demand counts as rising above them.
 const NEW_PEAK: f64 = 1.1;
 
+/// Maximum rise that is expected of a rising demand, relative to it.
+const MAX_RISE: f64 = 1.25;
+
 /// Demand of one service over time.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct History {
@@ -93,7 +96,7 @@
     pub fn expected(&self) -> f64 {
         let before = self.peaks[1..].iter().copied().fold(0.0, f64::max);
         let ahead = match self.present > before * NEW_PEAK {
-            true => 2.0 * self.present - self.slow,
+            true => (2.0 * self.present - self.slow).min(self.present * MAX_RISE),
             false => 0.0,
         };
         let has_peaks = self
--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -224,6 +224,9 @@
 
 /// Minimum reduction of a kind in a failure domain, as a share of its number.
 const MIN_REDUCTION: f64 = 0.2;
+/// Minimum increase of a kind in a failure domain, as a share of its number; less is covered by the time
+/// for which upstreams aren't busy.
+const MIN_INCREASE: f64 = 0.1;
 
 /// Returns the numbers to order next on the way to `plan`: all that are missing at once, and if
 /// `may_reduce`, one reduction in one failure domain.
@@ -242,9 +245,9 @@
         .iter()
         .map(|(id, wanted)| {
             let ordered = ordered(id);
-            let stable = wanted.stable.max(ordered.stable);
+            let stable = increased(ordered.stable, wanted.stable);
             let room = plan.max.saturating_sub(stable);
-            let withdrawable = wanted.withdrawable.min(room).max(ordered.withdrawable);
+            let withdrawable = increased(ordered.withdrawable, wanted.withdrawable.min(room));
             (
                 id.clone(),
                 Counts {
@@ -260,6 +263,15 @@
     counts
 }
 
+/// Returns the number after an increase to `wanted`, if that is worth the change.
+fn increased(ordered: usize, wanted: usize) -> usize {
+    let least = (ordered as f64 * MIN_INCREASE).ceil() as usize;
+    match wanted >= ordered + least.max(1) {
+        true => wanted,
+        false => ordered,
+    }
+}
+
 /// Returns the greatest reduction that is allowed now.
 fn reduction(plan: &Plan, domains: &Domains) -> Option<(DomainId, Counts)> {
     let total: usize = domains.values().map(|domain| domain.serving.total()).sum();
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -16,6 +16,7 @@
 use crate::gossip::Datagram;
 use crate::id::DomainId;
 use crate::id::HostId;
+use crate::id::ServiceId;
 use crate::placement::Plan;
 use crate::placement::cost;
 use crate::platform::duties::Duty;
@@ -62,12 +63,24 @@
         requests: 1.0,
         prefill,
         saved: (cold - prefill).max(0.0),
-        decode: cost::decode_time(prompt).as_secs_f64() * slowdown,
+        decode: 0.0,
     };
     let mut meter = gateway.demand.borrow_mut();
     meter.record(&call.service, request, now);
 }
 
+/// Records that events of a response have arrived: a step of its engine. What a request says that it
+/// may generate at most tells little.
+pub fn record_step(gateway: &Gateway, service: &ServiceId, now: Instant) {
+    if is_ordered(&gateway.settings) {
+        let step = Rate {
+            decode: cost::step_time().as_secs_f64(),
+            ..Rate::default()
+        };
+        gateway.demand.borrow_mut().record(service, step, now);
+    }
+}
+
 /// Gathers the demand of all hosts if this host may have to order upstreams.
 #[derive(Debug)]
 pub struct Gatherer {
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -52,6 +52,7 @@
         call,
         trace,
     };
+    let mut is_recorded = false;
     loop {
         if let Some(retry_after) = suspect::refusal(gateway, &progress.call).await {
             progress.trace.decide(suspect::REFUSAL_REASON);
@@ -67,7 +68,7 @@
             return fail(progress, RETRY_AFTER);
         }
         let plan = plan(gateway, &progress.call, &progress.tried, now);
-        if !may_have_run && progress.tried.is_empty() {
+        if !std::mem::replace(&mut is_recorded, true) {
             demand::record(gateway, &progress.call, &plan, now);
         }
         if let Plan::Refuse {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -144,15 +144,11 @@
             incarnations: Arc::clone(&incarnations),
         };
         let client = Client::new(duties.address);
-        capacity::duty::start(
-            config,
-            client,
-            &metrics,
-            view.clone(),
-            outlooks,
-            clock,
-            &store,
-        )?;
+        let inputs = capacity::duty::Inputs {
+            view: view.clone(),
+            outlook: outlooks,
+        };
+        capacity::duty::start(config, client, &metrics, inputs, clock, &store)?;
     }
     if let Some(address) = settings.metrics_listen {
         super::metrics::start(address, &metrics);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,6 +10,7 @@
 use tokio::time;
 
 use super::Gateway;
+use super::demand;
 use super::exchange::Failure;
 use super::generate;
 use super::open;
@@ -126,6 +127,10 @@
                     }
                 }
             };
+            if events.is_some() {
+                let service = &self.progress.call.service;
+                demand::record_step(&self.gateway, service, Instant::now());
+            }
             if let Some(events) = events
                 && let Some(end) = self.send(events).await
             {
--- a/src/placement/cost.rs
+++ b/src/placement/cost.rs
@@ -49,17 +49,15 @@
     Duration::from_secs_f64(millis / 1000.0)
 }
 
-/// Returns the time of an engine that the tokens generated for a prompt take.
+/// Returns the time of an engine that one generated token takes, with several generated in a step.
 ///
 /// ```
-/// use pistachiohall::gateway::call::Prompt;
+/// use std::time::Duration;
 /// use pistachiohall::placement::cost;
-/// let prompt = Prompt { max_generated: 72, ..Prompt::default() };
-/// assert!(cost::decode_time(&prompt) > cost::decode_time(&Prompt::default()));
+/// assert!(cost::step_time() < Duration::from_millis(1));
 /// ```
-pub fn decode_time(prompt: &Prompt) -> Duration {
-    let steps = prompt.max_generated as f64 / DECODE_BATCH;
-    Duration::from_secs_f64(steps * STEP_OVERHEAD_MS / 1000.0)
+pub fn step_time() -> Duration {
+    Duration::from_secs_f64(STEP_OVERHEAD_MS / DECODE_BATCH / 1000.0)
 }
 
 /// Returns the cost that running requests add to an engine, in seconds.
