--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod belief;
 mod capacity;
+mod capacity_site;
 mod deadly;
 mod deadly_blocks;
 mod endless;
