--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -10,6 +10,7 @@
 use super::Gateway;
 use super::allowance::AttemptBudget;
 use super::call::Call;
+use super::demand;
 use super::exchange::Continuation;
 use super::open;
 use super::open::OpenStream;
@@ -52,6 +53,7 @@
         call,
         trace,
     };
+    let mut is_recorded = false;
     loop {
         if let Some(retry_after) = suspect::refusal(gateway, &progress.call).await {
             progress.trace.decide(suspect::REFUSAL_REASON);
@@ -72,6 +74,9 @@
             return fail(progress, RETRY_AFTER);
         }
         let plan = plan(gateway, &progress.call, &progress.tried, now);
+        if !std::mem::replace(&mut is_recorded, true) {
+            demand::record(gateway, &progress.call, &plan, now);
+        }
         if let Plan::Refuse {
             retry_after,
             reason,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod belief;
 pub mod bootstrap;
 pub mod call;
+pub mod demand;
 pub mod doubt;
 pub mod events;
 pub mod exchange;
@@ -56,6 +57,7 @@
 use crate::availability;
 use crate::availability::Incarnations;
 use crate::availability::Unavailability;
+use crate::capacity::demand::Meter;
 use crate::catalog::Catalog;
 use crate::catalog::Version;
 use crate::fleet::Entry;
@@ -113,6 +115,8 @@
     pub balancer: balance::Balancer,
     /// Requests to other failure domains.
     pub spiller: spill::Spiller,
+    /// Work that arrives at this host.
+    pub demand: RefCell<Meter>,
     /// Bytes of responses that are held until their callers have read them.
     pub held_responses: held::Budget,
     /// Bytes of requests that are held until they are answered.
@@ -164,6 +168,7 @@
             board: RefCell::default(),
             balancer: balance::Balancer::default(),
             spiller: spill::Spiller::default(),
+            demand: RefCell::default(),
             held_responses: held::Budget::new(exchange::MAX_ALL_HELD_BYTES),
             held_requests: held::Budget::new(serve::MAX_ALL_HELD_BYTES),
             pending_updates: RefCell::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -21,7 +21,9 @@
 use super::account;
 use super::balance;
 use super::call::Block;
+use super::demand::Gatherer;
 use super::keys;
+use crate::capacity::duty::Outlook;
 use crate::clock::Clock;
 use crate::clock::Real;
 use crate::follow::hosts::Hosts;
@@ -77,6 +79,8 @@
     pub exchange: Exchange,
     /// Whether many of the known peers are silent.
     pub is_partial: Arc<AtomicBool>,
+    /// Demand of all hosts.
+    pub outlook: watch::Sender<Outlook>,
 }
 
 /// Opens the socket that peers send datagrams to, and a listener at the same address for their
@@ -105,7 +109,9 @@
         constraints,
         mut exchange,
         is_partial,
+        outlook,
     } = inputs;
+    let mut gatherer = Gatherer::new(outlook);
     let mut peers = Peers::default();
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut tick = time::interval(gossip::MIN_INTERVAL);
@@ -143,6 +149,7 @@
                     is_idle: gateway.is_idle(now),
                     pending_changes: gateway.pending_changes(now),
                 };
+                gatherer.publish(&gateway, newest.rank, peers.count_known(), now);
                 constraints.send_if_modified(|current| {
                     let is_changed = *current != newest;
                     *current = newest;
@@ -153,6 +160,7 @@
                 Ok((length, from)) => {
                     if let Some(datagram) = receive(&gateway, &mut peers, &buffer[..length], from) {
                         sender.apply_proof(&gateway, &datagram);
+                        gatherer.receive(&datagram, Instant::now());
                         sender.deliver_segments(&gateway, &exchange, datagram);
                     }
                 }
@@ -227,6 +235,7 @@
             unreachable: self.unreachable.clone(),
             config_version: gateway.config_version(),
             usage: gateway.usage.announcement(),
+            demands: gateway.demand.borrow().report(Instant::now()),
             ..Datagram::default()
         }
     }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -41,6 +41,10 @@
 /// Default number of calls to the platform per second, of all hosts together.
 const DEFAULT_DUTY_CALLS_PER_S: f64 = 10.0;
 
+/// Default worth of a second of an upstream, in served requests: a request that a caller misses
+/// weighs as much as a second of an upstream, which serves many.
+const DEFAULT_SECOND_WORTH: f64 = 1.0;
+
 /// Calls to the platform that one host at a time makes for all.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Duties {
@@ -106,6 +110,8 @@
     /// Maximum time after a key was taken away for which requests with it may still run; `None` if
     /// a key is served for as long as no newer configuration is known.
     pub max_revocation: Option<Duration>,
+    /// What a second of an upstream whose price is 1 is worth in served requests.
+    pub second_worth: f64,
 }
 
 impl Settings {
@@ -151,6 +157,7 @@
         let cross_domain_cost = source.optional("balance", "cross_domain_cost", unit::duration);
         let has_spill = source.optional("spill", "enabled", unit::flag);
         let price_per_gib = source.optional("spill", "price_per_gib", unit::duration);
+        let second_worth = source.optional("capacity", "second_worth", unit::weight);
         source.finish()?;
         let spill = has_spill.unwrap_or(false).then(|| {
             let terms = Terms::default();
@@ -191,6 +198,7 @@
             spill,
             duties,
             max_revocation,
+            second_worth: second_worth.unwrap_or(DEFAULT_SECOND_WORTH),
         })
     }
 }
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -5,6 +5,7 @@
 mod balance;
 mod blame;
 mod budget;
+mod capacity;
 mod catalog;
 mod check;
 mod delivery;
@@ -42,5 +43,7 @@
         role: Role::Mixed,
         state,
         slots: 6,
+        may_be_withdrawn: false,
+        leaves_in: None,
     }
 }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -3,6 +3,8 @@
 mod accounts;
 mod balance;
 mod belief;
+mod capacity;
+mod capacity_site;
 mod deadly;
 mod deadly_blocks;
 mod endless;
