Learn the pace of each engine, and stream long replies from fast ones

Engines that decode were all taken for alike: slowdowns were learned from prefills only, at a weight of 0.05 from the first.

A few prefills now tell the slowdown of an engine; the pauses in its streams, at most one in 50 ms, tell the pace of its streams. Where the expected pause exceeds a third of the route's target, the excess over the reply counts in the choice of the engine that decodes.

--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -137,6 +137,7 @@
                 late_backlog,
                 cached_tokens: board.cached_tokens(id, &prompt.blocks),
                 slowdown: board.slowdown(id),
+                gap: board.gap(id, occupancy(running + 1, target.entry.slots)),
             }
         })
         .collect();
@@ -153,10 +154,16 @@
         prompt,
         target_left: (call.arrived + call.route.target_latency).saturating_duration_since(now),
         left: call.remaining(now),
+        target_gap: call.route.target_gap,
     };
     placement::plan(&request, &engines)
 }
 
+/// Returns the share of an engine's slots that `running` requests take up.
+pub fn occupancy(running: usize, slots: usize) -> f64 {
+    (running as f64 / slots.max(1) as f64).min(1.0)
+}
+
 /// Urgency of a stream without a prompt; the middle of the scale.
 const DEFAULT_URGENCY: u8 = 5;
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,6 +1,7 @@
 //! Forwards a stream event by event, and resumes it at another engine where that is allowed.
 
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -103,6 +104,7 @@
 
     /// Forwards events until the response, the caller or the deadline ends it.
     async fn forward(&mut self, stream: &mut OpenStream) -> End {
+        let mut last_event_at = Instant::now();
         loop {
             let frame = tokio::select! {
                 biased;
@@ -126,14 +128,27 @@
                     }
                 }
             };
-            if let Some(events) = events
-                && let Some(end) = self.send(events).await
-            {
+            let Some(events) = events else {
+                continue;
+            };
+            let now = Instant::now();
+            self.record_gap(stream, now.saturating_duration_since(last_event_at), now);
+            if let Some(end) = self.send(events).await {
                 return end;
             }
+            // The wait for a slow caller tells nothing of the engine.
+            last_event_at = Instant::now();
         }
     }
 
+    /// Records a pause of an engine, which tells its pace.
+    fn record_gap(&self, stream: &OpenStream, pause: Duration, now: Instant) {
+        let entry = &stream.target.entry;
+        let mut board = self.gateway.board.borrow_mut();
+        let occupancy = generate::occupancy(board.load(&entry.id, now).running, entry.slots);
+        board.record_gap(&entry.id, pause, occupancy, now);
+    }
+
     async fn send(&self, events: Bytes) -> Option<End> {
         let sending = self.sender.send(Chunk::Events(events));
         match time::timeout_at(self.progress.call.deadline.into(), sending).await {
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use super::cache::Cache;
+use super::pace::Gap;
 use super::pace::Slowdown;
 use crate::gateway::call::Block;
 use crate::gossip;
@@ -12,6 +13,14 @@
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
+/// Minimum pause between events that tells the pace of an engine; shorter ones are events that
+/// arrived together.
+const MIN_GAP: Duration = Duration::from_millis(1);
+/// Maximum pause between events that tells the pace of an engine; longer ones are engines that
+/// hang or links that are cut.
+const MAX_GAP: Duration = Duration::from_secs(2);
+/// Minimum interval between two recorded pauses of an engine, whose streams pause together.
+const MIN_PAUSE_INTERVAL: Duration = Duration::from_millis(50);
 /// Age at which a load received from a peer expires; peers send theirs at least every 400 ms.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1000);
 
@@ -35,6 +44,10 @@
     cache: Cache,
     /// Relative to the slowdown of its service.
     slowdown: Slowdown,
+    /// Of its streams, relative to those of its service.
+    decode_slowdown: Slowdown,
+    /// Time at which the last pause was recorded.
+    pause_at: Option<Instant>,
 }
 
 /// Loads, caches and slowdowns of all engines.
@@ -42,6 +55,7 @@
 pub struct Board {
     engines: HashMap<UpstreamId, Engine>,
     slowdowns: HashMap<ServiceId, Slowdown>,
+    gaps: HashMap<ServiceId, Gap>,
 }
 
 impl Board {
@@ -54,6 +68,8 @@
             peers: HashMap::new(),
             cache: Cache::new(kv_capacity_tokens),
             slowdown: Slowdown::for_engine(),
+            decode_slowdown: Slowdown::for_streams(),
+            pause_at: None,
         };
         self.engines.insert(id.clone(), engine);
     }
@@ -149,11 +165,49 @@
     }
 
     /// Records the ratio of a prefill's duration to its forecast, which included the slowdown.
+    ///
+    /// What all engines have in common is attributed to the service, the rest to the engine.
     pub fn record_slowdown(&mut self, id: &UpstreamId, ratio: f64) {
         if let Some(engine) = self.engines.get_mut(id) {
             let service = self.slowdowns.entry(engine.service.clone());
-            service.or_insert_with(Slowdown::for_service).record(ratio);
-            engine.slowdown.record(ratio);
+            let service = service.or_insert_with(Slowdown::for_service);
+            let before = service.factor();
+            service.record(ratio * engine.slowdown.factor());
+            engine.slowdown.record(ratio * before / service.factor());
         }
     }
+
+    /// Returns the expected pause between events at an engine with this occupancy, the share of
+    /// its slots in use; `None` if no stream of the service has been seen.
+    pub fn gap(&self, id: &UpstreamId, occupancy: f64) -> Option<Duration> {
+        let engine = self.engines.get(id)?;
+        let gap = self.gaps.get(&engine.service)?;
+        Some(
+            gap.forecast(occupancy)
+                .mul_f64(engine.decode_slowdown.factor()),
+        )
+    }
+
+    /// Records a pause between two events of a stream at an engine with this occupancy.
+    pub fn record_gap(&mut self, id: &UpstreamId, pause: Duration, occupancy: f64, now: Instant) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        let since = |at| now.saturating_duration_since(at);
+        let is_recorded = engine
+            .pause_at
+            .is_some_and(|at| since(at) < MIN_PAUSE_INTERVAL);
+        if is_recorded || !(MIN_GAP..=MAX_GAP).contains(&pause) {
+            return;
+        }
+        engine.pause_at = Some(now);
+        let gap = self.gaps.entry(engine.service.clone());
+        let gap = gap
+            .and_modify(|gap| gap.record(pause, occupancy))
+            .or_insert_with(|| Gap::new(pause, occupancy));
+        let slowdown = engine.decode_slowdown.factor();
+        let expected = gap.forecast(occupancy).mul_f64(slowdown);
+        let ratio = pause.as_secs_f64() / expected.as_secs_f64();
+        engine.decode_slowdown.record(ratio);
+    }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -40,6 +40,9 @@
 /// queues behind requests that are on time until a peak of load ends; at another engine it would
 /// wait as long.
 const LATE_ATTEMPT_TIMEOUT_SHARE: f64 = 0.75;
+/// Share of the target for pauses within which the expected pause has to be; the rest covers steps
+/// that stall or that wait for the prefill of others.
+const TARGET_GAP_SHARE: f64 = 1.0 / 3.0;
 /// Estimated time to move a prompt's KV cache to another engine.
 const KV_TRANSFER_DURATION: Duration = Duration::from_millis(4);
 /// Maximum prompt tokens of a short prompt, which is prefilled at the engine that decodes.
@@ -76,6 +79,8 @@
     pub cached_tokens: u64,
     /// Factor by which it takes longer than the cost model says.
     pub slowdown: f64,
+    /// Expected pause between events of a stream that it decodes; `None` if unknown.
+    pub gap: Option<Duration>,
 }
 
 /// A request to be placed.
@@ -87,6 +92,8 @@
     pub target_left: Duration,
     /// Time until the caller or the route gives up.
     pub left: Duration,
+    /// Target for the maximum pause between events.
+    pub target_gap: Option<Duration>,
 }
 
 /// Placement of a request.
@@ -290,6 +297,17 @@
     one.cost.total_cmp(&other.cost)
 }
 
+/// Returns the cost of streaming from an engine whose pauses come near the target, in seconds: the
+/// time by which all of them together are expected to exceed their share of it.
+fn pause_cost(request: &Request<'_>, engine: &Engine) -> f64 {
+    let (Some(target), Some(gap)) = (request.target_gap, engine.gap) else {
+        return 0.0;
+    };
+    let excess = gap.saturating_sub(target.mul_f64(TARGET_GAP_SHARE));
+    let pauses = request.prompt.max_generated.saturating_sub(1);
+    excess.as_secs_f64() * pauses as f64
+}
+
 /// Returns the time until an engine starts the prefill of a new request of a class.
 fn queue_delay(engine: &Engine, class: QueueClass) -> Duration {
     match class {
@@ -312,7 +330,8 @@
         first_event_delay,
         cost: first_event_delay.as_secs_f64()
             + PREFILL_WEIGHT * prefill_time.as_secs_f64()
-            + contention,
+            + contention
+            + pause_cost(request, engine),
     }
 }
 
@@ -332,6 +351,7 @@
         let penalty = cost::cross_domain_penalty(engine.domain != prefill_engine.domain);
         engine.backlog.as_secs_f64() / 2.0
             + cost::contention(engine.running) * engine.slowdown
+            + pause_cost(request, engine)
             + penalty
     };
     let compare_load = |one: &&Engine, other: &&Engine| load(one).total_cmp(&load(other));
--- a/tests/decisions/pace.rs
+++ b/tests/decisions/pace.rs
@@ -1,6 +1,9 @@
 //! Slowdown of engines, learned from completed prefills at sites whose engines differ from the cost
 //! model.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use rstest::rstest;
 
 use pistachiohall::id::UpstreamId;
@@ -71,3 +74,106 @@
     assert!(board.slowdown(&one) < 1.5);
     assert!(board.slowdown(&other) < 1.5);
 }
+
+/// At a site where one engine in four works at 0.55 and the others at 1.2, a few prefills at each
+/// tell them apart, so that they get work accordingly.
+#[test]
+fn a_few_prefills_at_each_tell_slow_engines_from_fast_ones() {
+    let (mut board, one, other) = board();
+    for _ in 0..5 {
+        record(&mut board, &one, 1.0 / 0.55, 1);
+        record(&mut board, &other, 1.0 / 1.2, 3);
+    }
+    let ratio = board.slowdown(&one) / board.slowdown(&other);
+    assert!((1.6..2.8).contains(&ratio), "{ratio}");
+}
+
+/// Pause of a stream at an idle engine with speed 1.
+const PAUSE: Duration = Duration::from_millis(43);
+/// Interval between the pauses of all streams of an engine that are recorded.
+const PAUSE_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Records `pauses` pauses in streams of each engine: its factor to [`PAUSE`], and its occupancy.
+fn record_pauses(board: &mut Board, pauses: u32, engines: &[(&UpstreamId, f64, f64)]) {
+    let start = Instant::now();
+    for number in 0..pauses {
+        for (engine, factor, occupancy) in engines {
+            let at = start + PAUSE_INTERVAL * number;
+            board.record_gap(engine, PAUSE.mul_f64(*factor), *occupancy, at);
+        }
+    }
+}
+
+/// At a site where one engine in four works at 0.55 and the others at 1.2, two seconds of streams
+/// tell the pace of each that decodes.
+#[test]
+fn two_seconds_of_streams_tell_the_pace_of_engines_that_decode() {
+    let (mut board, one, other) = board();
+    let paces = [(&one, 1.0 / 0.55, 0.0), (&other, 1.0 / 1.2, 0.0)];
+    record_pauses(&mut board, 32, &paces);
+    let gap = |engine| board.gap(engine, 0.0).unwrap().as_secs_f64();
+    let error = gap(&one) / (PAUSE.as_secs_f64() / 0.55);
+    assert!((0.75..1.33).contains(&error), "off by {error}");
+    assert!(gap(&one) > 1.6 * gap(&other));
+}
+
+/// An engine without streams so far is taken for one like the others.
+#[test]
+fn an_engine_without_streams_is_taken_for_one_like_the_others() {
+    let (mut board, one, other) = board();
+    assert_eq!(board.gap(&one, 0.0), None);
+    record_pauses(&mut board, 40, &[(&one, 1.0, 0.0)]);
+    let error = board.gap(&other, 0.0).unwrap().as_secs_f64() / PAUSE.as_secs_f64();
+    assert!((0.9..1.1).contains(&error), "off by {error}");
+}
+
+/// Steps that take 2.5 times as long for 600 ms, in all streams at once, are no slow engine.
+#[test]
+fn a_stall_of_all_streams_is_no_slow_engine() {
+    let (mut board, one, other) = board();
+    record_pauses(&mut board, 100, &[(&one, 1.0, 0.2), (&other, 1.0, 0.2)]);
+    let start = Instant::now() + Duration::from_secs(60);
+    for number in 0..60 {
+        let at = start + Duration::from_millis(10) * number;
+        board.record_gap(&one, PAUSE.mul_f64(2.5), 0.2, at);
+    }
+    let gap = board.gap(&one, 0.2).unwrap();
+    assert!(
+        gap < board.gap(&other, 0.2).unwrap().mul_f64(1.4),
+        "{gap:?}"
+    );
+}
+
+/// A fuller batch is no slower engine: the pauses at a full and at an idle engine of the same pace
+/// give the same forecast for both.
+#[test]
+fn engines_with_a_fuller_batch_are_not_taken_for_slow_ones() {
+    let (mut board, one, other) = board();
+    record_pauses(&mut board, 40, &[(&one, 1.9, 0.9), (&other, 1.1, 0.1)]);
+    let gap = |engine, occupancy| board.gap(engine, occupancy).unwrap();
+    let ratio = gap(&one, 0.5).as_secs_f64() / gap(&other, 0.5).as_secs_f64();
+    assert!((0.8..1.25).contains(&ratio), "{ratio}");
+    assert!(gap(&one, 0.9) > gap(&one, 0.1));
+}
+
+/// Streams that hang, and events that arrive together after one, tell nothing of an engine.
+#[test]
+fn streams_that_hang_do_not_count_as_slow() {
+    let (mut board, one, other) = board();
+    record_pauses(&mut board, 40, &[(&one, 1.0, 0.2), (&other, 1.0, 0.2)]);
+    let before = board.gap(&one, 0.2);
+    let later = Instant::now() + Duration::from_secs(60);
+    board.record_gap(&one, Duration::from_secs(8), 0.2, later);
+    board.record_gap(&one, Duration::ZERO, 0.2, later);
+    assert_eq!(board.gap(&one, 0.2), before);
+}
+
+/// An engine that has restarted is unknown, and taken for one like the others.
+#[test]
+fn a_restarted_engine_is_taken_for_one_like_the_others() {
+    let (mut board, one, other) = board();
+    record_pauses(&mut board, 40, &[(&one, 2.0, 0.0), (&other, 1.0, 0.0)]);
+    board.add(&one, &"lm".into(), 1000);
+    let gap = board.gap(&one, 0.0).unwrap();
+    assert!(gap < PAUSE.mul_f64(1.2 * 2_f64.sqrt()), "{gap:?}");
+}
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -28,6 +28,7 @@
         late_backlog: Duration::ZERO,
         cached_tokens: 0,
         slowdown: 1.0,
+        gap: None,
     }
 }
 
@@ -73,6 +74,7 @@
         prompt,
         target_left: Duration::from_millis(150),
         left: Duration::from_secs(2),
+        target_gap: None,
     }
 }
 
@@ -318,6 +320,7 @@
         prompt: &prompt,
         target_left: Duration::from_millis(800),
         left,
+        target_gap: None,
     };
     placement::plan(&request, &engines)
 }
@@ -394,3 +397,58 @@
     }
     assert_eq!(chosen, 3, "the three other candidates");
 }
+
+/// Pauses that a caller notices, in a reply of 72 tokens.
+const TARGET_GAP: Duration = Duration::from_millis(200);
+
+fn streaming_request(prompt: &Prompt) -> Request<'_> {
+    Request {
+        target_gap: Some(TARGET_GAP),
+        ..request(prompt)
+    }
+}
+
+fn decode_engine(id: &str, gap_ms: u64, running: usize) -> Engine {
+    Engine {
+        gap: Some(Duration::from_millis(gap_ms)),
+        running,
+        ..engine(id, Role::Decode)
+    }
+}
+
+/// At a site whose engines decode at 0.55 and at 1.2, replies of many tokens stream from the fast
+/// ones also while these are busier: a stalled step of a slow one breaks the pause.
+#[test]
+fn long_replies_stream_from_engines_whose_pauses_are_far_from_the_target() {
+    let prompt = short_prompt();
+    let engines = [decode_engine("slow", 100, 0), decode_engine("fast", 55, 25)];
+    let plan = placement::plan(&streaming_request(&prompt), &engines);
+    assert!(
+        matches!(&plan, Plan::Single { engine, .. } if engine == "fast"),
+        "{plan:?}"
+    );
+}
+
+/// A burst of replies that fills the fast engines spills to the slow one instead of being refused.
+#[test]
+fn a_burst_of_replies_spills_to_slow_engines_before_it_is_refused() {
+    let prompt = short_prompt();
+    let engines = [decode_engine("slow", 100, 0), decode_engine("fast", 90, 60)];
+    let plan = placement::plan(&streaming_request(&prompt), &engines);
+    assert!(
+        matches!(&plan, Plan::Single { engine, .. } if engine == "slow"),
+        "{plan:?}"
+    );
+}
+
+/// While all pauses are far from the target, replies go to the engine with the fewest requests.
+#[test]
+fn pauses_far_from_the_target_do_not_unbalance_the_engines() {
+    let prompt = short_prompt();
+    let engines = [decode_engine("slow", 60, 3), decode_engine("fast", 20, 9)];
+    let plan = placement::plan(&streaming_request(&prompt), &engines);
+    assert!(
+        matches!(&plan, Plan::Single { engine, .. } if engine == "slow"),
+        "{plan:?}"
+    );
+}
