--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -148,6 +148,7 @@
                 late_backlog,
                 cached_tokens: board.cached_tokens(id, &prompt.blocks),
                 slowdown: board.slowdown(id),
+                gap: board.gap(id, occupancy(running + 1, target.entry.slots)),
             }
         })
         .collect();
@@ -166,6 +167,7 @@
         left: call.remaining(now),
         is_above_share: gateway.is_above_share(call, now),
         kv_crossing: spill::kv_crossing(gateway, call, prompt),
+        target_gap: call.route.target_gap,
     };
     rank(gateway, call, placement::plan(&request, &engines))
 }
@@ -179,6 +181,11 @@
     }
 }
 
+/// Returns the share of an engine's slots that `running` requests take up.
+pub fn occupancy(running: usize, slots: usize) -> f64 {
+    (running as f64 / slots.max(1) as f64).min(1.0)
+}
+
 /// Urgency of a stream without a prompt; the middle of the scale.
 const DEFAULT_URGENCY: u8 = 5;
 
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -28,6 +28,7 @@
         late_backlog: Duration::ZERO,
         cached_tokens: 0,
         slowdown: 1.0,
+        gap: None,
     }
 }
 
@@ -75,6 +76,7 @@
         left: Duration::from_secs(2),
         is_above_share: false,
         kv_crossing: cost::CROSS_DOMAIN_PENALTY,
+        target_gap: None,
     }
 }
 
@@ -346,6 +348,7 @@
         left,
         is_above_share: false,
         kv_crossing: cost::CROSS_DOMAIN_PENALTY,
+        target_gap: None,
     };
     placement::plan(&request, &engines)
 }
@@ -453,3 +456,58 @@
         "{plan:?}"
     );
 }
+
+/// Pauses that a caller notices, in a reply of 72 tokens.
+const TARGET_GAP: Duration = Duration::from_millis(200);
+
+fn streaming_request(prompt: &Prompt) -> Request<'_> {
+    Request {
+        target_gap: Some(TARGET_GAP),
+        ..request(prompt)
+    }
+}
+
+fn decode_engine(id: &str, gap_ms: u64, running: usize) -> Engine {
+    Engine {
+        gap: Some(Duration::from_millis(gap_ms)),
+        running,
+        ..engine(id, Role::Decode)
+    }
+}
+
+/// At a site whose engines decode at 0.55 and at 1.2, replies of many tokens stream from the fast
+/// ones also while these are busier: a stalled step of a slow one breaks the pause.
+#[test]
+fn long_replies_stream_from_engines_whose_pauses_are_far_from_the_target() {
+    let prompt = short_prompt();
+    let engines = [decode_engine("slow", 100, 0), decode_engine("fast", 55, 25)];
+    let plan = placement::plan(&streaming_request(&prompt), &engines);
+    assert!(
+        matches!(&plan, Plan::Single { engine, .. } if engine == "fast"),
+        "{plan:?}"
+    );
+}
+
+/// A burst of replies that fills the fast engines spills to the slow one instead of being refused.
+#[test]
+fn a_burst_of_replies_spills_to_slow_engines_before_it_is_refused() {
+    let prompt = short_prompt();
+    let engines = [decode_engine("slow", 100, 0), decode_engine("fast", 90, 60)];
+    let plan = placement::plan(&streaming_request(&prompt), &engines);
+    assert!(
+        matches!(&plan, Plan::Single { engine, .. } if engine == "slow"),
+        "{plan:?}"
+    );
+}
+
+/// While all pauses are far from the target, replies go to the engine with the fewest requests.
+#[test]
+fn pauses_far_from_the_target_do_not_unbalance_the_engines() {
+    let prompt = short_prompt();
+    let engines = [decode_engine("slow", 60, 3), decode_engine("fast", 20, 9)];
+    let plan = placement::plan(&streaming_request(&prompt), &engines);
+    assert!(
+        matches!(&plan, Plan::Single { engine, .. } if engine == "slow"),
+        "{plan:?}"
+    );
+}
