Take over a silent reader's reads without waiting

Cause: the hosts of a failure domain share the reads of the configuration, which are long polls. Hosts that start read by themselves until they know their peers, for 1.5 s at least.

Change: a host that takes over reads at once and sends the result; it waits for changes from its next read on. Hosts read the list of hosts 0.5 s after their start.

--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -121,7 +121,7 @@
         let (mut freshness, queried_at) = (endpoint.freshness(), clock.moment());
         let update = match reader.is_restored() {
             true => reader.read_in_full(store),
-            false => reader.read(store, LONG_POLL_TIMEOUT),
+            false => reader.read(store, schedule.wait(LONG_POLL_TIMEOUT)),
         };
         match update {
             Ok(Update::Outdated) => schedule.set_due(clock.now()),
@@ -148,6 +148,7 @@
                 }
                 adopt_newest(publisher, records, "store");
                 prover.prove(known_at.boot);
+                schedule.record_own_read();
                 // A read is a long poll, so the next one may follow at once.
                 match publisher.has_catalog() {
                     true => schedule.set_due(clock.now()),
--- a/src/follow/hosts.rs
+++ b/src/follow/hosts.rs
@@ -29,8 +29,10 @@
 const ERA_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay after a failed read or write.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(700);
-/// Delay before the first read, in which hosts that start together write their entries.
-const FIRST_READ_DELAY: Duration = Duration::from_millis(1500);
+/// Delay before the first read, in which most hosts that start together write their entries. Those that
+/// write later read this host's entry and send it a datagram; until it knows its peers, it shares no reads
+/// with them.
+const FIRST_READ_DELAY: Duration = Duration::from_millis(500);
 
 /// Hosts and the addresses at which peers reach them.
 pub type Hosts = Arc<Vec<(HostId, SocketAddr)>>;
--- a/src/follow/share.rs
+++ b/src/follow/share.rs
@@ -128,6 +128,8 @@
     failure_backoff: Duration,
     max_age: Duration,
     due: Instant,
+    /// Whether this host was the last to read, of those that share their reads.
+    is_reader: bool,
 }
 
 impl Schedule {
@@ -157,9 +159,37 @@
             failure_backoff,
             max_age,
             due: now,
+            is_reader: false,
         }
     }
 
+    /// Returns the time for which the next read waits for changes. A host that takes over from a peer
+    /// which has fallen silent reads without waiting: otherwise each further host would take over too
+    /// before this one has anything to send.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use pistachiohall::follow::share::Schedule;
+    /// let now = Instant::now();
+    /// let second = Duration::from_secs(1);
+    /// let mut schedule = Schedule::new(second, second / 4, 2 * second, now);
+    /// schedule.record_peer_read(Some(now), now, 1);
+    /// assert_eq!(schedule.wait(second), Duration::ZERO);
+    /// schedule.record_own_read();
+    /// assert_eq!(schedule.wait(second), second);
+    /// ```
+    pub fn wait(&self, max: Duration) -> Duration {
+        match self.is_reader {
+            true => max,
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Records that this host has read the store and sends what it read to its peers.
+    pub fn record_own_read(&mut self) {
+        self.is_reader = true;
+    }
+
     /// Records that this host has read the store.
     pub fn record_read(&mut self, now: Instant) {
         self.due = now + self.interval;
@@ -175,6 +205,7 @@
         let (Some(queried_at), Some(steps)) = (queried_at, rank.checked_sub(1)) else {
             return;
         };
+        self.is_reader = false;
         let by_rank =
             now + self.interval + FIRST_RANK_DELAY + RANK_DELAY * steps.min(MAX_RANK_STEPS) as u32;
         self.due = self.due.max(by_rank.min(queried_at + self.max_age));
--- a/tests/decisions/share.rs
+++ b/tests/decisions/share.rs
@@ -404,3 +404,51 @@
     schedule.record_peer_read(Some(now), later, 1);
     assert_eq!(schedule.due(), later + INTERVAL);
 }
+
+/// The host that reads for 24 others falls silent: one of them takes over at once, and the others
+/// learn of it before they would read as well.
+#[test]
+fn one_host_takes_over_from_a_reader_that_falls_silent() {
+    const HOSTS: usize = 24;
+    const LONG_POLL: Duration = Duration::from_millis(900);
+    const DELAY: Duration = Duration::from_millis(10);
+    let start = Instant::now();
+    let mut schedules: Vec<Schedule> = (1..=HOSTS)
+        .map(|rank| {
+            let mut schedule = Schedule::new(LONG_POLL, FAILURE_BACKOFF, MAX_AGE, start);
+            schedule.record_peer_read(Some(start), start, rank);
+            schedule
+        })
+        .collect();
+    // Reads under way: the host, when it asked, and when the others have its answer.
+    let mut reads: Vec<(usize, Instant, Instant)> = Vec::new();
+    let mut readers: Vec<usize> = Vec::new();
+    for step in 0..2500 {
+        let now = start + Duration::from_millis(step);
+        for host in 0..HOSTS {
+            let is_reading = reads.iter().any(|(reader, _, _)| *reader == host);
+            if !is_reading && schedules[host].due() <= now {
+                let wait = schedules[host].wait(LONG_POLL);
+                reads.push((host, now, now + wait + DELAY));
+                readers.push(host);
+            }
+        }
+        let (ended, open) = reads.into_iter().partition(|(_, _, until)| *until <= now);
+        reads = open;
+        let ended: Vec<(usize, Instant, Instant)> = ended;
+        for (reader, asked, _) in ended {
+            for (host, schedule) in schedules.iter_mut().enumerate() {
+                match host == reader {
+                    true => {
+                        schedule.record_own_read();
+                        schedule.set_due(now);
+                    }
+                    false => schedule.record_peer_read(Some(asked), now, host + 1),
+                }
+            }
+        }
+    }
+    readers.sort_unstable();
+    readers.dedup();
+    assert!(readers.len() <= 2, "{readers:?}");
+}
