Wait for a connection while all that a host may open are in use

Cause: since hosts share an upstream's connections, 16 callers at once at one host found all of them in use and were refused; seen by a_graceful_shutdown_under_load_aborts_no_request, which failed once in the whole suite and did so for this reason.

Change: a request waits up to 300 ms for a connection to be freed.

Measured: that test and 72 others of the gateway pass.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task;
 use tokio::task::JoinHandle;
 use tokio::time;
@@ -46,6 +47,8 @@
 
 /// Maximum wait for a connection; upstreams are at most a few milliseconds away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum wait for one of the connections in use, where all that the host may open are.
+const MAX_FREE_WAIT: Duration = Duration::from_millis(300);
 /// Age of unacknowledged data at which a connection is closed; below callers' usual deadlines.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Idle time after which a connection is not reused.
@@ -56,6 +59,25 @@
 /// Time by which an idle connection is closed earlier than the upstream would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
 
+/// Number of open connections, and who waits for one.
+#[derive(Debug, Default)]
+struct Open {
+    count: Cell<usize>,
+    /// Notified when a connection was closed or is not in use any more.
+    freed: Notify,
+}
+
+impl Open {
+    fn add(&self) {
+        self.count.set(self.count.get() + 1);
+    }
+
+    fn remove(&self) {
+        self.count.set(self.count.get().saturating_sub(1));
+        self.freed.notify_one();
+    }
+}
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// A connection in use; closed when dropped.
@@ -64,13 +86,13 @@
     sender: Sender,
     driver: JoinHandle<()>,
     head_meter: HeadMeter,
-    open: Rc<Cell<usize>>,
+    open: Rc<Open>,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
-        self.open.set(self.open.get().saturating_sub(1));
+        self.open.remove();
     }
 }
 
@@ -117,7 +139,7 @@
 pub struct Pool {
     address: SocketAddr,
     idle: RefCell<Vec<Idle>>,
-    open: Rc<Cell<usize>>,
+    open: Rc<Open>,
 }
 
 impl Pool {
@@ -130,7 +152,8 @@
         }
     }
 
-    /// Returns an idle connection if there is one, or a new one if fewer than `max` are open.
+    /// Returns an idle connection if there is one, or a new one if fewer than `max` are open; waits
+    /// for a while if all are in use.
     ///
     /// A request that must not run twice gets a new one: on a reused one, a late byte or an
     /// unnoticed close would leave its outcome unknown.
@@ -145,17 +168,24 @@
         max: usize,
         until: Instant,
     ) -> Result<Connection, Failure> {
-        let now = Instant::now();
-        if may_reuse && let Some(connection) = self.take(now) {
-            return Ok(connection);
-        }
-        if self.open.get() >= max {
-            self.close_oldest();
-        }
-        if self.open.get() >= max {
-            return Err(Failure::NotSent("all connections are in use".into()));
-        }
-        self.open.set(self.open.get() + 1);
+        let wait_until = until.min(Instant::now() + MAX_FREE_WAIT);
+        let now = loop {
+            let now = Instant::now();
+            if may_reuse && let Some(connection) = self.take(now) {
+                return Ok(connection);
+            }
+            if self.open.count.get() >= max {
+                self.close_oldest();
+            }
+            if self.open.count.get() < max {
+                break now;
+            }
+            let freed = self.open.freed.notified();
+            if time::timeout_at(wait_until.into(), freed).await.is_err() {
+                return Err(Failure::NotSent("all connections are in use".into()));
+            }
+        };
+        self.open.add();
         let guard = OpenGuard {
             open: Rc::clone(&self.open),
             is_kept: false,
@@ -216,6 +246,7 @@
             connection,
             until: now + timeout,
         });
+        self.open.freed.notify_one();
     }
 
     /// Closes all connections that are not in use.
@@ -231,12 +262,12 @@
 
 /// Guard that counts a connection as open while it is being established.
 struct OpenGuard {
-    open: Rc<Cell<usize>>,
+    open: Rc<Open>,
     is_kept: bool,
 }
 
 impl OpenGuard {
-    fn keep(mut self) -> Rc<Cell<usize>> {
+    fn keep(mut self) -> Rc<Open> {
         self.is_kept = true;
         Rc::clone(&self.open)
     }
@@ -245,7 +276,7 @@
 impl Drop for OpenGuard {
     fn drop(&mut self) {
         if !self.is_kept {
-            self.open.set(self.open.get().saturating_sub(1));
+            self.open.remove();
         }
     }
 }
