--- a/tests/decisions/share.rs
+++ b/tests/decisions/share.rs
@@ -425,10 +425,10 @@
     let mut readers: Vec<usize> = Vec::new();
     for step in 0..2500 {
         let now = start + Duration::from_millis(step);
-        for host in 0..HOSTS {
+        for (host, schedule) in schedules.iter().enumerate() {
             let is_reading = reads.iter().any(|(reader, _, _)| *reader == host);
-            if !is_reading && schedules[host].due() <= now {
-                let wait = schedules[host].wait(LONG_POLL);
+            if !is_reading && schedule.due() <= now {
+                let wait = schedule.wait(LONG_POLL);
                 reads.push((host, now, now + wait + DELAY));
                 readers.push(host);
             }
