Tell the paces of engines among hosts and choose changes by them

With [orders] tell_paces, datagrams (tag 19) tell at most four paces each, only those that changed or that are still measured after ten seconds; receivers merge them by samples, and impossible ones are ignored and counted. With [orders] follow_pace, changes that are due anyway take slow engines for prefill and fast ones for decode, newest first among alike.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod metrics;
 pub mod newer;
 pub mod open;
+pub mod paces;
 pub mod peers;
 pub mod place;
 pub mod plain;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,6 +23,7 @@
 use super::call::Block;
 use super::demand::Gatherer;
 use super::keys;
+use super::paces;
 use crate::capacity::duty::Outlook;
 use crate::clock::Clock;
 use crate::clock::Real;
@@ -48,6 +49,8 @@
 const MAX_SUSPECTS: usize = 8;
 /// Maximum number of limits in one datagram, about 12 bytes each.
 const MAX_LIMITS: usize = 8;
+/// Maximum number of paces of engines in one datagram, about 20 bytes each.
+const MAX_PACES: usize = 4;
 /// Maximum number of peers whose datagrams are named in one datagram, about 12 bytes each, so that they
 /// can tell how old the sender's configuration is.
 const MAX_PROVED_PEERS: usize = 8;
@@ -119,6 +122,7 @@
     let mut sender = Sender::new();
     let started_at = Instant::now();
     let mut sharing_set_at = started_at;
+    let mut observed = paces::Observed::default();
     let mut has_host_list = false;
     loop {
         tokio::select! {
@@ -148,6 +152,7 @@
                     rank: peers.rank(&gateway.settings.name, now),
                     is_idle: gateway.is_idle(now),
                     pending_changes: gateway.pending_changes(now),
+                    paces: observed.refreshed(&gateway, now),
                 };
                 gatherer.publish(&gateway, newest.rank, peers.count_known(), now);
                 constraints.send_if_modified(|current| {
@@ -376,6 +381,7 @@
             limits,
             suspects: suspects.iter().map(Into::into).collect(),
             account_sums: gateway.due_sums(now),
+            paces: paces::due(gateway, MAX_PACES, now),
             ..self.datagram(gateway)
         };
         let bytes = datagram.encode_to_vec();
@@ -491,6 +497,7 @@
         gateway.set_host_count(peers.count_known() + 1);
     }
     gateway.record_pending_changes(&datagram.pending_changes, now);
+    paces::record(gateway, &datagram);
     let mut board = gateway.board.borrow_mut();
     for prefill in &datagram.prefills {
         let blocks = prefill.blocks.iter().zip(&prefill.tokens);
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -4,8 +4,10 @@
 //! Prefills are events: a lost one only costs precision. Suspects are sent repeatedly, because the
 //! guarantee that rests on them must also hold at hosts that start later or lost a datagram.
 
+mod pace;
 mod peers;
 
+pub use self::pace::Pace;
 pub use self::peers::Peers;
 
 use std::collections::VecDeque;
@@ -478,6 +480,9 @@
     /// accounts.
     #[prost(message, optional, tag = "15")]
     pub config_proof: Option<ConfigProof>,
+    /// Some of the paces of engines that the sender has measured, in rotation.
+    #[prost(message, repeated, tag = "19")]
+    pub paces: Vec<Pace>,
 }
 
 /// Proof that the sender's configuration was the newest at some time, for hosts that get none from the
--- a/src/placement/board.rs
+++ b/src/placement/board.rs
@@ -5,8 +5,11 @@
 use std::time::Instant;
 
 use super::cache::Cache;
+use super::pace::Factor;
 use super::pace::Gap;
+use super::pace::Learned;
 use super::pace::Slowdown;
+use super::pace::Told;
 use crate::gateway::call::Block;
 use crate::gossip;
 use crate::id::HostId;
@@ -23,6 +26,9 @@
 const MIN_PAUSE_INTERVAL: Duration = Duration::from_millis(50);
 /// Age at which a load received from a peer expires; peers send theirs at least every 400 ms.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1000);
+/// Interval after which the pace of an engine that is still measured is told again though it has not
+/// changed, to hosts that started later or lost a datagram.
+const TELL_AGAIN_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Work that one host has sent to one engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -43,13 +49,24 @@
     peers: HashMap<HostId, (Load, Instant)>,
     cache: Cache,
     /// Relative to the slowdown of its service.
-    slowdown: Slowdown,
+    slowdown: Learned,
     /// Of its streams, relative to those of its service.
-    decode_slowdown: Slowdown,
+    decode_slowdown: Learned,
+    /// What peers were last told.
+    told: Option<Telling>,
     /// Time at which the last pause was recorded.
     pause_at: Option<Instant>,
 }
 
+/// Figures of an engine that peers were told.
+#[derive(Debug, Clone, Copy)]
+struct Telling {
+    pace: Told,
+    /// Number of durations that had been measured.
+    count: f64,
+    at: Instant,
+}
+
 /// Loads, caches and slowdowns of all engines.
 #[derive(Debug, Default)]
 pub struct Board {
@@ -67,8 +84,9 @@
             own: Load::default(),
             peers: HashMap::new(),
             cache: Cache::new(kv_capacity_tokens),
-            slowdown: Slowdown::for_engine(),
-            decode_slowdown: Slowdown::for_streams(),
+            slowdown: Learned::new(Slowdown::for_engine()),
+            decode_slowdown: Learned::new(Slowdown::for_streams()),
+            told: None,
             pause_at: None,
         };
         self.engines.insert(id.clone(), engine);
@@ -210,4 +228,90 @@
         let ratio = pause.as_secs_f64() / expected.as_secs_f64();
         engine.decode_slowdown.record(ratio);
     }
+
+    /// Returns the paces of at most `max` engines that peers have to be told at `now`, keyed by the
+    /// digest of the engine's name, and records them as told: those told longest ago first, of
+    /// these the best known.
+    pub fn due_paces(&mut self, max: usize, now: Instant) -> Vec<(u32, Told)> {
+        let mut due: Vec<(&mut Engine, Told)> = Vec::new();
+        for engine in self.engines.values_mut() {
+            let own = engine.own_pace();
+            if engine.is_pace_due(&own, now) {
+                due.push((engine, own));
+            }
+        }
+        due.sort_by(|(one, one_pace), (other, other_pace)| {
+            let told_at = |engine: &Engine| engine.told.map(|told| told.at);
+            let samples = |pace: &Told| pace.prefill.samples + pace.decode.samples;
+            told_at(one)
+                .cmp(&told_at(other))
+                .then(samples(other_pace).total_cmp(&samples(one_pace)))
+        });
+        due.truncate(max);
+        let tell = |(engine, own): (&mut Engine, Told)| {
+            engine.told = Some(Telling {
+                pace: own,
+                count: engine.measured_count(),
+                at: now,
+            });
+            (engine.digest, own)
+        };
+        due.into_iter().map(tell).collect()
+    }
+
+    /// Records the paces that a peer has measured, keyed by the digest of the engine's name; returns
+    /// the number of impossible ones, which are ignored.
+    pub fn record_peer_paces(&mut self, paces: &[(u32, Told)]) -> usize {
+        let (possible, impossible): (Vec<&(u32, Told)>, Vec<_>) =
+            paces.iter().partition(|(_, told)| told.is_possible());
+        for (digest, told) in possible {
+            let engines = self.engines.values_mut();
+            for engine in engines.filter(|engine| engine.digest == *digest) {
+                engine.slowdown.record_told(&told.prefill);
+                engine.decode_slowdown.record_told(&told.decode);
+            }
+        }
+        impossible.len()
+    }
+
+    /// Returns the known paces of all engines, relative to those of their services.
+    pub fn known_paces(&self) -> impl Iterator<Item = (u32, Told)> {
+        self.engines.values().map(|engine| {
+            let known = Told {
+                prefill: engine.slowdown.known(),
+                decode: engine.decode_slowdown.known(),
+            };
+            (engine.digest, known)
+        })
+    }
+}
+
+impl Engine {
+    /// Returns what this host has measured itself, as far as it rests on enough samples.
+    fn own_pace(&self) -> Told {
+        let known = |factor: Factor| match factor.is_known() {
+            true => factor,
+            false => Factor::default(),
+        };
+        Told {
+            prefill: known(self.slowdown.measured()),
+            decode: known(self.decode_slowdown.measured()),
+        }
+    }
+
+    /// Returns the number of durations that this host has measured.
+    fn measured_count(&self) -> f64 {
+        self.slowdown.count() + self.decode_slowdown.count()
+    }
+
+    fn is_pace_due(&self, own: &Told, now: Instant) -> bool {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= TELL_AGAIN_INTERVAL;
+        match &self.told {
+            Some(told) => {
+                let has_new_samples = self.measured_count() > told.count;
+                own.is_newer_than(&told.pace) || (is_old(told.at) && has_new_samples)
+            }
+            None => own.is_newer_than(&Told::default()),
+        }
+    }
 }
--- a/src/reassign/duty.rs
+++ b/src/reassign/duty.rs
@@ -184,6 +184,7 @@
                 super::changes(
                     &engines,
                     self.config.read_share,
+                    &constraints.paces,
                     constraints.is_idle,
                     is_changing,
                 )
--- a/src/reassign/mod.rs
+++ b/src/reassign/mod.rs
@@ -6,11 +6,16 @@
 pub mod duty;
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
 
 use crate::fleet::Entry;
 use crate::fleet::State;
+use crate::gossip;
 use crate::id::DomainId;
 use crate::id::UpstreamId;
+use crate::placement::pace::Factor;
+use crate::placement::pace::Told;
 use crate::upstream::Role;
 
 /// Maximum share of a service's engines that change their role at the same time under load.
@@ -25,6 +30,59 @@
     pub is_idle: bool,
     /// Digests of the names of engines that any host has ordered to change.
     pub pending_changes: Vec<u32>,
+    /// Known paces of engines; empty unless orders follow them.
+    pub paces: Paces,
+}
+
+/// Factor between two engines from which one counts as slower.
+const MIN_PACE_RATIO: f64 = 1.5;
+
+/// Paces of engines relative to their services, in steps of a half, so that noise does not count.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Paces {
+    /// Steps for prefills and streams by the digest of the engine's name.
+    steps: Arc<HashMap<u32, (i32, i32)>>,
+}
+
+impl Paces {
+    /// Returns the paces that rest on enough samples; the others count as average.
+    ///
+    /// ```
+    /// use pistachiohall::gossip;
+    /// use pistachiohall::placement::pace::{Factor, Told};
+    /// use pistachiohall::reassign::Paces;
+    /// use pistachiohall::upstream::Role;
+    /// let decode = Factor { factor: 1.8, samples: 40.0 };
+    /// let told = Told { decode, ..Told::default() };
+    /// let paces = Paces::new([(gossip::digest("e1"), told)]);
+    /// assert!(paces.step("e1", Role::Decode) > paces.step("e2", Role::Decode));
+    /// ```
+    pub fn new<I>(known: I) -> Self
+    where
+        I: IntoIterator<Item = (u32, Told)>,
+    {
+        let step = |factor: &Factor| match factor.is_known() {
+            true => (factor.factor.ln() / MIN_PACE_RATIO.ln()).round() as i32,
+            false => 0,
+        };
+        let steps = known
+            .into_iter()
+            .map(|(digest, told)| (digest, (step(&told.prefill), step(&told.decode))))
+            .filter(|(_, steps)| *steps != (0, 0));
+        Paces {
+            steps: Arc::new(steps.collect()),
+        }
+    }
+
+    /// Returns how slow an engine is in its present role; higher is slower, 0 is average or unknown.
+    pub fn step(&self, engine: &str, role: Role) -> i32 {
+        let steps = self.steps.get(&gossip::digest(engine)).copied();
+        let (prefill, decode) = steps.unwrap_or_default();
+        match role {
+            Role::Prefill => prefill,
+            Role::Decode | Role::Mixed => decode,
+        }
+    }
 }
 
 /// Change of an engine to another role.
@@ -40,15 +98,23 @@
 ///
 /// Each failure domain gets its own share of prefill engines and keeps at least one engine that
 /// decodes, so that KV caches move within the domain. The engines that started last change first:
-/// they have the least work to finish and the least cache to lose. `is_changing` returns `true` for
+/// they have the least work to finish and the least cache to lose. If `paces` differ, slow engines
+/// turn to prefill before these and fast ones to decode. `is_changing` returns `true` for
 /// engines that are changing already; at most a quarter of all change at a time, unless there is no
 /// load.
 ///
 /// ```
 /// use pistachiohall::reassign;
-/// assert!(reassign::changes(&[], 0.67, false, |_| false).is_empty());
+/// let paces = reassign::Paces::default();
+/// assert!(reassign::changes(&[], 0.67, &paces, false, |_| false).is_empty());
 /// ```
-pub fn changes<F>(engines: &[Entry], read_share: f64, is_idle: bool, is_changing: F) -> Vec<Change>
+pub fn changes<F>(
+    engines: &[Entry],
+    read_share: f64,
+    paces: &Paces,
+    is_idle: bool,
+    is_changing: F,
+) -> Vec<Change>
 where
     F: Fn(&UpstreamId) -> bool,
 {
@@ -69,14 +135,14 @@
     };
     let mut changes: Vec<Change> = Vec::new();
     for entries in domains.into_values() {
-        changes.extend(domain_changes(&entries, read_share));
+        changes.extend(domain_changes(&entries, read_share, paces));
     }
     changes.retain(|change| !is_changing(&change.engine));
     changes.truncate(max_changing.saturating_sub(changing));
     changes
 }
 
-fn domain_changes(entries: &[&Entry], read_share: f64) -> Vec<Change> {
+fn domain_changes(entries: &[&Entry], read_share: f64, paces: &Paces) -> Vec<Change> {
     let max_prefill = entries.len().saturating_sub(1);
     let target = ((entries.len() as f64 * read_share).round() as usize).min(max_prefill);
     let prefill_engines: Vec<&&Entry> = entries
@@ -95,11 +161,18 @@
             prefill_engines.len() - target,
         ),
     };
-    let mut newest_first = from;
-    newest_first.sort_by_key(|entry| std::cmp::Reverse(entry.started_at));
+    let mut preferred_first = from;
+    preferred_first.sort_by_key(|entry| {
+        let step = paces.step(&entry.id, entry.role);
+        let rank = match role {
+            Role::Prefill => -step,
+            Role::Decode | Role::Mixed => step,
+        };
+        (rank, std::cmp::Reverse(entry.started_at))
+    });
     let change = |entry: &&&Entry| Change {
         engine: entry.id.clone(),
         role,
     };
-    newest_first.iter().take(count).map(change).collect()
+    preferred_first.iter().take(count).map(change).collect()
 }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -100,6 +100,10 @@
     pub lease: Duration,
     /// Share of a service's engines that prefill for others.
     pub read_share: f64,
+    /// Whether hosts tell one another the paces of engines.
+    pub tell_paces: bool,
+    /// Whether the engines that change their role are chosen by their paces.
+    pub follow_pace: bool,
     /// Balance of plain services over all hosts; `None` if each host goes by its own requests.
     pub balance: Option<Balance>,
     /// What leaving the failure domain has to be worth; `None` if only the way there counts.
@@ -147,6 +151,8 @@
         let shutdown_limit = source.optional("shutdown", "limit", unit::duration);
         let lease = source.optional("orders", "lease", unit::duration);
         let read_share = source.optional("orders", "read_share", unit::share);
+        let tell_paces = source.optional("orders", "tell_paces", unit::flag);
+        let follow_pace = source.optional("orders", "follow_pace", unit::flag);
         let platform = source.optional("duties", "address", unit::address);
         let perform = source.optional("duties", "perform", duties::parse);
         let usage_window = source.optional("duties", "usage_window", unit::duration);
@@ -194,6 +200,8 @@
             shutdown_limit: shutdown_limit.unwrap_or(DEFAULT_SHUTDOWN_LIMIT),
             lease: lease.unwrap_or(DEFAULT_LEASE),
             read_share: read_share.unwrap_or(DEFAULT_PREFILL_SHARE),
+            tell_paces: tell_paces.unwrap_or(false),
+            follow_pace: follow_pace.unwrap_or(false),
             balance,
             spill,
             duties,
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod model;
 mod notice;
 mod odd_entries;
+mod paces;
 mod plain;
 mod refusals;
 mod restored;
