Bound what streams hold for slow callers

A stream kept up to 32 chunks of any size for its caller, outside the bound on bodies, so a host's memory went by the number of slow callers. Events now count until they are written to the caller. Once all streams hold a tenth of the host's memory (16 MiB if it is not known), those that hold much themselves are not read further until their callers have read; others go on, and nothing is lost. While there is room, a stream is read as fast as its engine sends (1024 chunks instead of 32). The bounds on bodies follow [host] memory too, at most today's 32 MiB each.

A host of 120 MiB with 96 callers that read nothing of streams with events of 200 KB stays below 120 MiB and serves a caller that reads meanwhile.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -32,9 +32,6 @@
 /// Maximum response that is held until it is complete; larger ones would strain a small host's
 /// memory.
 pub const MAX_RESPONSE_BYTES: usize = 4 << 20;
-/// Maximum bytes of all responses held at the same time, until their callers have read them; a fifth of
-/// the smallest host's memory, 160 MB.
-pub const MAX_ALL_HELD_BYTES: usize = 32 << 20;
 /// Maximum refusal that is read to its end.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
 /// Maximum wait for the body of a refusal, some round trips; its head holds all that the caller
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -12,6 +12,7 @@
 use super::call::Call;
 use super::demand;
 use super::exchange::Continuation;
+use super::held;
 use super::open;
 use super::open::OpenStream;
 use super::open::Progress;
@@ -35,8 +36,9 @@
 /// Maximum time after which a refused caller should retry, as a share of the time it has left;
 /// callers wait for no more than a third of it.
 const MAX_RETRY_AFTER_SHARE: f64 = 0.3;
-/// Maximum number of chunks of a stream that are buffered for a slow caller.
-const MAX_BUFFERED_CHUNKS: usize = 32;
+/// Maximum number of chunks of a stream that are buffered for a slow caller, beside the bound on the
+/// bytes of all streams.
+const MAX_BUFFERED_CHUNKS: usize = 1024;
 /// Time after which a caller should retry when engines aborted the request.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -210,12 +212,15 @@
     gateway.record_served(&progress.call, Instant::now());
     let head = stream.head.clone();
     progress.continuation = Some(Continuation::of(&head));
-    let first = std::mem::take(&mut stream.first);
+    let unread = held::Unread::new(&gateway.held_streams);
+    let first = unread.hold(std::mem::take(&mut stream.first));
     let (sender, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let flow = stream::Flow {
         gateway: Rc::clone(gateway),
         progress,
         sender,
+        unread,
+        has_waited: false,
     };
     task::spawn_local(flow.run(stream));
     reply::deliver_stream(&head, reply::Stream::new(first, receiver))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -121,6 +121,8 @@
     pub held_responses: held::Budget,
     /// Bytes of requests that are held until they are answered.
     pub held_requests: held::Budget,
+    /// Bytes of streams that are held until their callers have read them.
+    pub held_streams: held::Budget,
     /// Updates that have not been sent to peers yet.
     pub pending_updates: RefCell<peers::PendingUpdates>,
     /// Wakes the exchange with peers to send a suspect at once.
@@ -151,6 +153,7 @@
     /// Returns a gateway without a view of the configuration and the upstreams.
     pub fn new(settings: Settings, metrics: Arc<Metrics>, incarnations: Arc<Incarnations>) -> Self {
         let suspicion = RefCell::new(Tracker::new(gossip::digest(&settings.name)));
+        let bounds = held::Bounds::of(settings.memory);
         Gateway {
             started_at: Instant::now(),
             usage: usage::Meter::new(&settings),
@@ -169,8 +172,9 @@
             balancer: balance::Balancer::default(),
             spiller: spill::Spiller::default(),
             demand: RefCell::default(),
-            held_responses: held::Budget::new(exchange::MAX_ALL_HELD_BYTES),
-            held_requests: held::Budget::new(serve::MAX_ALL_HELD_BYTES),
+            held_responses: held::Budget::new(bounds.max_response_bytes),
+            held_requests: held::Budget::new(bounds.max_request_bytes),
+            held_streams: held::Budget::new(bounds.max_stream_bytes),
             pending_updates: RefCell::default(),
             urgent_suspects: Notify::new(),
             pending_changes: RefCell::default(),
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -408,6 +408,18 @@
     metrics.set("upstreams_paused", paused as i64);
     let limited = gateway.incarnations.count_limited(now);
     metrics.set("upstreams_limited", limited as i64);
+    metrics.set(
+        "held_request_bytes",
+        gateway.held_requests.held_bytes() as i64,
+    );
+    metrics.set(
+        "held_response_bytes",
+        gateway.held_responses.held_bytes() as i64,
+    );
+    metrics.set(
+        "held_stream_bytes",
+        gateway.held_streams.held_bytes() as i64,
+    );
     metrics.set("store_calls", store.calls() as i64);
     metrics.set("store_era", store.newest_era() as i64);
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -32,9 +32,6 @@
 use crate::logging::sample::Verdict;
 use crate::platform::ingress;
 
-/// Maximum bytes of the bodies of all requests held at the same time; a fifth of the smallest host's
-/// memory, 160 MB.
-pub const MAX_ALL_HELD_BYTES: usize = 32 << 20;
 /// Time after which a caller should retry whose request could not be read or has no service.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Time after which a caller should retry at a host that has no configuration yet.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,6 +14,7 @@
 use super::demand;
 use super::exchange::Failure;
 use super::generate;
+use super::held;
 use super::open;
 use super::open::OpenStream;
 use super::open::Progress;
@@ -32,6 +33,10 @@
     pub progress: Progress,
     /// Channel to the caller's response.
     pub sender: mpsc::Sender<Chunk>,
+    /// Events that the caller has not read yet.
+    pub unread: held::Unread,
+    /// Whether the stream had to wait until some events were read.
+    pub has_waited: bool,
 }
 
 /// Outcome of forwarding a stream.
@@ -138,6 +143,9 @@
             if let Some(end) = self.send(events).await {
                 return end;
             }
+            if let Some(end) = self.wait_for_room().await {
+                return end;
+            }
             // The wait for a slow caller tells nothing of the engine.
             last_event_at = Instant::now();
         }
@@ -151,8 +159,26 @@
         board.record_gap(&entry.id, pause, occupancy, now);
     }
 
+    /// Waits while all streams together hold too much and this one holds a large part of it.
+    async fn wait_for_room(&mut self) -> Option<End> {
+        if self.unread.has_room() {
+            return None;
+        }
+        if !std::mem::replace(&mut self.has_waited, true) {
+            self.gateway.metrics.add("streams_waited_for_room");
+            self.progress.trace.step(format_args!("wait=room"));
+        }
+        tokio::select! {
+            biased;
+            () = self.sender.closed() => Some(End::Disconnected),
+            room = time::timeout_at(self.progress.call.deadline.into(), self.unread.wait_for_room()) => {
+                room.err().map(|_| End::TimedOut)
+            }
+        }
+    }
+
     async fn send(&self, events: Bytes) -> Option<End> {
-        let sending = self.sender.send(Chunk::Events(events));
+        let sending = self.sender.send(Chunk::Events(self.unread.hold(events)));
         match time::timeout_at(self.progress.call.deadline.into(), sending).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(End::Disconnected),
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -112,6 +112,9 @@
     pub max_revocation: Option<Duration>,
     /// What a second of an upstream whose price is 1 is worth in served requests.
     pub second_worth: f64,
+    /// Memory of the host in bytes, a share of which bounds what it holds for others; `None` if it is
+    /// not known.
+    pub memory: Option<usize>,
 }
 
 impl Settings {
@@ -158,6 +161,7 @@
         let has_spill = source.optional("spill", "enabled", unit::flag);
         let price_per_gib = source.optional("spill", "price_per_gib", unit::duration);
         let second_worth = source.optional("capacity", "second_worth", unit::weight);
+        let memory = source.optional("host", "memory", unit::memory);
         source.finish()?;
         let spill = has_spill.unwrap_or(false).then(|| {
             let terms = Terms::default();
@@ -199,6 +203,7 @@
             duties,
             max_revocation,
             second_worth: second_worth.unwrap_or(DEFAULT_SECOND_WORTH),
+            memory,
         })
     }
 }
--- a/src/settings/unit.rs
+++ b/src/settings/unit.rs
@@ -54,6 +54,22 @@
         .ok_or(EXPECTED)
 }
 
+/// Parses the memory of a host such as `120MiB` or `122.5MiB` into bytes.
+///
+/// ```
+/// use pistachiohall::settings::unit;
+/// assert_eq!(unit::memory("120MiB"), Ok(120 << 20));
+/// assert_eq!(unit::memory("0.5MiB"), Ok(512 << 10));
+/// assert!(unit::memory("-1MiB").is_err());
+/// ```
+pub fn memory(text: &str) -> Parsed<usize> {
+    text.strip_suffix("MiB")
+        .and_then(|number| number.trim().parse().ok())
+        .filter(|number: &f64| number.is_finite() && *number > 0.0)
+        .map(|number| (number * f64::from(1 << 20)) as usize)
+        .ok_or("the host's memory in MiB, such as `120MiB`")
+}
+
 /// Parses a count above zero.
 pub fn count(text: &str) -> Parsed<usize> {
     text.parse()
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -18,6 +18,7 @@
 mod logging;
 mod pace;
 mod placement;
+mod pressure;
 mod reassign;
 mod share;
 mod shutdown;
--- a/tests/gateway/memory.rs
+++ b/tests/gateway/memory.rs
@@ -11,6 +11,7 @@
 use pistachiohall::standin::fleet::replica::Behavior;
 
 use super::site::Site;
+use super::site::wait_for;
 
 /// Memory of the smallest host of the sheets.
 const HOST_MEMORY: u64 = 160 << 20;
@@ -100,6 +101,60 @@
     assert_bounded(&site, Pace::Fixed, "POST", "/draft/", &MANY_EVENTS);
 }
 
+/// Guards against streams of many slow callers that take the memory of the smallest host, and against a
+/// bound on these that keeps others from being served meanwhile.
+#[test]
+fn many_slow_streams_stay_within_a_small_host_while_a_caller_that_reads_is_served() {
+    const HOST_MEMORY: u64 = 120 << 20;
+    const EVENT_BYTES: usize = 200_000;
+    const EVENTS: usize = 100;
+    const MAX_STREAM_BYTES: u64 = HOST_MEMORY / 10;
+    const SLOW: [(&str, &str); 1] = [("Pistachiohall-Token-Count", "20,1000")];
+    let names: Vec<String> = (1..=16).map(|number| format!("d{number}")).collect();
+    let engines: Vec<(&str, &'static str)> =
+        names.iter().map(|name| (name.as_str(), "decode")).collect();
+    let settings = format!("{ONE_HOST}[host]\nmemory = 120MiB\n");
+    let site = Site::start(&[], &engines, &settings);
+    let mut config = fleet::config(9);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = json!(30_000);
+    }
+    site.store.put_config(&config);
+    site.gateway.wait_line(&["config=9", "outcome=in-force"]);
+    for replica in site.replicas.values() {
+        replica.set_behavior(Behavior::Large(EVENT_BYTES));
+    }
+    let slow: Vec<Client> = (0..CALLERS)
+        .map(|number| {
+            let callers = site.gateway.callers();
+            let mut client = Client::connect_with_buffer(callers, RECEIVE_BUFFER).unwrap();
+            let (path, id) = (format!("/draft/{number}"), format!("r{number}"));
+            client.send("POST", &path, &id, &SLOW, b"").unwrap();
+            client
+        })
+        .collect();
+    wait_for("the bound on all streams", || {
+        site.gateway.gauge("held_stream_bytes") >= MAX_STREAM_BYTES
+    });
+    assert!(
+        site.gateway
+            .metrics()
+            .contains("pistachiohall_streams_waited_for_room_total")
+    );
+    let tokens = format!("20,{EVENTS}");
+    let fields = [("Pistachiohall-Token-Count", tokens.as_str())];
+    let answer = site.gateway.call("POST", "/draft/fast", "fast", &fields);
+    assert_eq!(answer.status, 200);
+    assert!(answer.body.len() > EVENTS * EVENT_BYTES);
+    thread::sleep(WAIT);
+    let peak = site.gateway.peak_memory();
+    assert!(peak < HOST_MEMORY, "{} MB", peak >> 20);
+    drop(slow);
+    wait_for("nothing held", || {
+        site.gateway.gauge("held_stream_bytes") == 0
+    });
+}
+
 /// Guards against a host that keeps the large bodies of many requests until all of them are answered. Those
 /// that it does not take have not run, and small ones are served meanwhile.
 #[test]
