--- a/src/experiment/cost/mod.rs
+++ b/src/experiment/cost/mod.rs
@@ -1,5 +1,6 @@
 //! What control costs at growing sizes, with a line fitted through each.
 
+mod accounts;
 mod peers;
 mod state;
 
@@ -64,7 +65,9 @@
 
 /// Measures all costs.
 pub fn run() -> Result<Vec<Row>> {
-    let mut rows = state::run();
+    let mut rows = vec![accounts::memory()];
+    rows.extend(state::run());
+    rows.extend(accounts::run());
     rows.extend(peers::run()?);
     Ok(rows)
 }
