--- a/src/capacity/controller.rs
+++ b/src/capacity/controller.rs
@@ -6,7 +6,6 @@
 
 use super::Counts;
 use super::Domains;
-use super::Kinds;
 use super::Need;
 use super::Plan;
 use super::demand::ByDomain;
@@ -23,10 +22,10 @@
 /// Time for which demand is recorded before the first order.
 const MIN_HISTORY: Duration = Duration::from_secs(4);
 /// Time for which demand is recorded before the first reduction.
-const MIN_REDUCTION_HISTORY: Duration = Duration::from_secs(6);
+const MIN_REDUCTION_HISTORY: Duration = Duration::from_secs(8);
 /// Minimum time between two reductions: shared blocks of the upstreams that leave are prefilled
 /// elsewhere meanwhile.
-const REDUCTION_INTERVAL: Duration = Duration::from_secs(1);
+const REDUCTION_INTERVAL: Duration = Duration::from_secs(2);
 /// Time beyond the start of an upstream within which an order shows in the registry.
 const EFFECT_MARGIN: Duration = Duration::from_secs(2);
 /// Time after which upstreams that could not be had are ordered again.
@@ -60,8 +59,7 @@
     history: History,
     sent: HashMap<(DomainId, bool), Sent>,
     denied: HashMap<DomainId, Instant>,
-    /// Last increase of the upstreams that are not withdrawn, and of those that may be.
-    increased_at: [Option<Instant>; 2],
+    increased_at: Option<Instant>,
     reduced_at: Option<Instant>,
 }
 
@@ -98,7 +96,7 @@
             second_worth,
         };
         let plan = super::plan(scale, &need, &domains)?;
-        let next = super::next(&plan, &domains, self.reducible(scale, now));
+        let next = super::next(&plan, &domains, self.may_reduce(scale, now));
         let mut orders = Vec::new();
         for (id, counts) in &next {
             let ordered = domains
@@ -149,7 +147,7 @@
                 self.sent.insert(key, sent);
                 match order.desired < before {
                     true => self.reduced_at = Some(now),
-                    false => self.increased_at[usize::from(order.is_spot)] = Some(now),
+                    false => self.increased_at = Some(now),
                 }
             }
             Outcome::Conflict if order.is_spot => {
@@ -159,20 +157,13 @@
         }
     }
 
-    /// Returns the kinds that may be reduced now. A kind that was increased lately is not: its demand
-    /// may just turn. The other kind may, since only upstreams that serve count as its replacement.
-    fn reducible(&self, scale: &Scale, now: Instant) -> Kinds {
+    fn may_reduce(&self, scale: &Scale, now: Instant) -> bool {
         let is_past = |at: Option<Instant>, time: Duration| {
             at.is_none_or(|at| now.saturating_duration_since(at) >= time)
         };
-        let is_due = self.history.age(now) >= MIN_REDUCTION_HISTORY
-            && is_past(self.reduced_at, REDUCTION_INTERVAL);
-        let [stable, withdrawable] = self.increased_at;
-        let settled = scale.boot_duration + EFFECT_MARGIN;
-        Kinds {
-            stable: is_due && is_past(stable, settled),
-            withdrawable: is_due && is_past(withdrawable, settled),
-        }
+        self.history.age(now) >= MIN_REDUCTION_HISTORY
+            && is_past(self.reduced_at, REDUCTION_INTERVAL)
+            && is_past(self.increased_at, scale.boot_duration + EFFECT_MARGIN)
     }
 
     /// Returns `true` if the same number was ordered lately and only one upstream is missing.
--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -228,22 +228,13 @@
 /// for which upstreams aren't busy.
 const MIN_INCREASE: f64 = 0.1;
 
-/// Kinds of upstreams that may be reduced.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Kinds {
-    /// Those that the platform doesn't withdraw.
-    pub stable: bool,
-    /// Those that it may withdraw.
-    pub withdrawable: bool,
-}
-
-/// Returns the numbers to order next on the way to `plan`: all that are missing at once, and one
-/// reduction of a `reducible` kind in one failure domain.
+/// Returns the numbers to order next on the way to `plan`: all that are missing at once, and if
+/// `may_reduce`, one reduction in one failure domain.
 ///
 /// A reduction takes at most half of a kind, so that blocks that only the leaving ones have cached are
 /// prefilled elsewhere before the next one; it leaves what is needed if any one failure domain loses its
 /// withdrawable upstreams, counting only those that serve already; and a small one isn't worth the change.
-pub fn next(plan: &Plan, domains: &Domains, reducible: Kinds) -> BTreeMap<DomainId, Counts> {
+pub fn next(plan: &Plan, domains: &Domains, may_reduce: bool) -> BTreeMap<DomainId, Counts> {
     let ordered = |id: &DomainId| {
         domains
             .get(id)
@@ -266,7 +257,7 @@
             )
         })
         .collect();
-    if let Some((id, reduced)) = reduction(plan, domains, reducible) {
+    if may_reduce && let Some((id, reduced)) = reduction(plan, domains) {
         counts.insert(id, reduced);
     }
     counts
@@ -282,7 +273,7 @@
 }
 
 /// Returns the greatest reduction that is allowed now.
-fn reduction(plan: &Plan, domains: &Domains, reducible: Kinds) -> Option<(DomainId, Counts)> {
+fn reduction(plan: &Plan, domains: &Domains) -> Option<(DomainId, Counts)> {
     let total: usize = domains.values().map(|domain| domain.serving.total()).sum();
     let lost = domains
         .values()
@@ -293,21 +284,15 @@
     let steps = candidates.filter_map(|(id, domain)| {
         let wanted = plan.counts.get(id)?;
         let ordered = domain.ordered;
-        let step = |is_reducible, serving: usize, ordered: usize, wanted| match is_reducible {
-            true => step(serving.min(ordered), wanted, spare),
-            false => 0,
-        };
         let stable = step(
-            reducible.stable,
-            domain.serving.stable,
-            ordered.stable,
+            domain.serving.stable.min(ordered.stable),
             wanted.stable,
+            spare,
         );
         let withdrawable = step(
-            reducible.withdrawable,
-            domain.serving.withdrawable,
-            ordered.withdrawable,
+            domain.serving.withdrawable.min(ordered.withdrawable),
             wanted.withdrawable,
+            spare,
         );
         let reduced = match stable > 0 {
             true => Counts {
--- a/tests/decisions/capacity.rs
+++ b/tests/decisions/capacity.rs
@@ -11,7 +11,6 @@
 use pistachiohall::capacity::Counts;
 use pistachiohall::capacity::Domain;
 use pistachiohall::capacity::Domains;
-use pistachiohall::capacity::Kinds;
 use pistachiohall::capacity::Need;
 use pistachiohall::capacity::Plan;
 use pistachiohall::capacity::history::History;
@@ -21,12 +20,6 @@
 
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
-/// Both kinds may be reduced.
-const ALL: Kinds = Kinds {
-    stable: true,
-    withdrawable: true,
-};
-
 fn scale() -> Scale {
     Scale {
         min: 1,
@@ -235,14 +228,14 @@
 fn numbers_rise_at_once_and_fall_in_steps() {
     let mut domains = domains(15, 0);
     let plan = capacity::plan(&scale(), &need(8.0, 14.0), &domains).unwrap();
-    let next = capacity::next(&plan, &domains, Kinds::default());
+    let next = capacity::next(&plan, &domains, false);
     for (id, counts) in &next {
         assert_eq!(counts.stable, 15);
         assert_eq!(counts.withdrawable, plan.counts[id].withdrawable.min(15));
     }
     let mut changes = 0;
     for _ in 0..60 {
-        let next = capacity::next(&plan, &domains, ALL);
+        let next = capacity::next(&plan, &domains, true);
         let reduced = next
             .iter()
             .filter(|(id, counts)| counts.total() < domains[*id].ordered.total());
@@ -275,7 +268,7 @@
         domain.is_heard = false;
     }
     let plan = capacity::plan(&scale(), &need(8.0, 14.0), &domains).unwrap();
-    let next = capacity::next(&plan, &domains, ALL);
+    let next = capacity::next(&plan, &domains, true);
     assert!(next.values().all(|counts| counts.total() == 30));
 }
 
