Log when each configuration reaches the request loop

The line of a configuration that is published did not tell how large it is, how long it took to decode or how long ago the host had last read the store, and nothing told when the request loop began to decide by it.

A read counts as done once what it brought is adopted, so that the time since the last read in the line is that of the read before.

--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -93,13 +93,13 @@
                 SegmentOutcome::Next(records) => {
                     // Data of unknown age doesn't show that the store is reachable again.
                     let queried_at = incoming.asked.map(|asked| asked.now);
-                    if let Some(queried_at) = queried_at {
+                    if queried_at.is_some() {
                         reader.record_success();
-                        publisher.record_config_read(queried_at);
                     }
                     keep_at = keep_at.filter(|_| !has_active(publisher, &records));
                     adopt_newest(publisher, records, "peer-reading");
                     if let Some(asked) = incoming.asked {
+                        publisher.record_config_read(asked.now);
                         prover.prove(asked.boot);
                     }
                     schedule.record_peer_read(queried_at, now, endpoint.rank());
@@ -142,11 +142,11 @@
                 if is_restored && !has_active(publisher, &records) {
                     keep_at = Some(clock.now() + share::refresh_delay(host));
                 }
-                publisher.record_config_read(known_at.now);
                 if let (Some(from), Some(next)) = (from, reader.next()) {
                     endpoint.send(from, next, records.clone(), freshness);
                 }
                 adopt_newest(publisher, records, "store");
+                publisher.record_config_read(known_at.now);
                 prover.prove(known_at.boot);
                 schedule.record_own_read();
                 // A read is a long poll, so the next one may follow at once.
--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -139,6 +139,8 @@
 
     /// Activates a configuration unless it is unreadable or not newer than the active one.
     pub fn adopt(&self, config: Vec<u8>, source: &str) {
+        let started_at = Instant::now();
+        let last_read = self.last_read().config;
         let catalog = match config::decode(&config) {
             Ok(catalog) => catalog,
             Err(cause) => {
@@ -176,6 +178,9 @@
                 faults = catalog.faults().len(),
                 source:% = source,
                 replaced:? = current,
+                bytes = config.len(),
+                decode_ms = started_at.elapsed().as_millis() as u64,
+                last_read_ms = last_read.map_or(-1, |at| at.elapsed().as_millis() as i64),
                 outcome = "in-force";
                 "configuration in force"
             );
--- a/src/gateway/belief.rs
+++ b/src/gateway/belief.rs
@@ -10,6 +10,7 @@
 use super::call::Call;
 use super::record::Metrics;
 use super::target::Target;
+use crate::catalog::Version;
 use crate::follow::View;
 use crate::follow::ViewPublisher;
 use crate::logging::sample::Sampler;
@@ -71,13 +72,23 @@
         }
     }
 
-    /// Records that the loop adopts a view at `now`.
-    pub fn record_adopted(&self, view: &View, now: Instant) {
+    /// Records that the loop, which served by the configuration `previous`, adopts a view at `now`.
+    pub fn record_adopted(&self, view: &View, previous: Version, now: Instant) {
         let Some(published) = view.published else {
             return;
         };
         let lag = now.saturating_duration_since(published);
         self.metrics.observe_duration("view_lag", lag);
+        let version = view.catalog.as_ref().map_or(0, |catalog| catalog.version());
+        if version != previous {
+            info!(
+                config = version,
+                replaced = previous,
+                lag_ms = lag.as_millis() as u64,
+                outcome = "adopted";
+                "requests are decided by another configuration"
+            );
+        }
         if lag >= MIN_LOGGED_LAG {
             info!(lag_ms = lag.as_millis() as u64, outcome = "in-force"; "view in force late");
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -258,7 +258,8 @@
 
     /// Replaces the view.
     pub fn adopt(&self, view: Arc<View>) {
-        self.age_observer.record_adopted(&view, Instant::now());
+        self.age_observer
+            .record_adopted(&view, self.config_version(), Instant::now());
         self.update_targets(&view);
         self.update_board(&view);
         self.update_balancer(&view);
