Add failing tests of large configurations at hosts with narrow links

A host gives up a read of the store after 600 ms, or 1.5 s in a long poll, and begins again at the same offset. Three tests show it: 4,200 routes (0.8 MB) never pass a link with 2 Mbit/s; 25 versions of 1,400 routes that a host missed keep it from the newest one; and each host of a failure domain reads the whole text for a change of one route.

The stand-in store bounds its reads as the protocol says (max_kib), and the stand-in of the network has links of a given bandwidth.

--- a/src/standin/fleet/proxy.rs
+++ b/src/standin/fleet/proxy.rs
@@ -26,6 +26,8 @@
     Sound,
     /// Bytes pass this much later.
     Slow(Duration),
+    /// This many bytes a second pass towards the client on each connection.
+    Narrow(u32),
     /// Connections are reset, new ones as well.
     Reset,
     /// Nothing passes towards the server; what was sent arrives when the link is sound again.
@@ -109,7 +111,7 @@
             Err(cause) if cause.kind() == io::ErrorKind::WouldBlock => continue,
             Err(_) => break,
         };
-        if !wait_open(link, way) {
+        if !wait_open(link, way, length) {
             reset(from);
             return reset(to);
         }
@@ -126,12 +128,13 @@
     *link.lock().expect("link lock") == Link::Reset
 }
 
-/// Waits until bytes may pass; returns false if the connection is reset instead.
-fn wait_open(link: &Mutex<Link>, way: Way) -> bool {
+/// Waits until `length` bytes may pass; returns false if the connection is reset instead.
+fn wait_open(link: &Mutex<Link>, way: Way, length: usize) -> bool {
     loop {
         let now = *link.lock().expect("link lock");
         match (now, way) {
             (Link::Sound, _)
+            | (Link::Narrow(_), Way::ToServer)
             | (Link::NoRequests, Way::ToClient)
             | (Link::NoAnswers, Way::ToServer) => {
                 return true;
@@ -140,6 +143,10 @@
                 thread::sleep(time);
                 return true;
             }
+            (Link::Narrow(bytes_per_s), Way::ToClient) => {
+                thread::sleep(Duration::from_secs(1) * length as u32 / bytes_per_s.max(1));
+                return true;
+            }
             (Link::Reset, _) => return false,
             (Link::Silent | Link::NoRequests | Link::NoAnswers, _) => thread::sleep(LOOK_TIME),
         }
--- a/src/standin/fleet/store.rs
+++ b/src/standin/fleet/store.rs
@@ -22,6 +22,10 @@
 
 /// Era of a store that was never restored.
 const FIRST_ERA: u64 = 1;
+/// Size of the offsets before the records of a read.
+const READ_HEADER_BYTES: usize = 16;
+/// Default maximum size of the records of one read, in KiB.
+const MAX_READ_KIB: u64 = 1024;
 /// Field of all answers that names the era.
 const ERA_FIELD: &str = "Store-Era";
 
@@ -356,6 +360,7 @@
     };
     let from = number("from").unwrap_or_default();
     let wait = Duration::from_millis(number("wait_ms").unwrap_or_default());
+    let max_bytes = number("max_kib").unwrap_or(MAX_READ_KIB) as usize * 1024;
     let state = shared.state.lock().expect("store lock");
     let era = state.era;
     let has_none = |state: &mut State| {
@@ -384,6 +389,10 @@
         .iter()
         .skip(from.saturating_sub(topic.first) as usize)
     {
+        let is_first = body.len() <= READ_HEADER_BYTES;
+        if !is_first && body.len() + record.len() > max_bytes {
+            break;
+        }
         body.extend_from_slice(&(record.len() as u32).to_be_bytes());
         body.extend_from_slice(record);
     }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod heads;
 mod innocent;
 mod input;
+mod large_config;
 mod lifecycle;
 mod limit;
 mod memory;
