Bound reads of the store by their progress instead of their size

A host gave up each read 600 ms after the requested wait, whatever it carried, and began again at the same offset: a configuration that takes longer to pass the host's link, of 10 Mbit/s and busy, never arrived, and each attempt used up the bandwidth that all hosts share.

The 600 ms now bound the time to the first and each further part of a response; a whole response may take 5 s. A store that falls silent is noticed as soon as before.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -59,9 +59,12 @@
 
 /// Timeout for connecting; the round-trip time to the store is a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for a response in addition to the requested wait; leaves time for another attempt within
-/// the two seconds in which changes must become active.
+/// Timeout for the first and each further part of a response, in addition to the requested wait; leaves
+/// time for another attempt within the two seconds in which changes must become active.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Maximum time for a whole response in addition to the requested wait, however large it is: the time
+/// within which a configuration must be active everywhere.
+const MAX_RESPONSE_TIME: Duration = Duration::from_secs(5);
 /// Maximum size of a response; the store limits reads and pages to a megabyte of content, which
 /// base64 makes a third larger.
 const MAX_RESPONSE_BYTES: u64 = 4 << 20;
@@ -177,7 +180,7 @@
         self.calls.fetch_add(1, Ordering::Relaxed);
         RequestBuilder::new(method, format!("http://{}/v1/{call}", self.address))
             .connect_timeout(CONNECT_TIMEOUT)
-            .timeout(RESPONSE_TIMEOUT + wait)
+            .timeout(MAX_RESPONSE_TIME + wait)
             .read_timeout(RESPONSE_TIMEOUT + wait)
     }
 
