Answer only requests in the peer of a test

The test's peer wrote its response as soon as a connection was open. Where that came before the host's request, the host rightly gave up the connection, and the peer, which served one connection at a time, was busy with it while the next ones timed out: 2 of 5 runs of the module failed.

--- a/tests/gateway/large_config.rs
+++ b/tests/gateway/large_config.rs
@@ -1,5 +1,6 @@
 //! Tests with configurations of hundreds of kilobytes at hosts with narrow links.
 
+use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -125,7 +126,8 @@
         let listener = self.listener.try_clone().unwrap();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                send_slowly(stream, text.as_bytes(), parts, pause);
+                let text = text.clone();
+                thread::spawn(move || send_slowly(stream, text.as_bytes(), parts, pause));
             }
         });
     }
@@ -149,7 +151,10 @@
 /// Sends a response in parts; an error means that the host has closed the connection.
 fn send_slowly(mut stream: TcpStream, text: &[u8], parts: usize, pause: Duration) {
     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
-    let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+    // A response before the request would belong to none.
+    let mut request = [0; 4096];
+    let has_request = stream.read(&mut request).is_ok_and(|length| length > 0);
+    let mut is_open = has_request && stream.write_all(head.as_bytes()).is_ok();
     for part in text.chunks(text.len().div_ceil(parts)) {
         thread::sleep(pause);
         is_open = is_open && stream.write_all(part).is_ok();
