Send peers the difference between two large configurations

Each host of a failure domain read the whole text for each change, since a text over 32 KB is not sent to peers: 81 hosts got 23 MB for one time-out that the operator changed, over links of 10 Mbit/s and a store whose bandwidth all share. The host that reads for its domain now sends, in the datagram that would have carried the records, which parts of the previous text to keep and what to insert; hosts with another text, or of a build that doesn't know patches, read the store as before.

--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -89,7 +89,8 @@
         let wake = keep_due.map_or(schedule.due(), |at| at.min(schedule.due()));
         if let Some(incoming) = endpoint.wait(wake) {
             let now = clock.now();
-            match reader.apply(incoming.segment) {
+            let (_, active) = publisher.config();
+            match reader.apply(incoming.segment.patched(&active)) {
                 SegmentOutcome::Next(records) => {
                     // Data of unknown age doesn't show that the store is reachable again.
                     let queried_at = incoming.asked.map(|asked| asked.now);
@@ -143,7 +144,8 @@
                     keep_at = Some(clock.now() + share::refresh_delay(host));
                 }
                 if let (Some(from), Some(next)) = (from, reader.next()) {
-                    endpoint.send(from, next, records.clone(), freshness);
+                    let (_, active) = publisher.config();
+                    endpoint.send_changes(from, next, records.clone(), &active, freshness);
                 }
                 adopt_newest(publisher, records, "store");
                 publisher.record_config_read(known_at.now);
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -6,6 +6,7 @@
 
 mod config;
 pub mod hosts;
+pub mod patch;
 pub mod reader;
 mod registry;
 pub mod share;
--- a/src/follow/reader.rs
+++ b/src/follow/reader.rs
@@ -206,6 +206,7 @@
         match segment.records {
             Some(records) if segment.from == offset => {
                 self.next = Some(end);
+                self.is_behind = false;
                 SegmentOutcome::Next(records)
             }
             _ => {
--- a/src/follow/share.rs
+++ b/src/follow/share.rs
@@ -19,6 +19,7 @@
 use log::debug;
 use tokio::sync::mpsc;
 
+use super::patch::Patch;
 use crate::clock::Moment;
 use crate::gossip;
 use crate::gossip::DatagramId;
@@ -40,6 +41,8 @@
 const MAX_QUICK_RETRIES: u32 = 3;
 /// Maximum delay after a failed read, and so until a store that is back gets noticed.
 const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(1);
+/// Maximum size of the records sent with a segment; hosts patch larger ones or read them from the store.
+pub const MAX_RECORD_BYTES: usize = 32_000;
 /// Maximum number of queued segments per direction; each covers at least half a second.
 const MAX_QUEUED_SEGMENTS: usize = 16;
 
@@ -92,6 +95,41 @@
     pub next: Offset,
     /// The records; `None` if they are too large to be sent.
     pub records: Option<Vec<Record>>,
+    /// Difference from the value before to that of the last record, if the records are too large.
+    pub patch: Option<Patch>,
+}
+
+impl Segment {
+    /// Adds the difference from `base`, the value before, if the records are too large to be sent.
+    pub fn with_patch(self, base: &[u8]) -> Self {
+        let records = self.records.as_ref();
+        let last = records.filter(|records| size(records) > MAX_RECORD_BYTES);
+        let patch = last.and_then(|records| Patch::between(base, records.last()?));
+        Segment { patch, ..self }
+    }
+
+    /// Returns the segment with the record that results from its patch, where its records are missing and
+    /// `base` is the value from which the patch was made.
+    pub fn patched(self, base: &[u8]) -> Self {
+        let patch = self.patch.as_ref().filter(|_| self.records.is_none());
+        let record = patch.and_then(|patch| patch.apply(base));
+        Segment {
+            records: self.records.or(record.map(|record| vec![record])),
+            patch: None,
+            ..self
+        }
+    }
+}
+
+/// Returns the number of bytes of records.
+fn size(records: &[Record]) -> usize {
+    let size = |record: &Record| record.key.len() + record.value.as_ref().map_or(0, Vec::len);
+    records.iter().map(size).sum()
+}
+
+/// Returns the records if they are small enough to be sent to peers.
+pub fn sendable(records: Vec<Record>) -> Option<Vec<Record>> {
+    (size(&records) <= MAX_RECORD_BYTES).then_some(records)
 }
 
 /// Evidence from which each peer bounds the age of a segment.
@@ -267,18 +305,33 @@
 
     /// Sends records that were read between two positions of one era to peers.
     pub fn send(&self, from: Position, next: Position, records: Vec<Record>, freshness: Freshness) {
+        self.send_changes(from, next, records, &[], freshness);
+    }
+
+    /// Does the same; records that are too large are sent as the difference of the last one from `base`, the
+    /// value before.
+    pub fn send_changes(
+        &self,
+        from: Position,
+        next: Position,
+        records: Vec<Record>,
+        base: &[u8],
+        freshness: Freshness,
+    ) {
         let (era, next) = next.into_parts();
         let Some(from) = from.offset_in(era) else {
             return;
         };
+        let segment = Segment {
+            topic: self.topic,
+            era,
+            from,
+            next,
+            records: Some(records),
+            patch: None,
+        };
         let outgoing = Outgoing {
-            segment: Segment {
-                topic: self.topic,
-                era,
-                from,
-                next,
-                records: Some(records),
-            },
+            segment: segment.with_patch(base),
             freshness,
         };
         if let Err(cause) = self.outbox.try_send(outgoing) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -40,8 +40,6 @@
 use crate::reassign::duty::PendingChanges;
 use crate::suspicion;
 
-/// Maximum size of the records sent with a segment; hosts read larger ones from the store.
-const MAX_SEGMENT_BYTES: usize = 32_000;
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -434,14 +432,12 @@
     }
 }
 
-/// Encodes a segment; its records are left out if they are too large.
+/// Encodes a segment; its records are left out if they are too large, and so is its patch.
 fn encode(outgoing: share::Outgoing) -> gossip::Segment {
     let share::Outgoing { segment, freshness } = outgoing;
-    let size = |record: &Record| record.key.len() + record.value.as_ref().map_or(0, Vec::len);
-    let records = segment
-        .records
-        .filter(|records| records.iter().map(size).sum::<usize>() <= MAX_SEGMENT_BYTES);
+    let records = segment.records.and_then(share::sendable);
     let is_omitted = records.is_none();
+    let patch = segment.patch.map(gossip::Patch::from);
     let records = records.into_iter().flatten().map(|record| gossip::Record {
         key: record.key.into(),
         value: record.value,
@@ -452,6 +448,7 @@
         from: segment.from,
         next: segment.next,
         records: records.collect(),
+        patch: patch.filter(|patch| patch.encoded_len() <= share::MAX_RECORD_BYTES),
         is_omitted,
         received: freshness.received.to_vec(),
         unchanged_ms: freshness.waited.as_millis() as u32,
@@ -469,6 +466,7 @@
         from: segment.from,
         next: segment.next,
         records: (!segment.is_omitted).then(|| records.collect()),
+        patch: segment.patch.map(Into::into),
     }
 }
 
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -15,6 +15,8 @@
 
 use crate::balance;
 use crate::clock::Moment;
+use crate::follow::patch;
+use crate::follow::patch::Part;
 use crate::id::AccountDigest;
 use crate::id::Fingerprint;
 use crate::id::IncarnationDigest;
@@ -231,6 +233,44 @@
     }
 }
 
+impl From<patch::Patch> for Patch {
+    fn from(patch: patch::Patch) -> Self {
+        let parts = patch.parts.into_iter().map(|part| match part {
+            Part::Copy { from, length } => PatchPart {
+                from: from as u32,
+                length: length as u32,
+                insert: Vec::new(),
+            },
+            Part::Insert(insert) => PatchPart {
+                insert,
+                ..PatchPart::default()
+            },
+        });
+        Patch {
+            key: patch.key.into(),
+            base: patch.base,
+            parts: parts.collect(),
+        }
+    }
+}
+
+impl From<Patch> for patch::Patch {
+    fn from(patch: Patch) -> Self {
+        let parts = patch.parts.into_iter().flat_map(|part| {
+            let copy = Part::Copy {
+                from: part.from as usize,
+                length: part.length as usize,
+            };
+            [copy, Part::Insert(part.insert)]
+        });
+        patch::Patch {
+            key: patch.key.into(),
+            base: patch.base,
+            parts: parts.collect(),
+        }
+    }
+}
+
 /// A limit that an upstream has named to the sender.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct RateLimit {
@@ -304,6 +344,34 @@
     pub decode: u32,
 }
 
+/// Part of a text that is sent as a difference from another one, the base.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct PatchPart {
+    /// Position in the base of the bytes to copy.
+    #[prost(uint32, tag = "1")]
+    pub from: u32,
+    /// Number of bytes to copy.
+    #[prost(uint32, tag = "2")]
+    pub length: u32,
+    /// Bytes to insert after these.
+    #[prost(bytes = "vec", tag = "3")]
+    pub insert: Vec<u8>,
+}
+
+/// Difference from one value of a key to the next one.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Patch {
+    /// Key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Digest of the base.
+    #[prost(fixed64, tag = "2")]
+    pub base: u64,
+    /// Parts of the value in order.
+    #[prost(message, repeated, tag = "3")]
+    pub parts: Vec<PatchPart>,
+}
+
 /// Records that the sender read from the store.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Segment {
@@ -322,6 +390,9 @@
     /// The records.
     #[prost(message, repeated, tag = "4")]
     pub records: Vec<Record>,
+    /// Difference to the last record, if the records were omitted.
+    #[prost(message, optional, tag = "9")]
+    pub patch: Option<Patch>,
     /// `true` if the records were omitted because of their size.
     #[prost(bool, tag = "5")]
     pub is_omitted: bool,
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -17,6 +17,7 @@
 mod inflow;
 mod logging;
 mod pace;
+mod patch;
 mod placement;
 mod pressure;
 mod reassign;
--- a/tests/decisions/share.rs
+++ b/tests/decisions/share.rs
@@ -98,6 +98,7 @@
         from,
         next,
         records: Some((from..next).map(record).collect()),
+        patch: None,
     }
 }
 
