Log the builds of upstreams and the streams that callers take up

No line of a log named the software version of an upstream, so that a stream joined from two of them looked sound. The entry's version is decoded, and the first step of a request that resumes a stream names the attempt that began it. Nothing is decided by either yet.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::BuildId;
 use crate::id::DomainId;
 use crate::id::ServiceId;
 use crate::id::StartTime;
@@ -50,6 +51,9 @@
     pub started_at: StartTime,
     /// Service to which it belongs.
     pub service: ServiceId,
+    /// Version of its software; empty if it names none.
+    #[serde(default)]
+    pub build: BuildId,
     /// Address at which it serves requests.
     pub address: SocketAddr,
     /// Failure domain.
--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -264,6 +264,7 @@
                 upstream:% = entry.id,
                 born = entry.started_at,
                 service:% = entry.service,
+                build:% = entry.build,
                 address:% = entry.address,
                 domain:% = entry.domain,
                 state:? = entry.state,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -102,6 +102,8 @@
     pub timeout: Duration,
     /// Event after which a resumed stream continues.
     pub after_event: Option<u64>,
+    /// Attempt that brought the first event of the stream to be resumed.
+    pub resumes: Option<CallId>,
     /// Prompt of a request to a model.
     pub prompt: Option<Prompt>,
     /// Digest of the caller's key; `None` if the request has no readable one.
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -55,6 +55,12 @@
         call,
         trace,
     };
+    if let Some(event) = progress.call.request.after_event {
+        let attempt = progress.call.request.resumes.as_deref().unwrap_or("");
+        progress
+            .trace
+            .step(format_args!("resumes={attempt:?} after {event}"));
+    }
     let mut is_recorded = false;
     loop {
         if let Some(retry_after) = suspect::refusal(gateway, &progress.call).await {
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -23,6 +23,8 @@
 pub type AccountDigest = u32;
 /// Name of an upstream.
 pub type UpstreamId = CompactString;
+/// Version of an upstream's software.
+pub type BuildId = CompactString;
 /// Identifier of one request, the same on every retry.
 pub type RequestId = Uuid;
 /// Identifier of one incarnation of an entry process.
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -32,6 +32,8 @@
 pub const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 /// Name of the client account whose key a request carries.
 pub const ACCOUNT: HeaderName = HeaderName::from_static("pistachiohall-tenant");
+/// Identifier of the attempt of a caller that brought the first event of the stream to be resumed.
+pub const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// Event after which a stream is resumed.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -15,6 +15,7 @@
 use crate::gateway::call::Request;
 use crate::id::AccountId;
 use crate::id::BlockId;
+use crate::id::CallId;
 
 /// Path at which the balancer checks whether the host accepts connections.
 pub const READINESS_PATH: &str = "/v1/readyz";
@@ -80,6 +81,7 @@
         uri: head.uri.clone(),
         timeout: Duration::from_millis(timeout),
         after_event: number(&head.headers, &header::LAST_EVENT)?,
+        resumes: resumes(&head.headers),
         prompt: prompt(&head.headers)?,
         key: key(&head.headers),
         forward: forwarded(&head.headers),
@@ -100,6 +102,12 @@
         .unwrap_or_default()
 }
 
+/// Returns the attempt that brought the first event of the stream to be resumed, if it is named.
+fn resumes(headers: &HeaderMap) -> Option<CallId> {
+    let id = headers.get(header::RESUMES)?.to_str().ok()?.trim();
+    (!id.is_empty() && id.len() <= MAX_ID_BYTES).then(|| id.into())
+}
+
 /// Scheme of the field that carries a caller's key.
 const KEY_SCHEME: &str = "Token";
 
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -27,6 +27,9 @@
     service: CompactString,
     address: SocketAddr,
     zone: CompactString,
+    /// Version of the software, not of the weights.
+    #[serde(default)]
+    version: CompactString,
     slots: usize,
     state: StateText,
     /// Stage that an engine runs; a `decode` engine also prefills, but more slowly.
@@ -111,6 +114,7 @@
         id,
         started_at: value.born,
         service: value.service,
+        build: value.version,
         address: value.address,
         domain: value.zone,
         role: match value.stage {
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -17,6 +17,7 @@
         id: id.into(),
         started_at,
         service: "lm".into(),
+        build: "v1".into(),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: "derby".into(),
         role: Role::Decode,
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -40,6 +40,7 @@
         id: "c1".into(),
         started_at,
         service: "desk".into(),
+        build: "v1".into(),
         address: "127.0.0.1:9".parse().unwrap(),
         domain: "derby".into(),
         role: Role::Mixed,
--- a/tests/decisions/reassign.rs
+++ b/tests/decisions/reassign.rs
@@ -20,6 +20,7 @@
             id: format!("e{domain}-{number}").into(),
             started_at: 1,
             service: "lm".into(),
+            build: "v1".into(),
             address: "127.0.0.1:9".parse().unwrap(),
             domain: format!("z{domain}").into(),
             role: match number < prefill_each {
--- a/tests/gateway/capacity_site.rs
+++ b/tests/gateway/capacity_site.rs
@@ -154,6 +154,7 @@
                 id: format!("e{}", self.created).into(),
                 started_at: 1,
                 service: "lm".into(),
+                build: "v1".into(),
                 address: "127.0.0.1:9".parse().unwrap(),
                 domain: domain.into(),
                 role: Role::Decode,
