Decide which build a stream belongs to, and which hosts remember it

History tells whether one build alone has served the streams that may still be taken up, also from what hosts have stored; Origins remembers to which build attempts were sent, bounded to 65,536; and three hosts, in different failure domains where there are some, remember a stream: all hosts agree on them by a rendezvous hash, without a message.

Tests of the decisions at the sizes that they name: 410 hosts in 31 failure domains, 25,000 requests a second.

--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -18,9 +18,11 @@
 use crate::follow::patch;
 use crate::follow::patch::Part;
 use crate::id::AccountDigest;
+use crate::id::BuildDigest;
 use crate::id::Fingerprint;
 use crate::id::IncarnationDigest;
 use crate::id::RequestDigest;
+use crate::id::StreamDigest;
 use crate::suspicion::Fate;
 use crate::suspicion::LossReport;
 use crate::suspicion::Report;
@@ -496,6 +498,28 @@
     }
 }
 
+/// Build that began a stream.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct StreamOrigin {
+    /// Digest of the attempt of the caller that began the stream, or resumed it.
+    #[prost(fixed64, tag = "1")]
+    pub stream: StreamDigest,
+    /// Digest of the build; 0 if the sender doesn't know it.
+    #[prost(fixed32, tag = "2")]
+    pub build: BuildDigest,
+}
+
+/// Query for the build that began a stream.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct OriginQuery {
+    /// Digest of the attempt of the caller that began the stream, or resumed it.
+    #[prost(fixed64, tag = "1")]
+    pub stream: StreamDigest,
+    /// Digest of the name of the service that it belongs to.
+    #[prost(fixed32, tag = "2")]
+    pub service: u32,
+}
+
 /// One datagram.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Datagram {
@@ -554,6 +578,12 @@
     /// Some of the paces of engines that the sender has measured, in rotation.
     #[prost(message, repeated, tag = "19")]
     pub paces: Vec<Pace>,
+    /// Streams that the receiver has to remember, or has asked for.
+    #[prost(message, repeated, tag = "20")]
+    pub origins: Vec<StreamOrigin>,
+    /// Streams whose builds the sender asks for.
+    #[prost(message, repeated, tag = "21")]
+    pub origin_queries: Vec<OriginQuery>,
 }
 
 /// Proof that the sender's configuration was the newest at some time, for hosts that get none from the
--- a/src/gossip/peers.rs
+++ b/src/gossip/peers.rs
@@ -1,6 +1,9 @@
 //! Known peers, by the datagrams received from them.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,6 +15,7 @@
 use super::incarnation_digest;
 use crate::id::DomainId;
 use crate::id::HostId;
+use crate::id::StreamDigest;
 
 #[derive(Debug, Clone)]
 struct Peer {
@@ -134,6 +138,66 @@
         peers.filter(|(host, _)| *host < own).count()
     }
 
+    /// Returns the addresses of up to `count` hosts that remember the origin of a stream, without `own`. All
+    /// hosts agree on them without a message: they are the first by a rendezvous hash, each of another
+    /// failure domain as long as there are some.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::gossip::{Datagram, Peers};
+    /// let now = Instant::now();
+    /// let hosts = [("h1", "derby"), ("h2", "derby"), ("h3", "leicester")];
+    /// let peers_of = |own: &str| {
+    ///     let mut peers = Peers::default();
+    ///     for (port, (host, domain)) in (1..).zip(hosts).filter(|(_, (host, _))| *host != own) {
+    ///         let datagram = Datagram { host: host.into(), domain: domain.into(), ..Datagram::default() };
+    ///         peers.record(&datagram, ([127, 0, 0, 1], port).into(), now);
+    ///     }
+    ///     peers
+    /// };
+    /// let keepers = |own: &str, domain: &str, stream| {
+    ///     peers_of(own).keepers(stream, 2, (&own.into(), &domain.into()), now)
+    /// };
+    /// for stream in 0..9 {
+    ///     // The third host is the only one of its domain.
+    ///     assert!(keepers("h1", "derby", stream).contains(&([127, 0, 0, 1], 3).into()));
+    /// }
+    /// ```
+    pub fn keepers(
+        &self,
+        stream: StreamDigest,
+        count: usize,
+        own: (&HostId, &DomainId),
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let recent = self.recent_peers(now);
+        let peers = recent.map(|(host, peer)| (host, &peer.domain, Some(peer.address)));
+        let mut ranked: Vec<_> = peers
+            .chain([(own.0, own.1, None)])
+            .map(|(host, domain, address)| (rendezvous(host, stream), host, domain, address))
+            .collect();
+        ranked.sort_unstable_by(|one, other| (other.0, other.1).cmp(&(one.0, one.1)));
+        let mut domains = HashSet::new();
+        let (first, rest): (Vec<_>, Vec<_>) = ranked
+            .into_iter()
+            .partition(|(_, _, domain, _)| domains.insert(*domain));
+        let keepers = first.into_iter().chain(rest).take(count);
+        keepers.filter_map(|(_, _, _, address)| address).collect()
+    }
+
+    /// Returns the address of the host of `domain` with the lowest rank, unless that is `own`.
+    pub fn first_in_domain(
+        &self,
+        own: &HostId,
+        domain: &DomainId,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let peers = self.domain_peers(domain, now);
+        let before = peers.filter(|(host, _)| *host < own);
+        let first = before.min_by_key(|(host, _)| *host);
+        first.map(|(_, peer)| peer.address)
+    }
+
     /// Returns the addresses of the hosts of `domain` from which a datagram arrived recently.
     pub fn addresses_in_domain(&self, domain: &DomainId, now: Instant) -> Vec<SocketAddr> {
         self.domain_peers(domain, now)
@@ -244,6 +308,13 @@
     }
 }
 
+/// Returns the rendezvous hash of a host and a stream.
+fn rendezvous(host: &HostId, stream: StreamDigest) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    (host, stream).hash(&mut hasher);
+    hasher.finish()
+}
+
 fn datagram_id(host: &HostId, peer: &Peer) -> DatagramId {
     DatagramId {
         incarnation: incarnation_digest(host, peer.started_at),
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -25,6 +25,10 @@
 pub type UpstreamId = CompactString;
 /// Version of an upstream's software.
 pub type BuildId = CompactString;
+/// Digest of the version of an upstream's software.
+pub type BuildDigest = u32;
+/// Digest of the attempt of a caller that began or resumed a stream.
+pub type StreamDigest = u64;
 /// Identifier of one request, the same on every retry.
 pub type RequestId = Uuid;
 /// Identifier of one incarnation of an entry process.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod member;
 pub mod once;
 pub mod order;
+pub mod origin;
 pub mod peer;
 pub mod pipeline;
 pub mod placement;
--- a/tests/decisions/mod.rs
+++ b/tests/decisions/mod.rs
@@ -16,6 +16,7 @@
 mod gossip;
 mod inflow;
 mod logging;
+mod origin;
 mod pace;
 mod patch;
 mod placement;
