Resume streams only at the build that began them

Engines of several software versions serve side by side; a host that resumed a broken stream, or took one up for its caller, chose among all engines of the service, since it did not know their versions.

A host now resumes a stream at an engine of its build alone, which is checked again at the send, as an engine may have started anew under its name. A caller names the attempt that began its stream. While one build has served as long as streams may be taken up, that is the stream's. Otherwise hosts remember: the host that sent the attempt, three others that it tells before the first event, and the store, to which the first host of each failure domain writes the streams of its domain, for the case that all hosts are killed. A host that does not know asks those that would; a stream of unknown build, or whose build has no engine, is refused at once. Nothing is told, asked or written while a service has one build, but one record when its builds change.

--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -4,6 +4,7 @@
 //! threads discover peers and exchange suspects with the store. The hosts of a failure domain share
 //! the reads: one reads the store and sends the result to the others.
 
+pub mod builds;
 mod config;
 pub mod hosts;
 pub mod patch;
@@ -31,7 +32,7 @@
 use crate::platform::store;
 
 /// Starts all threads; returns a receiver of the discovered hosts and the exchange of segments with
-/// peers. `suspects` holds the channels of the thread that stores suspects.
+/// peers. `suspects` and `builds` hold the channels of the threads that store these.
 ///
 /// # Errors
 ///
@@ -40,6 +41,7 @@
     publisher: &Arc<ViewPublisher>,
     local: hosts::LocalHost,
     suspects: suspects::Channels,
+    builds: builds::Channels,
     clock: &C,
     store: &K,
 ) -> Result<(watch::Receiver<Hosts>, Exchange)>
@@ -75,6 +77,10 @@
     thread::Builder::new()
         .name("suspects".into())
         .spawn(move || suspects::follow(&host, &thread_clock, &thread_store, &suspects))?;
+    let (host, thread_clock, thread_store) = (local.name.clone(), clock.clone(), store.clone());
+    thread::Builder::new()
+        .name("builds".into())
+        .spawn(move || builds::follow(&host, &thread_clock, &thread_store, &builds))?;
     let (sender, receiver) = watch::channel(Hosts::default());
     let (thread_clock, thread_store) = (clock.clone(), store.clone());
     thread::Builder::new()
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -17,6 +17,7 @@
 use super::open::OpenStream;
 use super::open::Progress;
 use super::open::Start;
+use super::origin;
 use super::plain;
 use super::record::Trace;
 use super::reply;
@@ -26,7 +27,6 @@
 use super::stream;
 use super::suspect;
 use super::target::Target;
-use crate::id::UpstreamId;
 use crate::placement;
 use crate::placement::Plan;
 use crate::placement::Request;
@@ -52,6 +52,7 @@
         attempt_budget: AttemptBudget::new(call.route.max_attempts),
         tried: Vec::new(),
         continuation: None,
+        build: None,
         call,
         trace,
     };
@@ -60,6 +61,12 @@
         progress
             .trace
             .step(format_args!("resumes={attempt:?} after {event}"));
+        progress.build = gateway.find_build(&progress.call).await;
+        if progress.build.is_none() {
+            progress.trace.decide(origin::UNKNOWN_BUILD);
+            let left = progress.call.remaining(Instant::now());
+            return fail(progress, left.mul_f64(MAX_RETRY_AFTER_SHARE));
+        }
     }
     let mut is_recorded = false;
     loop {
@@ -81,7 +88,7 @@
         if now >= progress.call.deadline {
             return fail(progress, RETRY_AFTER);
         }
-        let plan = plan(gateway, &progress.call, &progress.tried, now);
+        let plan = plan(gateway, &progress, now);
         if !std::mem::replace(&mut is_recorded, true) {
             demand::record(gateway, &progress.call, &plan, now);
         }
@@ -126,16 +133,28 @@
 }
 
 /// Chooses engines for a request.
-pub fn plan(gateway: &Rc<Gateway>, call: &Call, tried: &[UpstreamId], now: Instant) -> Plan {
+pub fn plan(gateway: &Rc<Gateway>, progress: &Progress, now: Instant) -> Plan {
+    let call = &progress.call;
+    let mut targets = gateway.targets(&call.service, now);
+    if progress.build.is_some() {
+        targets.retain(|target| is_permitted(progress, target));
+        let can_generate = |target: &Rc<Target>| target.entry.role != Role::Prefill;
+        if !targets.iter().any(can_generate) {
+            return Plan::Refuse {
+                retry_after: call.remaining(now),
+                reason: origin::NO_ENGINE,
+            };
+        }
+    }
     let Some(prompt) = &call.request.prompt else {
-        return plan_without_prompt(gateway, call, tried, now);
+        return plan_without_prompt(gateway, progress, now);
     };
     let board = gateway.board.borrow();
-    let targets = gateway.targets(&call.service, now);
     let engines: Vec<placement::Engine> = targets
         .iter()
         .filter(|target| {
-            !tried.contains(&target.entry.id) && !gateway.is_changing_role(&target.entry.id, now)
+            !progress.tried.contains(&target.entry.id)
+                && !gateway.is_changing_role(&target.entry.id, now)
         })
         .map(|target| {
             let id = &target.entry.id;
@@ -180,6 +199,12 @@
     rank(gateway, call, placement::plan(&request, &engines))
 }
 
+/// Returns `true` if an upstream may work on a stream: any engine may prefill its prompt, and only one of its
+/// build may generate its events.
+fn is_permitted(progress: &Progress, target: &Target) -> bool {
+    target.entry.role == Role::Prefill || progress.permits(target)
+}
+
 /// Refines the urgency of a plan by the rank of the request, if the configuration has client accounts.
 fn rank(gateway: &Gateway, call: &Call, plan: Plan) -> Plan {
     let catalog = gateway.catalog();
@@ -197,8 +222,11 @@
 /// Urgency of a stream without a prompt; the middle of the scale.
 const DEFAULT_URGENCY: u8 = 5;
 
-fn plan_without_prompt(gateway: &Gateway, call: &Call, tried: &[UpstreamId], now: Instant) -> Plan {
-    match plain::pick(gateway, call, tried, now) {
+fn plan_without_prompt(gateway: &Gateway, progress: &Progress, now: Instant) -> Plan {
+    let call = &progress.call;
+    let is_candidate =
+        |target: &Target| !progress.tried.contains(&target.entry.id) && progress.permits(target);
+    match plain::pick(gateway, call, is_candidate, now) {
         Some(target) => {
             let plan = Plan::Single {
                 engine: target.entry.id.clone(),
@@ -215,7 +243,10 @@
 
 fn deliver(gateway: &Rc<Gateway>, mut stream: OpenStream, mut progress: Progress) -> Reply {
     progress.trace.record_first();
-    gateway.record_served(&progress.call, Instant::now());
+    let now = Instant::now();
+    progress.build = Some(stream.target.build());
+    gateway.confirm_stream(&progress.call, &stream.target);
+    gateway.record_served(&progress.call, now);
     let head = stream.head.clone();
     progress.continuation = Some(Continuation::of(&head));
     let unread = held::Unread::new(&gateway.held_streams);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod metrics;
 pub mod newer;
 pub mod open;
+pub mod origin;
 pub mod paces;
 pub mod peers;
 pub mod place;
@@ -78,6 +79,7 @@
 use self::keys::Keys;
 use self::limits::SharingHosts;
 use self::newer::Announcement;
+use self::origin::Streams;
 use self::record::Metrics;
 use self::target::Target;
 
@@ -141,6 +143,8 @@
     last_peer: Cell<Option<SocketAddr>>,
     /// Newest configuration that a peer has announced.
     pub announcement: RefCell<Announcement>,
+    /// Builds that began streams.
+    pub streams: Streams,
     /// Proof of the configuration by which keys are served.
     pub keys: Keys,
     view: RefCell<Arc<View>>,
@@ -185,6 +189,7 @@
             last_request: Cell::default(),
             last_peer: Cell::default(),
             announcement: RefCell::default(),
+            streams: Streams::default(),
             keys: Keys::default(),
             view: RefCell::default(),
             targets: RefCell::default(),
@@ -263,6 +268,7 @@
         self.update_targets(&view);
         self.update_board(&view);
         self.update_balancer(&view);
+        self.update_builds(&view, Instant::now());
         let accounts = view.catalog.as_ref().and_then(|catalog| catalog.accounts());
         self.usage.set_enabled(accounts.is_some());
         *self.view.borrow_mut() = view;
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -21,6 +21,7 @@
 use super::exchange::Provenance;
 use super::exchange::Response;
 use super::exchange::Stage;
+use super::origin;
 use super::place::Prefilled;
 use super::place::Slot;
 use super::plain;
@@ -31,6 +32,7 @@
 use super::target::Target;
 use crate::catalog::Kind;
 use crate::gossip;
+use crate::id::BuildDigest;
 use crate::id::UpstreamId;
 use crate::placement;
 use crate::placement::Plan;
@@ -86,11 +88,18 @@
     pub tried: Vec<UpstreamId>,
     /// Stream that was partly delivered.
     pub continuation: Option<Continuation>,
+    /// Build that began the stream, at which alone it goes on; `None` before its first event.
+    pub build: Option<BuildDigest>,
     /// Steps taken so far.
     pub trace: Trace,
 }
 
 impl Progress {
+    /// Returns `true` if an upstream may generate events of the stream.
+    pub fn permits(&self, target: &Target) -> bool {
+        self.build.is_none_or(|build| build == target.build())
+    }
+
     fn record_failure(&mut self, engine: &UpstreamId, failure: &Failure) {
         self.attempt_budget.record_failure(failure);
         self.tried.push(engine.clone());
@@ -196,12 +205,15 @@
     let urgency = options.urgency.unwrap_or(LOWEST_URGENCY);
     let started = match gateway.target(engine) {
         None => Err(Failure::NotSent("the engine is gone".into())),
+        // An engine that has started again under its name may be of another build.
+        Some(target) if !progress.permits(&target) => Err(Failure::Withheld(origin::NO_ENGINE)),
         Some(target) => {
             let prefill_time = match options.stage {
                 Stage::Decode(_) => Duration::ZERO,
                 Stage::Full | Stage::Prefill => prefill_time(gateway, &progress.call, &target),
             };
             let slot = Slot::new(gateway, &target, prefill_time, urgency);
+            gateway.record_attempt(&progress.call, &target, Instant::now());
             if matches!(options.stage, Stage::Full) {
                 record_prefill(gateway, &progress.call, engine);
             }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,5 +1,7 @@
 //! Exchanges datagrams with peers: this host's state is sent, and theirs is taken in.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -23,6 +25,7 @@
 use super::call::Block;
 use super::demand::Gatherer;
 use super::keys;
+use super::origin::Notice;
 use super::paces;
 use crate::capacity::duty::Outlook;
 use crate::clock::Clock;
@@ -33,6 +36,7 @@
 use crate::gossip;
 use crate::gossip::Datagram;
 use crate::gossip::Peers;
+use crate::gossip::StreamOrigin;
 use crate::id::HostId;
 use crate::log::keyed::Record;
 use crate::placement::board::Load;
@@ -52,6 +56,10 @@
 /// Maximum number of peers whose datagrams are named in one datagram, about 12 bytes each, so that they
 /// can tell how old the sender's configuration is.
 const MAX_PROVED_PEERS: usize = 8;
+/// Number of hosts that remember the build of a stream, so that one is left when others fail.
+const STREAM_KEEPERS: usize = 3;
+/// Maximum number of streams in one datagram, about 15 bytes each.
+const MAX_STREAMS: usize = 256;
 /// Interval at which the hosts that share limits are determined.
 const SHARING_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum interval between two datagrams that are sent outside the regular interval.
@@ -144,7 +152,9 @@
                 gateway.keys.set_proved_peer(peers.has_proved(account::MAX_RECENT_AGE, now));
                 is_partial.store(has_many_silent(&peers, now), Ordering::Relaxed);
                 let (own, domain) = (&gateway.settings.name, &gateway.settings.domain);
-                exchange.set_rank(peers.rank_in_domain(own, domain, now));
+                let rank_in_domain = peers.rank_in_domain(own, domain, now);
+                gateway.streams.rank_in_domain.set(rank_in_domain);
+                exchange.set_rank(rank_in_domain);
                 exchange.set_received(peers.last_datagrams_in_domain(domain, now));
                 let newest = Constraints {
                     rank: peers.rank(&gateway.settings.name, now),
@@ -152,6 +162,7 @@
                     pending_changes: gateway.pending_changes(now),
                     paces: observed.refreshed(&gateway, now),
                 };
+                gateway.streams.rank.set(newest.rank);
                 gatherer.publish(&gateway, newest.rank, peers.count_known(), now);
                 constraints.send_if_modified(|current| {
                     let is_changed = *current != newest;
@@ -173,6 +184,7 @@
                 sender.send_segment(&gateway, &socket, &peers, outgoing);
             }
             () = gateway.urgent_suspects.notified() => sender.send_urgent(&gateway, &socket, &peers),
+            () = gateway.streams.urgent.notified() => sender.send_streams(&gateway, &socket, &peers),
             Ok(()) = pending_changes.changed() => {
                 let ordered: Vec<u32> = pending_changes.borrow_and_update().keys().map(|id| gossip::digest(id)).collect();
                 gateway.record_pending_changes(&ordered, Instant::now());
@@ -318,6 +330,46 @@
         }
     }
 
+    /// Sends the builds of streams to the peers that remember them, queries, and answers to queries.
+    fn send_streams(&mut self, gateway: &Gateway, socket: &UdpSocket, peers: &Peers) {
+        let now = Instant::now();
+        let own = (&gateway.settings.name, &gateway.settings.domain);
+        let keepers = |stream| peers.keepers(stream, STREAM_KEEPERS, own, now);
+        let mut due: BTreeMap<SocketAddr, Datagram> = BTreeMap::new();
+        for notice in gateway.streams.take_notices() {
+            match notice {
+                Notice::Began(origin) => {
+                    let first = peers.first_in_domain(own.0, own.1, now);
+                    let keepers: BTreeSet<SocketAddr> =
+                        keepers(origin.stream).into_iter().chain(first).collect();
+                    for peer in keepers {
+                        due.entry(peer).or_default().origins.push(origin);
+                    }
+                }
+                Notice::Query(query) => {
+                    let asked = keepers(query.stream);
+                    gateway.streams.record_asked(query.stream, asked.len());
+                    for peer in asked {
+                        due.entry(peer).or_default().origin_queries.push(query);
+                    }
+                }
+                Notice::Answer(peer, origin) => due.entry(peer).or_default().origins.push(origin),
+            }
+        }
+        for (peer, content) in due {
+            let mut queries = content.origin_queries;
+            for origins in parts(&content.origins) {
+                self.record_sent();
+                let datagram = Datagram {
+                    origins: origins.to_vec(),
+                    origin_queries: std::mem::take(&mut queries),
+                    ..self.datagram(gateway)
+                };
+                send(socket, &datagram.encode_to_vec(), &[peer]);
+            }
+        }
+    }
+
     /// Sends suspects to the live peers without waiting for the next regular datagram.
     fn send_urgent(&mut self, gateway: &Gateway, socket: &UdpSocket, peers: &Peers) {
         let now = Instant::now();
@@ -401,6 +453,12 @@
     }
 }
 
+/// Divides streams into the parts that datagrams carry, at least one.
+fn parts(origins: &[StreamOrigin]) -> impl Iterator<Item = &[StreamOrigin]> {
+    let empty = origins.is_empty().then_some(origins);
+    origins.chunks(MAX_STREAMS).chain(empty)
+}
+
 /// Returns `true` if many of the known peers are silent.
 fn has_many_silent(peers: &Peers, now: Instant) -> bool {
     let known = peers.count_known();
@@ -513,6 +571,7 @@
         gateway.suspicion.borrow_mut().merge(origin, &reports, now);
     }
     gateway.record_reported_limits(&datagram.limits, now);
+    gateway.receive_origins(&datagram, from, now);
     if is_newest {
         let host = HostId::from(datagram.host.as_str());
         if datagram.domain == gateway.settings.domain {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -89,7 +89,7 @@
                 trace.decide(balance::REFUSAL_REASON);
                 return give_up(call, &attempt_budget, buffered, after, trace);
             }
-            Choice::Unbalanced => pick(gateway, call, &tried, now).map(Chosen::from),
+            Choice::Unbalanced => pick(gateway, call, untried(&tried), now).map(Chosen::from),
         };
         let is_second = tried.len() == 1;
         let same = || pick_again(gateway, call, &last, now).filter(|_| is_second);
@@ -105,7 +105,7 @@
         }
         attempt_budget.record_send();
         tried.push(target.entry.id.clone());
-        let has_other = pick(gateway, call, &tried, now).is_some();
+        let has_other = pick(gateway, call, untried(&tried), now).is_some();
         let until = attempt_deadline(call, &attempt_budget, has_other, now);
         let may_reuse = call.route.is_idempotent() && tried.len() == 1;
         trace.run.offer();
@@ -156,7 +156,7 @@
 ) -> Option<Rc<Target>> {
     match last {
         Some(Failure::Broken(_) | Failure::NotSent(_) | Failure::Unreachable(_)) => {
-            pick(gateway, call, &[], now)
+            pick(gateway, call, |_| true, now)
         }
         _ => None,
     }
@@ -241,20 +241,21 @@
         .min(max_timeout)
 }
 
+/// Returns a filter of the upstreams that have not been tried.
+fn untried(tried: &[UpstreamId]) -> impl Fn(&Target) -> bool {
+    |target| !tried.contains(&target.entry.id)
+}
+
 /// Chooses the upstream with the fewest requests in flight from this host, preferring healthy ones
 /// and those of the same failure domain.
-pub fn pick(
-    gateway: &Gateway,
-    call: &Call,
-    tried: &[UpstreamId],
-    now: Instant,
-) -> Option<Rc<Target>> {
+pub fn pick<F>(gateway: &Gateway, call: &Call, is_candidate: F, now: Instant) -> Option<Rc<Target>>
+where
+    F: Fn(&Target) -> bool,
+{
     let mut random = rand::rng();
     let targets = gateway.targets(&call.service, now);
-    let untried = targets
-        .into_iter()
-        .filter(|target| !tried.contains(&target.entry.id));
-    let weighed = untried.map(|target| {
+    let candidates = targets.into_iter().filter(|target| is_candidate(target));
+    let weighed = candidates.map(|target| {
         let health = *target.health();
         let mut cost = target.in_flight() as f64 + FAILURE_RATE_COST * health.failure_rate();
         if !health.is_healthy(now) || gateway.is_reported_unreachable(&target.entry.id, now) {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -36,6 +36,7 @@
 use super::listen;
 use super::listen::Connections;
 use super::listen::Phase;
+use super::origin;
 use super::peers;
 use super::record::Metrics;
 use super::reply;
@@ -50,6 +51,7 @@
 use crate::follow;
 use crate::follow::View;
 use crate::follow::ViewPublisher;
+use crate::follow::builds::Change;
 use crate::follow::suspects::Message;
 use crate::log::keyed::Keyed;
 use crate::platform::duties;
@@ -77,6 +79,8 @@
 const MAX_QUEUED_REPORTS: usize = 2;
 /// Maximum number of queued messages about suspects in the store.
 const MAX_QUEUED_MESSAGES: usize = 64;
+/// Maximum number of changes of builds and of batches of streams that are queued for the store.
+const MAX_QUEUED_BUILDS: usize = 64;
 /// Maximum number of signals that wait to be handled.
 const MAX_QUEUED_SIGNALS: usize = 8;
 
@@ -114,7 +118,13 @@
         messages: message_sender,
         is_partial: Arc::clone(&is_partial),
     };
-    let (hosts, exchange) = follow::start(&views, local_host, suspects, clock, &store)?;
+    let (build_changes, changes) = channel::bounded(MAX_QUEUED_BUILDS);
+    let (build_sender, build_messages) = mpsc::channel(MAX_QUEUED_MESSAGES);
+    let builds = follow::builds::Channels {
+        changes,
+        messages: build_sender,
+    };
+    let (hosts, exchange) = follow::start(&views, local_host, suspects, builds, clock, &store)?;
     let (constraints, constraint_updates) = watch::channel(Constraints::default());
     let (pending_changes, pending_change_updates) = watch::channel(PendingChanges::default());
     let incarnations = Arc::new(Incarnations::default());
@@ -180,6 +190,8 @@
         store,
         persist,
         messages,
+        build_changes,
+        build_messages,
     };
     runtime.block_on(LocalSet::new().run_until(serve_until_shutdown(gateway, inputs)))
 }
@@ -248,6 +260,9 @@
     /// Takes suspects that must outlast the process.
     persist: channel::Sender<Vec<Report>>,
     messages: mpsc::Receiver<Message>,
+    /// Takes builds that must outlast the process.
+    build_changes: channel::Sender<Change>,
+    build_messages: mpsc::Receiver<follow::builds::Message>,
 }
 
 async fn serve_until_shutdown(gateway: Rc<Gateway>, inputs: Inputs) -> Result<bool> {
@@ -262,6 +277,8 @@
         store,
         persist,
         messages,
+        build_changes,
+        build_messages,
     } = inputs;
     let callers = listen::open(gateway.settings.listen)?;
     let balancer = listen::open(gateway.settings.ready_listen)?;
@@ -281,11 +298,17 @@
     let socket = UdpSocket::from_std(socket)?;
     task::spawn_local(peers::run(Rc::clone(&gateway), socket, peer_inputs));
     task::spawn_local(suspect::follow(Rc::clone(&gateway), messages));
+    task::spawn_local(origin::follow(Rc::clone(&gateway), build_messages));
+    task::spawn_local(origin::store_streams(
+        Rc::clone(&gateway),
+        build_changes.clone(),
+    ));
     task::spawn_local(sweep(
         Rc::clone(&gateway),
         Arc::clone(&views),
         store,
         persist,
+        build_changes,
     ));
     task::spawn_local(bootstrap::query_peers(
         Rc::clone(&gateway),
@@ -368,10 +391,12 @@
     views: Arc<ViewPublisher>,
     store: Store,
     persist: channel::Sender<Vec<Report>>,
+    build_changes: channel::Sender<Change>,
 ) {
     loop {
         let now = Instant::now();
         gateway.sweep(now);
+        origin::store(&build_changes, gateway.sweep_streams(now));
         let persistent = suspect::reconcile(&gateway, views.last_read().upstreams, now);
         if let Some(persistent) = persistent
             && persist.try_send(persistent).is_err()
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -207,7 +207,7 @@
                 return None;
             }
             let now = Instant::now();
-            let plan = generate::plan(&gateway, &self.progress.call, &self.progress.tried, now);
+            let plan = generate::plan(&gateway, &self.progress, now);
             if now >= self.progress.call.deadline || !self.progress.may_start(&gateway, &plan) {
                 self.progress.trace.decide("no-resume");
                 return None;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -44,6 +44,10 @@
 pub const HOST_TOPIC: &str = "keyed.hosts";
 /// Topic that contains the losses that each host attributes to requests that may crash upstreams.
 pub const SUSPECT_TOPIC: &str = "keyed.suspects";
+/// Topic that contains the builds of each service.
+pub const BUILD_TOPIC: &str = "keyed.builds";
+/// Topic that contains the builds of streams that began lately, in batches.
+pub const STREAM_TOPIC: &str = "keyed.streams";
 /// Topic whose newest record under [`LEASE_KEY`] names the host that may give orders.
 pub const LEASE_TOPIC: &str = "keyed.lease";
 /// Topic of the lease under which usage is reported.
--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -2,24 +2,29 @@
 //! that a stream may go on only at the build that began it.
 
 use std::collections::BTreeMap;
+use std::net::UdpSocket;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
+use pistachiohall::gossip::Datagram;
 use pistachiohall::platform::store;
 use pistachiohall::standin::fleet;
 use pistachiohall::standin::fleet::client::Answer;
 use pistachiohall::standin::fleet::client::Client;
 use pistachiohall::standin::fleet::replica::Behavior;
 use pistachiohall::standin::fleet::replica::Replica;
+use pistachiohall::standin::fleet::store::Fault;
 use pistachiohall::standin::fleet::store::Store;
+use prost::Message;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
 
 use super::site::Gateway;
 use super::site::NO_ORDERS;
+use super::site::wait_for;
 
 /// Number of streams in a test, enough that a choice without regard to builds is noticed.
 const STREAMS: usize = 8;
@@ -90,11 +95,40 @@
         }
     }
 
-    /// Restarts all hosts at the same time, so that no host remembers anything.
-    fn restart_hosts(&mut self) {
+    /// Waits until the hosts have stored the builds that serve.
+    fn wait_stored(&self, builds: &[&str]) {
+        wait_for("the builds in the store", || {
+            let stored = self.store.newest(store::BUILD_TOPIC, "lm");
+            let stored = stored.and_then(|text| serde_json::from_slice::<Value>(&text).ok());
+            stored.is_some_and(|stored| stored["builds"] == json!(builds))
+        });
+    }
+
+    /// Waits until the hosts have stored some streams.
+    fn wait_streams_stored(&self) {
+        wait_for("streams in the store", || {
+            !self.store.keys(store::STREAM_TOPIC).is_empty()
+        });
+    }
+
+    /// Removes the streams from the store, as if the hosts had ended before they wrote them.
+    fn forget_stored_streams(&self) {
+        for key in self.store.keys(store::STREAM_TOPIC) {
+            self.store.remove(store::STREAM_TOPIC, &key);
+        }
+    }
+
+    fn kill_hosts(&mut self) {
         for host in &self.hosts {
             host.signal("-KILL");
         }
+        for host in &mut self.hosts {
+            host.wait();
+        }
+    }
+
+    /// Starts all hosts again after they were killed, so that no host remembers anything.
+    fn restart_hosts(&mut self) {
         for host in &mut self.hosts {
             host.restart();
         }
@@ -264,6 +298,8 @@
     let mut fleet = Fleet::start(2, &[("e1", "v1")]);
     let began = fleet.begin("e1");
     fleet.add("a2", "v2");
+    fleet.kill_hosts();
+    fleet.forget_stored_streams();
     fleet.restart_hosts();
     assert_refused(&fleet, 0, &began);
     assert_refused(&fleet, 1, &began);
@@ -275,8 +311,11 @@
 fn a_stream_is_refused_while_it_may_be_of_a_build_that_has_left() {
     let mut fleet = Fleet::start(2, &[("e1", "v1")]);
     let began = fleet.begin("e1");
+    fleet.wait_stored(&["v1"]);
     fleet.add("a2", "v2");
     fleet.remove("e1");
+    fleet.kill_hosts();
+    fleet.forget_stored_streams();
     fleet.restart_hosts();
     assert_refused(&fleet, 0, &began);
 }
@@ -298,7 +337,61 @@
 fn a_stream_of_the_only_build_goes_on_after_all_hosts_were_killed() {
     let mut fleet = Fleet::start(2, &[("e1", "v1")]);
     let began = fleet.begin("e1");
+    fleet.wait_stored(&["v1"]);
+    fleet.kill_hosts();
+    fleet.restart_hosts();
+    assert_go_on(&fleet, 0, &began, "e1");
+    assert_go_on(&fleet, 1, &began, "e1");
+}
+
+/// Guards against the loss of all streams that were under way when all hosts were killed while several builds
+/// served.
+#[test]
+fn a_stream_of_one_of_several_builds_goes_on_after_all_hosts_were_killed() {
+    let mut fleet = Fleet::start(2, &[("e1", "v1")]);
+    let began = fleet.begin("e1");
+    for name in ["a2", "m3", "z4"] {
+        fleet.add(name, "v2");
+    }
+    fleet.wait_streams_stored();
+    fleet.kill_hosts();
     fleet.restart_hosts();
     assert_go_on(&fleet, 0, &began, "e1");
     assert_go_on(&fleet, 1, &began, "e1");
 }
+
+/// Guards against the loss of streams of the only build at a host that starts while the store is away: its
+/// peers know that there was no other.
+#[test]
+fn a_stream_of_the_only_build_goes_on_at_a_host_that_starts_without_the_store() {
+    let mut fleet = Fleet::start(2, &[("e1", "v1")]);
+    let began = fleet.begin("e1");
+    fleet.wait_stored(&["v1"]);
+    fleet.store.set_fault(Fault::Down);
+    fleet.hosts[1].restart();
+    fleet.hosts[1].wait_ready();
+    assert_go_on(&fleet, 1, &began, "e1");
+}
+
+/// Guards against a guess, and against a long wait, where a peer of an older build remembers no streams and
+/// answers no queries.
+#[test]
+fn a_stream_is_refused_where_a_peer_does_not_answer() {
+    let fleet = Fleet::start(1, &[("e1", "v1"), ("a2", "v2")]);
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let mut sequence = 0;
+    wait_for("a host that hears its peer", || {
+        sequence += 1;
+        let datagram = Datagram {
+            host: "h0".into(),
+            domain: "derby".into(),
+            started_at: 1,
+            sequence,
+            ..Datagram::default()
+        };
+        let host = fleet.hosts[0].peers();
+        peer.send_to(&datagram.encode_to_vec(), host).unwrap();
+        fleet.hosts[0].line(&["peers=1"]).is_some()
+    });
+    assert_refused(&fleet, 0, &["r0".to_owned()]);
+}
