Keep the line that explains a request's configuration

The line which tells that the request loop decides by another configuration had the field config, so that `explain` showed it in place of the one that tells where the configuration came from; it names the version in another field.

--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -178,7 +178,7 @@
                 faults = catalog.faults().len(),
                 source:% = source,
                 replaced:? = current,
-                bytes = config.len(),
+                size_bytes = config.len(),
                 decode_ms = started_at.elapsed().as_millis() as u64,
                 last_read_ms = last_read.map_or(-1, |at| at.elapsed().as_millis() as i64),
                 outcome = "in-force";
--- a/src/gateway/belief.rs
+++ b/src/gateway/belief.rs
@@ -82,7 +82,7 @@
         let version = view.catalog.as_ref().map_or(0, |catalog| catalog.version());
         if version != previous {
             info!(
-                config = version,
+                version = version,
                 replaced = previous,
                 lag_ms = lag.as_millis() as u64,
                 outcome = "adopted";
