Let resumed streams take the places that they had

Where several builds serve, a stream that is taken up has the engines of its build alone, often one or two that generate.

A resumed stream goes to a free engine if there is one, and otherwise to the best of its build, which refuses it itself if it is full. Requests that begin are placed as before.

--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -193,6 +193,7 @@
         target_left: (call.arrived + call.route.target_latency).saturating_duration_since(now),
         left: call.remaining(now),
         is_above_share: gateway.is_above_share(call, now),
+        is_resumed: progress.build.is_some(),
         kv_crossing: spill::kv_crossing(gateway, call, prompt),
         target_gap: call.route.target_gap,
     };
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -98,6 +98,9 @@
     /// Whether its client account has had more than its share of the service, so that it yields to
     /// other requests while room is short.
     pub is_above_share: bool,
+    /// Whether it resumes a stream, which takes the place that the stream had: while its host or engine has
+    /// just failed, that place still counts as taken.
+    pub is_resumed: bool,
     /// Cost of moving the prompt's KV cache to another failure domain.
     pub kv_crossing: Duration,
     /// Target for the maximum pause between events.
@@ -296,20 +299,24 @@
 ) -> Option<Candidate<'a>> {
     let has_free_slot =
         |engine: &&Engine| (engine.running as f64) < engine.slots as f64 * FULL_SLOT_SHARE;
-    let free: Vec<&Engine> = engines.iter().filter(has_free_slot).collect();
+    let can_generate = |engine: &Engine| engine.role != Role::Prefill;
+    let mut free: Vec<&Engine> = engines.iter().filter(has_free_slot).collect();
+    if request.is_resumed && !free.iter().any(|engine| can_generate(engine)) {
+        free = engines.iter().collect();
+    }
     let healthy: Vec<&Engine> = free
         .iter()
         .copied()
         .filter(|engine| engine.is_healthy)
         .collect();
-    let usable = match healthy.iter().any(|engine| engine.role != Role::Prefill) {
+    let usable = match healthy.iter().any(|engine| can_generate(engine)) {
         true => healthy,
         false => free,
     };
     let decode_engines: Vec<&Engine> = usable
         .iter()
         .copied()
-        .filter(|engine| engine.role != Role::Prefill)
+        .filter(|engine| can_generate(engine))
         .collect();
     if is_short(request.prompt) {
         return decode_engines
--- a/tests/decisions/placement.rs
+++ b/tests/decisions/placement.rs
@@ -75,6 +75,7 @@
         target_left: Duration::from_millis(150),
         left: Duration::from_secs(2),
         is_above_share: false,
+        is_resumed: false,
         kv_crossing: cost::CROSS_DOMAIN_PENALTY,
         target_gap: None,
     }
@@ -178,6 +179,34 @@
     }
 }
 
+/// Guards against the loss of streams whose build has one engine left: the streams of two of six hosts that were
+/// killed still count as running there when their callers take them up, up to two seconds later.
+#[rstest]
+#[case::new_request(false, 64, None)]
+#[case::resumed(true, 64, Some("d1"))]
+#[case::resumed_beside_a_free_engine(true, 50, Some("d2"))]
+fn a_resumed_stream_takes_the_place_that_it_had(
+    #[case] is_resumed: bool,
+    #[case] running_at_other: usize,
+    #[case] expected: Option<&str>,
+) {
+    let prompt = short_prompt();
+    let at = |id: &str, running| Engine {
+        running,
+        ..engine(id, Role::Decode)
+    };
+    let engines = [at("d1", 60), at("d2", running_at_other)];
+    let request = Request {
+        is_resumed,
+        ..request(&prompt)
+    };
+    let engine = match placement::plan(&request, &engines) {
+        Plan::Single { engine, .. } => Some(engine),
+        _ => None,
+    };
+    assert_eq!(engine.as_deref(), expected);
+}
+
 /// A request is refused when no engine has a free slot, and placed when a single one does.
 #[test]
 fn a_request_is_refused_only_if_no_engine_has_a_free_slot() {
@@ -347,6 +376,7 @@
         target_left: Duration::from_millis(800),
         left,
         is_above_share: false,
+        is_resumed: false,
         kv_crossing: cost::CROSS_DOMAIN_PENALTY,
         target_gap: None,
     };
@@ -447,6 +477,7 @@
         engine("far", Role::Decode, "two", 0),
     ];
     let request = Request {
+        is_resumed: false,
         kv_crossing,
         ..request(&prompt)
     };
