--- a/tests/decisions/patch.rs
+++ b/tests/decisions/patch.rs
@@ -30,7 +30,7 @@
     }
 }
 
-/// Returns a configuration with 8,400 accounts, about 700 KB, and the key of one of them.
+/// Returns a configuration with 8,400 accounts, about 470 KB, and the key of one of them.
 fn with_accounts(version: u64, key: &str) -> Value {
     let mut config = fleet::config(version);
     let accounts = (0..ACCOUNTS).map(|number| {
