Break the new rules in mutants, and test what survived

Three survived at first: a host that forgets a build with its last upstream, peers that are not told of streams, and peers that do not tell of their only build. A test of the decision and one with a killed host turn the first two red; the test of a start without the store lets the host that began the streams forget them first. A fourth, an equivalent of another rule, was left out.

--- a/tests/decisions/origin.rs
+++ b/tests/decisions/origin.rs
@@ -60,6 +60,16 @@
     assert_eq!(known.only(MEMORY, now + MEMORY).unwrap(), "v2");
 }
 
+/// Guards against a host that forgets a build with its last upstream, while streams of it may be taken up.
+#[test]
+fn a_build_that_has_left_counts_as_long_as_its_streams() {
+    let now = Instant::now();
+    let mut known = started(&["v1"], None, now);
+    known.update(builds(&["v2"]), now);
+    assert_eq!(known.only(MEMORY, now + MEMORY / 2), None);
+    assert_eq!(known.only(MEMORY, now + MEMORY).unwrap(), "v2");
+}
+
 /// Guards against a build that comes and goes between two writes to the store, so that it is missing there.
 #[test]
 fn a_build_that_served_for_a_moment_is_stored_as_a_change() {
--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -367,6 +367,10 @@
     let mut fleet = Fleet::start(2, &[("e1", "v1")]);
     let began = fleet.begin("e1");
     fleet.wait_stored(&["v1"]);
+    // The host that began the streams forgets them, and learns from the store that there was one build.
+    fleet.hosts[0].restart();
+    fleet.hosts[0].wait_ready();
+    fleet.hosts[1].wait_line(&["peers=1"]);
     fleet.store.set_fault(Fault::Down);
     fleet.hosts[1].restart();
     fleet.hosts[1].wait_ready();
@@ -395,3 +399,16 @@
     });
     assert_refused(&fleet, 0, &["r0".to_owned()]);
 }
+
+/// Guards against the loss of streams whose host was killed: others have to remember them.
+#[test]
+fn a_stream_goes_on_after_its_host_was_killed() {
+    let mut fleet = Fleet::start(2, &[("e1", "v1")]);
+    let began = fleet.begin("e1");
+    for name in ["a2", "m3", "z4"] {
+        fleet.add(name, "v2");
+    }
+    fleet.hosts[0].signal("-KILL");
+    fleet.hosts[0].wait();
+    assert_go_on(&fleet, 1, &began, "e1");
+}
