--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -370,7 +370,7 @@
     // The host that began the streams forgets them, and learns from the store that there was one build.
     fleet.hosts[0].restart();
     fleet.hosts[0].wait_ready();
-    fleet.hosts[1].wait_line(&["peers=1"]);
+    fleet.hosts[0].wait_line(&["peers=1"]);
     fleet.store.set_fault(Fault::Down);
     fleet.hosts[1].restart();
     fleet.hosts[1].wait_ready();
