--- /dev/null
+++ b/review/standin-2/split.rs
@@ -0,0 +1,150 @@
+//! LOST: the weights of a split route change, and the streams of a killed host are taken up at another one.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use pistachiohall::standin::fleet;
+use pistachiohall::standin::fleet::client::Answer;
+use pistachiohall::standin::fleet::store::Store;
+
+use super::kit;
+use super::kit::Balancer;
+use super::kit::Engine;
+use super::kit::Host;
+use super::kit::Record;
+use super::kit::Verdict;
+
+const ZONES: [&str; 3] = ["lhr-gulberg", "lhr-johar", "lhr-cantt"];
+/// Services of the split route.
+const SERVICES: [&str; 2] = ["lm", "lm-next"];
+/// Software versions of the engines of each service, by the service's place in the list; the first service
+/// has two versions side by side.
+const VERSIONS: [[&str; 6]; 2] = [["1.4", "1.4", "1.4", "1.4", "1.5", "1.5"], ["2.0"; 6]];
+const SLOTS: usize = 64;
+/// Weights before and after the change.
+const BEFORE: [u32; 2] = [90, 10];
+const AFTER: [u32; 2] = [10, 90];
+const STREAMS: usize = 60;
+/// Host at which the streams begin, and which is killed: one of six, a share of 0.16.
+const KILLED: usize = 1;
+/// New streams that are asked for at the same time as streams are taken up.
+const NEW: usize = 30;
+const EVENTS: usize = 50;
+const PAUSE: Duration = Duration::from_millis(200);
+/// Time for which a process that was killed is down.
+const DOWN: Duration = Duration::from_millis(3500);
+
+fn config(version: u64, weights: [u32; 2]) -> String {
+    let mut config = fleet::config(version);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = 15_000.into();
+    }
+    let services = config["services"].as_array_mut().unwrap();
+    for service in services.iter_mut() {
+        if service.get("engine").is_some() {
+            service["engine"]["slots"] = SLOTS.into();
+            service["max_connections"] = 360.into();
+        }
+    }
+    let mut next = services.iter().find(|service| service["name"] == "lm").unwrap().clone();
+    next["name"] = SERVICES[1].into();
+    services.push(next);
+    let mut text = config.to_string();
+    let parts: Vec<String> = SERVICES
+        .iter()
+        .zip(weights)
+        .map(|(name, weight)| format!("{{\"service\":\"{name}\",\"weight\":{weight}}}"))
+        .collect();
+    let split = format!("\"split\":[{}]", parts.join(","));
+    // Only the route `/ask/` is split.
+    let ask = text.find("\"path_prefix\":\"/ask/\"").unwrap();
+    let end = ask + text[ask..].find('}').unwrap();
+    let route = text[ask..end].replace("\"service\":\"lm\"", &split);
+    text.replace_range(ask..end, &route);
+    text
+}
+
+pub fn play() -> Result<Verdict, String> {
+    let record = Record::new();
+    let has_trouble = kit::has_trouble();
+    let store = Store::start().map_err(|cause| cause.to_string())?;
+    store.put("keyed.op", "config", config(7, BEFORE).as_bytes());
+    let mut engines = Vec::new();
+    for (index, service) in SERVICES.into_iter().enumerate() {
+        for (number, version) in VERSIONS[index].into_iter().enumerate() {
+            let zone = ZONES[number % ZONES.len()];
+            let name = format!("i-{}{number:02}", index + 1);
+            let engine = Engine::start(&name, service, zone, version, SLOTS, PAUSE)?;
+            engine.register(&store.registry());
+            engines.push(engine);
+        }
+    }
+    let mut hosts = Vec::new();
+    for number in 0..6 {
+        let zone = ZONES[number / 2];
+        let name = format!("front-{zone}-{}", number % 2 + 1);
+        hosts.push(Host::start(&name, zone, store.address(), "")?);
+    }
+    kit::wait_ready(&hosts)?;
+    // Roles settle, and each host's share of the retries is available.
+    thread::sleep(Duration::from_secs(14));
+    let mut balancer = Balancer::new(hosts.len());
+    balancer.look(&hosts);
+    record.line(&format!("hosts are ready; weights {BEFORE:?} of {SERVICES:?}"));
+    let host = hosts[KILLED].callers();
+    let begun: Vec<_> = (0..STREAMS)
+        .map(|number| {
+            thread::sleep(Duration::from_millis(5));
+            thread::spawn(move || kit::ask(host, &format!("begin-{number}"), &kit::prompt(number, EVENTS)))
+        })
+        .collect();
+    record.line("clients have asked one host for streams");
+    thread::sleep(Duration::from_millis(600));
+    if has_trouble {
+        store.put("keyed.op", "config", config(9, AFTER).as_bytes());
+        record.line(&format!("the operator changes the weights to {AFTER:?}"));
+    }
+    thread::sleep(Duration::from_millis(1500));
+    let mut killed_at = None;
+    if has_trouble {
+        hosts[KILLED].kill();
+        killed_at = Some(Instant::now());
+        record.line("the process of that host is killed");
+        while balancer.targets(&hosts, ZONES[0]).contains(&KILLED) {
+            balancer.look(&hosts);
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+    let targets = balancer.targets(&hosts, ZONES[0]);
+    let place = |number: usize| {
+        let host = &hosts[targets[number % targets.len()]];
+        (host.name.clone(), host.callers())
+    };
+    record.line(&format!("connections of the zone go to {:?}", targets.iter().map(|index| &hosts[*index].name).collect::<Vec<_>>()));
+    let taken_up: Vec<_> = begun
+        .into_iter()
+        .enumerate()
+        .map(|(number, stream)| {
+            let (name, host) = place(number);
+            thread::spawn(move || kit::take_up(number, EVENTS, stream.join().unwrap_or_default(), name, host))
+        })
+        .collect();
+    let new: Vec<_> = (0..NEW)
+        .map(|number| {
+            let (_, host) = place(number);
+            let fields = kit::prompt(STREAMS + number, 5);
+            thread::spawn(move || kit::ask(host, &format!("new-{number}"), &fields))
+        })
+        .collect();
+    if let Some(killed_at) = killed_at {
+        thread::sleep((killed_at + DOWN).saturating_duration_since(Instant::now()));
+        hosts[KILLED].run()?;
+        record.line("the host starts again");
+    }
+    let taken_up: Vec<kit::TakenUp> = taken_up.into_iter().filter_map(|one| one.join().ok()).collect();
+    let new: Vec<Answer> = new.into_iter().map(|one| one.join().unwrap_or_default()).collect();
+    let verdict = kit::judge_shares(&taken_up, &new, &engines, &record);
+    record.save()?;
+    verdict
+}
