--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,8 +4,8 @@
 mod again;
 mod builds;
 mod kit;
+mod leaving;
 mod release;
-mod split;
 mod timeout;
 
 use std::process::ExitCode;
@@ -17,8 +17,8 @@
     let verdict = match case.as_str() {
         "again" => again::play(),
         "builds" => builds::play(),
+        "leaving" => leaving::play(),
         "release" => release::play(),
-        "split" => split::play(),
         "timeout" => timeout::play(),
         _ => Err(format!("unknown case {case:?}")),
     };
