--- a/review/standin-2/release.rs
+++ b/review/standin-2/release.rs
@@ -16,9 +16,10 @@
 use super::kit::Verdict;
 
 const ZONES: [&str; 3] = ["lhr-gulberg", "lhr-johar", "lhr-cantt"];
-/// Engines before the release, and those that it has started when streams are taken up.
+/// Engines before the release, and how many of them it replaces here, one after the other.
 const ENGINES: usize = 12;
-const STARTED: usize = 2;
+const REPLACED: usize = 2;
+const GAP: Duration = Duration::from_secs(1);
 const SLOTS: usize = 64;
 const STREAMS: usize = 60;
 /// Host at which the streams begin, and which is killed: one of six, a share of 0.16.
@@ -90,13 +91,20 @@
         record.line("the process of that host is killed");
     }
     thread::sleep(Duration::from_millis(800));
-    for number in 0..STARTED {
-        let zone = ZONES[number % ZONES.len()];
-        let engine = Engine::start(&format!("i-2{number:02}"), "lm", zone, "1.5", SLOTS, PAUSE)?;
+    let other: Vec<usize> = (0..ENGINES)
+        .filter(|index| engines[*index].stage() != Some("decode"))
+        .collect();
+    for (number, index) in other.into_iter().take(REPLACED).enumerate() {
+        if number > 0 {
+            thread::sleep(GAP);
+        }
+        let zone = engines[index].zone.clone();
+        let engine = Engine::start(&format!("i-2{number:02}"), "lm", &zone, "1.5", SLOTS, PAUSE)?;
         engine.register(&store.registry());
+        engines[index].drain(&store.registry());
         engines.push(engine);
+        record.line("release: an engine of version 1.5 starts, one of 1.4 drains");
     }
-    record.line("release: the first engines of version 1.5 start");
     if has_trouble {
         while balancer.targets(&hosts, ZONES[0]).contains(&KILLED) {
             balancer.look(&hosts);
