--- a/review/standin-2/builds.rs
+++ b/review/standin-2/builds.rs
@@ -6,8 +6,7 @@
 
 use pistachiohall::standin::fleet;
 use pistachiohall::standin::fleet::client::Answer;
-use pistachiohall::standin::fleet::proxy::Link;
-use pistachiohall::standin::fleet::proxy::Proxy;
+use pistachiohall::standin::fleet::store::Fault;
 use pistachiohall::standin::fleet::store::Store;
 
 use super::kit;
@@ -15,6 +14,7 @@
 use super::kit::Engine;
 use super::kit::Host;
 use super::kit::Record;
+use super::kit::Switch;
 use super::kit::Verdict;
 
 const ZONES: [&str; 3] = ["lhr-gulberg", "lhr-johar", "lhr-cantt"];
@@ -55,7 +55,9 @@
     let has_trouble = kit::has_trouble();
     let store = Store::start().map_err(|cause| cause.to_string())?;
     store.put("keyed.op", "config", config().as_bytes());
-    let proxy = Proxy::start(store.address()).map_err(|cause| cause.to_string())?;
+    let refusing = Store::start().map_err(|cause| cause.to_string())?;
+    refusing.set_fault(Fault::Down);
+    let switch = Switch::start(store.address(), refusing.address())?;
     let mut engines = Vec::new();
     for number in 0..ENGINES {
         let zone = ZONES[number % ZONES.len()];
@@ -67,7 +69,7 @@
     for number in 0..6 {
         let zone = ZONES[number / 2];
         let way = match zone == REFUSED_ZONE {
-            true => proxy.address(),
+            true => switch.address(),
             false => store.address(),
         };
         hosts.push(Host::start(
@@ -85,7 +87,7 @@
     record.line("hosts are ready, engines of version 1.4 serve");
     let refused_at = Instant::now();
     if has_trouble {
-        proxy.set(Link::Reset);
+        switch.refuse(true);
         record.line("the store turns the machines of one zone away");
         thread::sleep(Duration::from_millis(300));
     }
@@ -152,7 +154,7 @@
     record.line("the streams that broke off are taken up");
     if has_trouble {
         thread::sleep((refused_at + REFUSED).saturating_duration_since(Instant::now()));
-        proxy.set(Link::Sound);
+        switch.refuse(false);
         record.line("the store serves all machines again");
     }
     let streams: Vec<kit::Stream> = taken_up
--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -4,8 +4,12 @@
 use std::collections::BTreeSet;
 use std::fmt::Write as _;
 use std::fs;
+use std::io;
 use std::net::IpAddr;
+use std::net::Shutdown;
 use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -407,6 +411,66 @@
     ids.filter_map(|id| id.parse().ok()).collect()
 }
 
+/// The way of some hosts to the platform's store: either to the store, or to one that answers each call 503.
+pub struct Switch {
+    address: SocketAddr,
+    is_refusing: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Switch {
+    pub fn start(store: SocketAddr, refusing: SocketAddr) -> Result<Self, String> {
+        let listener = TcpListener::bind("127.0.0.1:0").map_err(|cause| cause.to_string())?;
+        let address = listener.local_addr().map_err(|cause| cause.to_string())?;
+        let is_refusing = Arc::new(AtomicBool::new(false));
+        let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let (flag, streams) = (Arc::clone(&is_refusing), Arc::clone(&open));
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let server = match flag.load(Ordering::SeqCst) {
+                    true => refusing,
+                    false => store,
+                };
+                let Ok(server) = TcpStream::connect(server) else {
+                    continue;
+                };
+                pass(&client, &server);
+                pass(&server, &client);
+                streams.lock().unwrap().push(client);
+            }
+        });
+        Ok(Self {
+            address,
+            is_refusing,
+            open,
+        })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Kept connections end, so that the next calls arrive at the other side.
+    pub fn refuse(&self, is_refusing: bool) {
+        self.is_refusing.store(is_refusing, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ended = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Passes bytes on until either side ends.
+fn pass(from: &TcpStream, to: &TcpStream) {
+    let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else {
+        return;
+    };
+    thread::spawn(move || {
+        let _passed = io::copy(&mut from, &mut to);
+        let _ended = to.shutdown(Shutdown::Both);
+        let _ended = from.shutdown(Shutdown::Both);
+    });
+}
+
 /// The platform's balancer: asks hosts once a second whether they are ready, and takes a host out of
 /// rotation after two misses.
 pub struct Balancer {
