--- a/review/standin-2/builds.rs
+++ b/review/standin-2/builds.rs
@@ -25,6 +25,8 @@
 /// Engines before empty ones are added, and those added: a share of 0.25.
 const ENGINES: usize = 12;
 const ADDED: usize = 3;
+/// Time over which they are added (`gap_s`).
+const OVER: Duration = Duration::from_secs(2);
 const SLOTS: usize = 64;
 const STREAMS: usize = 100;
 const EVENTS: usize = 60;
@@ -92,6 +94,7 @@
         thread::sleep(Duration::from_millis(300));
     }
     for number in 0..ADDED {
+        thread::sleep(OVER / ADDED as u32);
         let zone = ZONES[number % ZONES.len()];
         let engine = Engine::start(&format!("i-2{number:02}"), "lm", zone, "1.5", SLOTS, PAUSE)?;
         engine.register(&store.registry());
