--- a/src/gateway/belief.rs
+++ b/src/gateway/belief.rs
@@ -49,13 +49,19 @@
         *self.views.borrow_mut() = Some(views);
     }
 
+    /// Returns the time since which the upstreams may have changed without this host's knowledge; `None` if it is
+    /// not known.
+    pub fn upstreams_age(&self, now: Instant) -> Option<Duration> {
+        let views = self.views.borrow();
+        let read = views.as_ref()?.last_read().upstreams?;
+        Some(now.saturating_duration_since(read))
+    }
+
     /// Records that a request is sent to an upstream at `now`.
     pub fn record_send(&self, call: &Call, target: &Target, now: Instant) {
-        let views = self.views.borrow();
-        let Some(read) = views.as_ref().and_then(|views| views.last_read().upstreams) else {
+        let Some(age) = self.upstreams_age(now) else {
             return;
         };
-        let age = now.saturating_duration_since(read);
         self.metrics.observe_duration("upstreams_age_at_send", age);
         if age < MIN_LOGGED_AGE {
             return;
--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -61,7 +61,13 @@
         progress
             .trace
             .step(format_args!("resumes={attempt:?} after {event}"));
-        progress.build = gateway.find_build(&progress.call).await;
+        let known = gateway.find_build(&progress.call).await;
+        let upstreams_age = gateway.age_observer.upstreams_age(Instant::now());
+        progress.trace.step(format_args!(
+            "build-known={:?} upstreams-age={upstreams_age:?}",
+            known.map(|known| known.source)
+        ));
+        progress.build = known.map(|known| known.build);
         if progress.build.is_none() {
             progress.trace.decide(origin::UNKNOWN_BUILD);
             let left = progress.call.remaining(Instant::now());
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -61,6 +61,24 @@
     Answer(SocketAddr, StreamOrigin),
 }
 
+/// How a host knows the build that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The stream is remembered, by this host or by a peer.
+    Remembered,
+    /// Only one build has served since the stream can have begun.
+    OnlyBuild,
+}
+
+/// Build that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Known {
+    /// Build.
+    pub build: BuildDigest,
+    /// How it is known.
+    pub source: Source,
+}
+
 /// Progress of a query.
 #[derive(Debug, Default, Clone, Copy)]
 struct Query {
@@ -238,11 +256,11 @@
 
     /// Returns the build that began the stream which a call resumes; `None` if neither this host nor a peer
     /// that would remember knows it.
-    pub async fn find_build(&self, call: &Call) -> Option<BuildDigest> {
+    pub async fn find_build(&self, call: &Call) -> Option<Known> {
         let attempt = call.request.resumes.as_ref();
         let stream = attempt.map(|attempt| origin::stream_digest(attempt));
-        if let Some(build) = self.known_build(call, stream) {
-            return Some(build);
+        if let Some(known) = self.known_build(call, stream) {
+            return Some(known);
         }
         let stream = stream?;
         let until = call.deadline;
@@ -266,13 +284,13 @@
     }
 
     /// Waits until the build of a stream is known, or all peers that were queried do not know it.
-    async fn learn(&self, call: &Call, stream: StreamDigest) -> Option<BuildDigest> {
+    async fn learn(&self, call: &Call, stream: StreamDigest) -> Option<Known> {
         loop {
             let learned = self.streams.learned.notified();
             tokio::pin!(learned);
             learned.as_mut().enable();
-            if let Some(build) = self.known_build(call, Some(stream)) {
-                return Some(build);
+            if let Some(known) = self.known_build(call, Some(stream)) {
+                return Some(known);
             }
             if self.streams.is_denied(stream) && self.streams.are_read.get() {
                 return None;
@@ -282,13 +300,13 @@
     }
 
     /// Returns the build of a stream as far as this host knows it.
-    fn known_build(&self, call: &Call, stream: Option<StreamDigest>) -> Option<BuildDigest> {
+    fn known_build(&self, call: &Call, stream: Option<StreamDigest>) -> Option<Known> {
         let remembered = stream.and_then(|stream| self.streams.origins.borrow().build(stream));
-        remembered.or_else(|| {
+        let known = |source| move |build| Known { build, source };
+        remembered.map(known(Source::Remembered)).or_else(|| {
             let history = self.streams.history.borrow();
-            history
-                .only(&call.service, Instant::now())
-                .map(build_digest)
+            let only = history.only(&call.service, Instant::now());
+            only.map(build_digest).map(known(Source::OnlyBuild))
         })
     }
 
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -22,6 +22,7 @@
 use super::exchange::Failure;
 use super::exchange::Stage;
 use super::target::Target;
+use crate::availability::Unavailability;
 use crate::follow::suspects::Message;
 use crate::gossip;
 use crate::id::BlockId;
@@ -224,6 +225,7 @@
                 born = self.target.entry.started_at,
                 life:% = format_args!("{incarnation:08x}"),
                 work = self.stage,
+                leaving = self.target.unavailability(now) == Some(Unavailability::Leaving),
                 blocks:% = BlockList(&self.block_ids),
                 age_ms = now.saturating_duration_since(self.started_at).as_millis() as u64,
                 upstreams = incarnations,
