Remember builds for as long as the timeout under which streams began

Cause: the time for which builds and streams are remembered was that of the newest configuration, applied at once to streams that had begun under a longer timeout.

The longest time that is not over applies now. A host that starts learns it from the record of builds in the store, and memory counts from the last attempt of a stream, so that one which is taken up several times stays known.

--- a/src/follow/builds.rs
+++ b/src/follow/builds.rs
@@ -72,6 +72,9 @@
     /// Wall time since which they are the only ones, in milliseconds since the Unix epoch; `None` if there
     /// were no others before.
     since_ms: Option<u64>,
+    /// Time for which streams of others might be taken up, in milliseconds.
+    #[serde(default)]
+    memory_ms: u64,
 }
 
 /// The thread's ends of its channels.
@@ -221,6 +224,7 @@
             let stored = Stored {
                 builds: entry.builds,
                 age: entry.since_ms.map(age),
+                memory: Duration::from_millis(entry.memory_ms),
             };
             Some((record.key, stored))
         }
@@ -255,6 +259,7 @@
     let entry = Entry {
         builds: builds.builds.clone(),
         since_ms: builds.age.map(since),
+        memory_ms: builds.memory.as_millis() as u64,
     };
     let value = serde_json::to_vec(&entry).expect("builds are JSON");
     let pair = Pair {
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -203,13 +203,7 @@
         let Some(stored) = stored.as_ref() else {
             return;
         };
-        let mut history = self.streams.history.borrow_mut();
-        for (service, builds) in &mut history.services {
-            if builds.is_known() && !builds.is_compared() {
-                builds.compare(stored.get(service), now);
-            }
-        }
-        drop(history);
+        self.streams.history.borrow_mut().compare(stored, now);
         self.share_streams(now);
         self.streams.learned.notify_waiters();
     }
@@ -240,7 +234,9 @@
         for stream in streams(call) {
             let mut origins = self.streams.origins.borrow_mut();
             let is_new = origins.record(stream, build, true, now);
-            if is_new && self.streams.is_shared.get() {
+            // Peers remember a stream from the last attempt on that they were told.
+            let is_due = is_new || call.request.resumes.is_some();
+            if is_due && self.streams.is_shared.get() {
                 self.streams.announce(StreamOrigin { stream, build });
             }
         }
@@ -353,7 +349,7 @@
     /// Forgets old streams, and returns the builds that this host has to write to the store: one host
     /// does it for all.
     pub fn sweep_streams(&self, now: Instant) -> Vec<(ServiceId, Stored)> {
-        let memory = self.streams.history.borrow().memory;
+        let memory = self.streams.history.borrow().retention.longest(now);
         self.streams.origins.borrow_mut().forget(memory, now);
         self.share_streams(now);
         let has_heard_peers =
@@ -363,7 +359,7 @@
         }
         let history = self.streams.history.borrow();
         let unstored = history.services.iter().filter_map(|(service, builds)| {
-            let stored = builds.unstored(now)?;
+            let stored = builds.unstored(memory, now)?;
             Some((service.clone(), stored))
         });
         unstored.collect()
--- a/src/origin/history.rs
+++ b/src/origin/history.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::retention::Retention;
 use crate::id::BuildId;
 use crate::id::ServiceId;
 
@@ -15,6 +16,8 @@
     pub builds: BTreeSet<BuildId>,
     /// Time for which they have been the only ones; `None` if there were no others before.
     pub age: Option<Duration>,
+    /// Time for which streams of the others might be taken up.
+    pub memory: Duration,
 }
 
 /// Builds of one service that this host has seen.
@@ -105,12 +108,14 @@
         (is_known && !has_departed).then_some(only)
     }
 
-    /// Returns what the store should have, if it may have something else.
-    pub fn unstored(&self, now: Instant) -> Option<Stored> {
+    /// Returns what the store should have, if it may have something else; `memory` is the time for which
+    /// streams may be taken up.
+    pub fn unstored(&self, memory: Duration, now: Instant) -> Option<Stored> {
         let is_due = self.is_unstored && self.compared.is_some();
         is_due.then(|| Stored {
             builds: self.current.clone(),
             age: self.age(now),
+            memory,
         })
     }
 
@@ -142,18 +147,20 @@
     /// Builds by service.
     pub services: BTreeMap<ServiceId, Builds>,
     /// Time for which a caller may take up a stream after it began.
-    pub memory: Duration,
+    pub retention: Retention,
 }
 
 impl History {
-    /// Sets the builds that serve now, by service, and the time for which streams may be taken up.
+    /// Sets the builds that serve now, by service, and the time for which streams that begin from now on may
+    /// be taken up.
     pub fn update(
         &mut self,
         current: BTreeMap<ServiceId, BTreeSet<BuildId>>,
         memory: Duration,
         now: Instant,
     ) {
-        self.memory = memory;
+        self.retention.set(memory, now);
+        let memory = self.retention.longest(now);
         for (service, builds) in current {
             self.services
                 .entry(service)
@@ -165,8 +172,27 @@
         }
     }
 
+    /// Compares the builds of services that have not been compared yet with those in the store.
+    pub fn compare(&mut self, stored: &BTreeMap<ServiceId, Stored>, now: Instant) {
+        for (service, builds) in &mut self.services {
+            if builds.is_compared() || !builds.is_known() {
+                continue;
+            }
+            let stored = stored.get(service);
+            builds.compare(stored, now);
+            // A host that starts has not seen the configurations under which the streams of other builds began.
+            if let Some(stored) = stored {
+                let age = stored.age.filter(|_| stored.builds == builds.current);
+                let until = now.checked_sub(age.unwrap_or_default());
+                self.retention
+                    .record_past(stored.memory, until.unwrap_or(now));
+            }
+        }
+    }
+
     /// Returns the build of all streams of a service that may be taken up; `None` if there may be several.
     pub fn only(&self, service: &ServiceId, now: Instant) -> Option<&BuildId> {
-        self.services.get(service)?.only(self.memory, now)
+        let memory = self.retention.longest(now);
+        self.services.get(service)?.only(memory, now)
     }
 }
--- a/src/origin/mod.rs
+++ b/src/origin/mod.rs
@@ -4,10 +4,12 @@
 //! several builds serve, some of its peers remember them too.
 
 mod history;
+mod retention;
 
 pub use self::history::Builds;
 pub use self::history::History;
 pub use self::history::Stored;
+pub use self::retention::Retention;
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -40,6 +42,8 @@
     build: Option<BuildDigest>,
     /// Whether this host sent the attempt to an upstream.
     is_own: bool,
+    /// Time of the last attempt.
+    at: Instant,
 }
 
 /// Builds of the streams that this host or its peers have begun lately.
@@ -72,20 +76,31 @@
         is_own: bool,
         now: Instant,
     ) -> bool {
-        if let Some(origin) = self.streams.get_mut(&stream) {
-            let is_other = origin.build.is_some_and(|known| known != build);
-            if is_other {
-                origin.build = None;
-            }
-            return is_other;
-        }
-        let build = Some(build);
-        self.streams.insert(stream, Origin { build, is_own });
         self.recorded.push_back((now, stream));
-        if self.streams.len() > MAX_STREAMS {
+        let is_news = match self.streams.get_mut(&stream) {
+            Some(origin) => {
+                origin.at = now;
+                let is_other = origin.build.is_some_and(|known| known != build);
+                if is_other {
+                    origin.build = None;
+                }
+                is_other
+            }
+            None => {
+                let build = Some(build);
+                let origin = Origin {
+                    build,
+                    is_own,
+                    at: now,
+                };
+                self.streams.insert(stream, origin);
+                true
+            }
+        };
+        while self.recorded.len() > MAX_STREAMS {
             self.forget_first();
         }
-        true
+        is_news
     }
 
     /// Sets the build that has begun a stream.
@@ -106,7 +121,7 @@
         own.filter_map(|(stream, origin)| Some((*stream, origin.build?)))
     }
 
-    /// Forgets the streams that were recorded longer than `max_age` ago.
+    /// Forgets the streams that were last recorded longer than `max_age` ago.
     pub fn forget(&mut self, max_age: Duration, now: Instant) {
         let is_old = |at: &Instant| now.saturating_duration_since(*at) > max_age;
         while self.recorded.front().is_some_and(|(at, _)| is_old(at)) {
@@ -115,7 +130,12 @@
     }
 
     fn forget_first(&mut self) {
-        if let Some((_, stream)) = self.recorded.pop_front() {
+        if let Some((at, stream)) = self.recorded.pop_front()
+            && self
+                .streams
+                .get(&stream)
+                .is_some_and(|origin| origin.at == at)
+        {
             self.streams.remove(&stream);
         }
     }
--- a/tests/decisions/origin.rs
+++ b/tests/decisions/origin.rs
@@ -7,8 +7,11 @@
 use pistachiohall::gossip::Datagram;
 use pistachiohall::gossip::Peers;
 use pistachiohall::id::BuildId;
+use pistachiohall::id::ServiceId;
 use pistachiohall::origin::Builds;
+use pistachiohall::origin::History;
 use pistachiohall::origin::Origins;
+use pistachiohall::origin::Retention;
 use pistachiohall::origin::Stored;
 use rstest::rstest;
 
@@ -24,6 +27,7 @@
     let stored = stored.map(|(names, age)| Stored {
         builds: builds(names),
         age,
+        memory: MEMORY,
     });
     let mut known = Builds::default();
     known.update(builds(current), now);
@@ -75,14 +79,14 @@
 fn a_build_that_served_for_a_moment_is_stored_as_a_change() {
     let now = Instant::now();
     let mut known = started(&["v1"], Some((&["v1"], None)), now);
-    assert_eq!(known.unstored(now), None);
+    assert_eq!(known.unstored(MEMORY, now), None);
     known.update(builds(&["v1", "v2"]), now);
     known.update(builds(&["v1"]), now);
-    let unstored = known.unstored(now + MEMORY / 3).unwrap();
+    let unstored = known.unstored(MEMORY, now + MEMORY / 3).unwrap();
     assert_eq!(unstored.builds, builds(&["v1"]));
     assert_eq!(unstored.age, Some(MEMORY / 3));
     known.record_stored(&unstored.builds);
-    assert_eq!(known.unstored(now), None);
+    assert_eq!(known.unstored(MEMORY, now), None);
 }
 
 /// Guards against a registry that is empty for a moment, which would end the knowledge of all streams.
@@ -152,3 +156,51 @@
         assert!(keepers.all(|keepers| keepers == first));
     }
 }
+
+/// Guards against a stream that is forgotten while its caller takes it up again and again: memory counts from the
+/// last time that it was.
+#[test]
+fn a_stream_is_remembered_from_its_last_attempt_on() {
+    let now = Instant::now();
+    let mut origins = Origins::default();
+    for attempt in 0..4 {
+        origins.record(1, 7, true, now + MEMORY * attempt / 2);
+    }
+    let later = now + MEMORY * 2;
+    origins.forget(MEMORY, later);
+    assert_eq!(origins.build(1), Some(7));
+    origins.forget(MEMORY, later + MEMORY);
+    assert_eq!(origins.build(1), None);
+}
+
+/// Guards against a host that starts under a shorter timeout and takes the build that is left for the only one: streams
+/// of the other began under the longer timeout, which is in the store.
+#[test]
+fn a_host_that_starts_remembers_for_as_long_as_the_store_says() {
+    let (now, shorter) = (Instant::now(), MEMORY / 10);
+    let service = ServiceId::from("lm");
+    let mut history = History::default();
+    history.update([(service.clone(), builds(&["v2"]))].into(), shorter, now);
+    let stored = Stored {
+        builds: builds(&["v2"]),
+        age: Some(MEMORY / 2),
+        memory: MEMORY,
+    };
+    history.compare(&[(service.clone(), stored)].into(), now);
+    assert_eq!(history.only(&service, now + MEMORY / 3), None);
+    assert_eq!(history.only(&service, now + MEMORY / 2).unwrap(), "v2");
+}
+
+/// Guards against a memory of past timeouts that grows with 34,000 configurations a day, each with a shorter one.
+#[test]
+fn past_timeouts_are_forgotten() {
+    let now = Instant::now();
+    let interval = Duration::from_millis(2_541);
+    let mut retention = Retention::default();
+    for number in 0..34_000_u32 {
+        let time = MEMORY * 2 - Duration::from_millis(u64::from(number));
+        retention.set(time, now + interval * number);
+    }
+    let text = format!("{retention:?}");
+    assert!(text.len() < 64 * 100, "{} bytes", text.len());
+}
--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -5,6 +5,7 @@
 use std::net::UdpSocket;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -42,9 +43,13 @@
 
 /// Returns a configuration whose streams may take long.
 fn config() -> Value {
-    let mut config = fleet::config(3);
+    config_with_timeout(3, Duration::from_secs(20))
+}
+
+fn config_with_timeout(version: u64, timeout: Duration) -> Value {
+    let mut config = fleet::config(version);
     for route in config["routes"].as_array_mut().unwrap() {
-        route["timeout_ms"] = json!(20_000);
+        route["timeout_ms"] = json!(timeout.as_millis() as u64);
     }
     config
 }
@@ -95,6 +100,17 @@
         }
     }
 
+    /// Shortens the timeouts of all routes, and waits until streams that had begun by then would be forgotten
+    /// if the new timeout were theirs.
+    fn shorten_timeouts(&self) {
+        let timeout = Duration::from_millis(500);
+        self.store.put_config(&config_with_timeout(9, timeout));
+        for host in &self.hosts {
+            host.wait_line(&["version=9", "outcome=adopted"]);
+        }
+        thread::sleep(timeout * 4);
+    }
+
     /// Waits until the hosts have stored the builds that serve.
     fn wait_stored(&self, builds: &[&str]) {
         wait_for("the builds in the store", || {
@@ -412,3 +428,41 @@
     fleet.hosts[0].wait();
     assert_go_on(&fleet, 1, &began, "e1");
 }
+
+/// Guards against a timeout that is shortened while streams run: their builds must be remembered for as long as
+/// the timeout under which they began asks for, also once the build has left and by a host that starts.
+#[rstest]
+#[case::host_that_began_them(0, false)]
+#[case::other_host(1, false)]
+#[case::other_host_started_again(1, true)]
+fn a_stream_of_a_build_that_has_left_is_refused_under_a_shorter_timeout(
+    #[case] host: usize,
+    #[case] is_restarted: bool,
+) {
+    let mut fleet = Fleet::start(2, &[("e1", "v1")]);
+    let began = fleet.begin("e1");
+    fleet.add("a2", "v2");
+    fleet.remove("e1");
+    fleet.wait_stored(&["v2"]);
+    fleet.shorten_timeouts();
+    if is_restarted {
+        fleet.forget_stored_streams();
+        fleet.kill_hosts();
+        fleet.restart_hosts();
+    }
+    assert_refused(&fleet, host, &began);
+}
+
+/// Guards against streams that are lost since their build is forgotten under a shorter timeout.
+#[rstest]
+#[case::host_that_began_them(0)]
+#[case::other_host(1)]
+fn a_stream_goes_on_at_its_build_under_a_shorter_timeout(#[case] host: usize) {
+    let mut fleet = Fleet::start(2, &[("e1", "v1")]);
+    let began = fleet.begin("e1");
+    for name in ["a2", "m3", "z4"] {
+        fleet.add(name, "v2");
+    }
+    fleet.shorten_timeouts();
+    assert_go_on(&fleet, host, &began, "e1");
+}
