Infer a stream's build only from a registry that is known to be current

Cause: that one build serves was taken for proof without regard to the age of the registry, by a host for its caller and in the answer to a peer, which recorded the guess as knowledge.

origin::infer is the rule now, pure: infer after a reading that is newer than the caller's request, or where all peers agree and none is missing; else ask, and refuse. Answers tell inferred from remembered, and count once for each peer. A reading's time is published after its entries.

--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -199,7 +199,6 @@
                 outage = Some(queried_at.saturating_duration_since(self.store_seen_at));
             }
             self.store_seen_at = self.store_seen_at.max(queried_at);
-            self.publisher.record_upstreams_read(queried_at);
         }
         for id in update_fleet(&mut self.fleet, update, outage, now) {
             info!(
@@ -212,6 +211,10 @@
         }
         self.publisher
             .set_entries(self.fleet.entries(), self.origin);
+        // Whoever finds this time finds at least the entries that were read then.
+        if let Some(queried_at) = self.origin.queried_at {
+            self.publisher.record_upstreams_read(queried_at);
+        }
     }
 
     /// Stops using upstreams whose entries were removed and not renewed in time.
--- a/src/follow/view.rs
+++ b/src/follow/view.rs
@@ -121,7 +121,13 @@
         }
     }
 
-    /// Records that the upstreams are known as of `queried_at`.
+    /// Returns `true` if `view` has the newest upstreams.
+    pub fn has_newest_entries(&self, view: &View) -> bool {
+        Arc::ptr_eq(&self.view.lock().expect("view lock").entries, &view.entries)
+    }
+
+    /// Records that the upstreams are known as of `queried_at`. Whatever the store answered must have been
+    /// published before.
     pub fn record_upstreams_read(&self, queried_at: Instant) {
         let mut read = self.read.lock().expect("read lock");
         read.upstreams = read.upstreams.max(Some(queried_at));
--- a/src/gateway/belief.rs
+++ b/src/gateway/belief.rs
@@ -57,6 +57,16 @@
         Some(now.saturating_duration_since(read))
     }
 
+    /// Returns the time as of which the upstreams of `view` are known to be the newest; `None` if newer ones were
+    /// read or it is not known.
+    pub fn upstreams_known_at(&self, view: &View) -> Option<Instant> {
+        let views = self.views.borrow();
+        let views = views.as_ref()?;
+        // The time is read first: the upstreams that it is about were published by then.
+        let read = views.last_read().upstreams?;
+        views.has_newest_entries(view).then_some(read)
+    }
+
     /// Records that a request is sent to an upstream at `now`.
     pub fn record_send(&self, call: &Call, target: &Target, now: Instant) {
         let Some(age) = self.upstreams_age(now) else {
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -34,7 +34,10 @@
 use crate::id::StreamDigest;
 use crate::origin;
 use crate::origin::History;
+use crate::origin::Inference;
 use crate::origin::Origins;
+use crate::origin::Poll;
+use crate::origin::Reading;
 use crate::origin::Stored;
 
 /// Reason for refusing to resume a stream whose build is not known.
@@ -43,6 +46,14 @@
 pub const NO_ENGINE: &str = "no engine of the stream's build takes work";
 /// Maximum wait for the answers of peers to a query, several round trips within a site.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(80);
+/// Maximum time from a caller's request for which a reading of the upstreams after it is waited for; longer
+/// than the interval of the readings.
+const MAX_READING_WAIT: Duration = Duration::from_secs(1);
+/// Maximum age of the last reading at which another one is waited for; a host that reads later is cut off from
+/// the store.
+const MAX_UPSTREAMS_AGE: Duration = Duration::from_secs(2);
+/// Interval at which it is looked for a new reading.
+const READING_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of times that peers are queried: datagrams are lost now and then.
 const QUERIES: usize = 2;
 /// Number of the longest timeouts of its routes for which a stream may be taken up after it began.
@@ -66,8 +77,8 @@
 pub enum Source {
     /// The stream is remembered, by this host or by a peer.
     Remembered,
-    /// Only one build has served since the stream can have begun.
-    OnlyBuild,
+    /// It is inferred from the builds that serve.
+    Inferred,
 }
 
 /// Build that began a stream.
@@ -79,15 +90,6 @@
     pub source: Source,
 }
 
-/// Progress of a query.
-#[derive(Debug, Default, Clone, Copy)]
-struct Query {
-    /// Number of peers that were queried; `None` before the query is sent.
-    asked: Option<usize>,
-    /// Number of answers that the build is not known.
-    denied: usize,
-}
-
 /// Builds of streams and services, as this host knows them.
 #[derive(Debug, Default)]
 pub struct Streams {
@@ -95,7 +97,7 @@
     history: RefCell<History>,
     /// Builds in the store, once they were read.
     stored: RefCell<Option<BTreeMap<ServiceId, Stored>>>,
-    queries: RefCell<HashMap<StreamDigest, Query>>,
+    polls: RefCell<HashMap<StreamDigest, Poll>>,
     outbox: RefCell<Vec<Notice>>,
     /// Whether streams may be of several builds, so that peers have to remember them too.
     is_shared: Cell<bool>,
@@ -134,14 +136,19 @@
         self.outbox.take()
     }
 
-    /// Records to how many peers a query was sent.
-    pub fn record_asked(&self, stream: StreamDigest, peers: usize) {
-        if let Some(query) = self.queries.borrow_mut().get_mut(&stream) {
-            query.asked = Some(peers);
+    /// Records to which peers a query was sent; see [`Poll::record_asked`].
+    pub fn record_asked(&self, stream: StreamDigest, peers: &[SocketAddr], has_silent_peers: bool) {
+        if let Some(poll) = self.polls.borrow_mut().get_mut(&stream) {
+            poll.record_asked(peers.iter().copied(), has_silent_peers);
         }
         self.learned.notify_waiters();
     }
 
+    /// Returns the time for which a stream may be taken up.
+    pub fn memory(&self, now: Instant) -> Duration {
+        self.history.borrow().retention.longest(now)
+    }
+
     fn notify(&self, notice: Notice) {
         self.outbox.borrow_mut().push(notice);
     }
@@ -165,13 +172,6 @@
     pub fn take_unstored(&self) -> Vec<StreamOrigin> {
         self.unstored.take()
     }
-
-    /// Returns `true` if all peers that were queried have answered that they do not know the stream.
-    fn is_denied(&self, stream: StreamDigest) -> bool {
-        let queries = self.queries.borrow();
-        let query = queries.get(&stream).copied().unwrap_or_default();
-        query.asked.is_some_and(|asked| query.denied >= asked)
-    }
 }
 
 impl Gateway {
@@ -219,7 +219,7 @@
         }
         if is_shared && !was_shared {
             for (stream, build) in self.streams.origins.borrow().own() {
-                self.streams.announce(StreamOrigin { stream, build });
+                self.streams.announce(own_origin(stream, build));
             }
         }
     }
@@ -237,7 +237,7 @@
             // Peers remember a stream from the last attempt on that they were told.
             let is_due = is_new || call.request.resumes.is_some();
             if is_due && self.streams.is_shared.get() {
-                self.streams.announce(StreamOrigin { stream, build });
+                self.streams.announce(own_origin(stream, build));
             }
         }
     }
@@ -250,69 +250,108 @@
         }
     }
 
-    /// Returns the build that began the stream which a call resumes; `None` if neither this host nor a peer
-    /// that would remember knows it.
+    /// Returns the build that began the stream which a call resumes; `None` if nobody knows it.
     pub async fn find_build(&self, call: &Call) -> Option<Known> {
         let attempt = call.request.resumes.as_ref();
         let stream = attempt.map(|attempt| origin::stream_digest(attempt));
-        if let Some(known) = self.known_build(call, stream) {
-            return Some(known);
+        let known = self.search_build(call, stream).await;
+        if let Some(stream) = stream {
+            self.streams.polls.borrow_mut().remove(&stream);
         }
-        let stream = stream?;
-        let until = call.deadline;
-        let query = OriginQuery {
-            stream,
-            service: gossip::digest(&call.service),
-        };
-        for _ in 0..QUERIES {
-            self.streams.queries.borrow_mut().entry(stream).or_default();
-            self.streams.notify(Notice::Query(query));
-            self.streams.urgent.notify_one();
-            let timeout = until.min(Instant::now() + QUERY_TIMEOUT);
-            let found = time::timeout_at(timeout.into(), self.learn(call, stream)).await;
-            if let Ok(found) = found {
-                self.streams.queries.borrow_mut().remove(&stream);
-                return found;
-            }
-        }
-        self.streams.queries.borrow_mut().remove(&stream);
-        self.known_build(call, Some(stream))
+        known
     }
 
-    /// Waits until the build of a stream is known, or all peers that were queried do not know it.
-    async fn learn(&self, call: &Call, stream: StreamDigest) -> Option<Known> {
+    async fn search_build(&self, call: &Call, stream: Option<StreamDigest>) -> Option<Known> {
+        let mut queries_left = if stream.is_some() { QUERIES } else { 0 };
+        let mut query_at = Instant::now();
         loop {
             let learned = self.streams.learned.notified();
             tokio::pin!(learned);
             learned.as_mut().enable();
-            if let Some(known) = self.known_build(call, Some(stream)) {
-                return Some(known);
+            let now = Instant::now();
+            let is_over = queries_left == 0 && now >= query_at;
+            match self.infer(call, stream, is_over, now) {
+                Inference::Build(known) => return Some(known),
+                Inference::Unknown => return None,
+                Inference::Pending if now >= call.deadline => return None,
+                Inference::Pending => (),
             }
-            if self.streams.is_denied(stream) && self.streams.are_read.get() {
-                return None;
+            if let Some(stream) = stream.filter(|_| queries_left > 0 && now >= query_at) {
+                queries_left -= 1;
+                query_at = now + QUERY_TIMEOUT;
+                self.query(stream, &call.service);
             }
-            learned.await;
+            let wake = call.deadline.min(now + READING_POLL_INTERVAL);
+            let _elapsed = time::timeout_at(wake.into(), learned).await;
         }
     }
 
-    /// Returns the build of a stream as far as this host knows it.
-    fn known_build(&self, call: &Call, stream: Option<StreamDigest>) -> Option<Known> {
+    fn query(&self, stream: StreamDigest, service: &ServiceId) {
+        self.streams.polls.borrow_mut().entry(stream).or_default();
+        self.streams.notify(Notice::Query(OriginQuery {
+            stream,
+            service: gossip::digest(service),
+        }));
+        self.streams.urgent.notify_one();
+    }
+
+    /// Returns the build of a stream as far as it is known now; `is_over` is `true` if no more answers of peers
+    /// are waited for.
+    fn infer(
+        &self,
+        call: &Call,
+        stream: Option<StreamDigest>,
+        is_over: bool,
+        now: Instant,
+    ) -> Inference<Known> {
         let remembered = stream.and_then(|stream| self.streams.origins.borrow().build(stream));
-        let known = |source| move |build| Known { build, source };
-        remembered.map(known(Source::Remembered)).or_else(|| {
-            let history = self.streams.history.borrow();
-            let only = history.only(&call.service, Instant::now());
-            only.map(build_digest).map(known(Source::OnlyBuild))
-        })
+        if let Some(build) = remembered {
+            let source = Source::Remembered;
+            return Inference::Build(Known { build, source });
+        }
+        let belief = self
+            .streams
+            .history
+            .borrow()
+            .belief(&call.service, build_digest, now);
+        let polls = self.streams.polls.borrow();
+        let none = Poll::default();
+        let poll = stream
+            .and_then(|stream| polls.get(&stream))
+            .unwrap_or(&none);
+        // Until the stored streams were read, this host may still learn the build from them.
+        let is_pending = !is_over && !self.streams.are_read.get();
+        match origin::infer(belief, self.reading(call, now), poll, is_over) {
+            Inference::Build(build) => {
+                let source = Source::Inferred;
+                Inference::Build(Known { build, source })
+            }
+            Inference::Unknown if !is_pending => Inference::Unknown,
+            Inference::Unknown | Inference::Pending => Inference::Pending,
+        }
+    }
+
+    /// Returns how recently the registry was read, seen from a call.
+    fn reading(&self, call: &Call, now: Instant) -> Reading {
+        let known_at = self.age_observer.upstreams_known_at(&self.view());
+        let age = self.age_observer.upstreams_age(now);
+        if known_at.is_some_and(|at| at >= call.arrived) {
+            return Reading::Current;
+        }
+        let is_in_time = now < call.arrived + MAX_READING_WAIT;
+        match age.is_some_and(|age| is_in_time && age < MAX_UPSTREAMS_AGE) {
+            true => Reading::Due,
+            false => Reading::Old,
+        }
     }
 
     /// Takes in what a peer tells and asks about streams.
     pub fn receive_origins(&self, datagram: &Datagram, from: SocketAddr, now: Instant) {
         for told in &datagram.origins {
             match told.build {
-                UNKNOWN => {
-                    if let Some(query) = self.streams.queries.borrow_mut().get_mut(&told.stream) {
-                        query.denied += 1;
+                build if build == UNKNOWN || told.is_inferred => {
+                    if let Some(poll) = self.streams.polls.borrow_mut().get_mut(&told.stream) {
+                        poll.record_answer(from, (build != UNKNOWN).then_some(build));
                     }
                 }
                 build => {
@@ -335,11 +374,11 @@
                 .keys()
                 .find(|service| gossip::digest(service) == query.service);
             let only = only.and_then(|service| history.only(service, now));
+            let only = only.map(build_digest);
             let origin = StreamOrigin {
                 stream: query.stream,
-                build: remembered
-                    .or_else(|| only.map(build_digest))
-                    .unwrap_or(UNKNOWN),
+                build: remembered.or(only).unwrap_or(UNKNOWN),
+                is_inferred: remembered.is_none() && only.is_some(),
             };
             self.streams.notify(Notice::Answer(from, origin));
             self.streams.urgent.notify_one();
@@ -349,7 +388,7 @@
     /// Forgets old streams, and returns the builds that this host has to write to the store: one host
     /// does it for all.
     pub fn sweep_streams(&self, now: Instant) -> Vec<(ServiceId, Stored)> {
-        let memory = self.streams.history.borrow().retention.longest(now);
+        let memory = self.streams.memory(now);
         self.streams.origins.borrow_mut().forget(memory, now);
         self.share_streams(now);
         let has_heard_peers =
@@ -380,7 +419,7 @@
             }
             Message::Streams(stored) => {
                 let mut origins = self.streams.origins.borrow_mut();
-                for StreamOrigin { stream, build } in stored {
+                for StreamOrigin { stream, build, .. } in stored {
                     origins.record(stream, build, false, now);
                 }
                 drop(origins);
@@ -397,6 +436,15 @@
     }
 }
 
+/// Returns the origin of a stream that this host remembers.
+fn own_origin(stream: StreamDigest, build: BuildDigest) -> StreamOrigin {
+    StreamOrigin {
+        stream,
+        build,
+        is_inferred: false,
+    }
+}
+
 /// Returns the attempts by which a caller may name the stream of a call.
 fn streams(call: &Call) -> impl Iterator<Item = StreamDigest> {
     let attempts = [Some(&call.request.id), call.request.resumes.as_ref()];
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -348,7 +348,10 @@
                 }
                 Notice::Query(query) => {
                     let asked = keepers(query.stream);
-                    gateway.streams.record_asked(query.stream, asked.len());
+                    let has_silent_peers = peers.has_silent(gateway.streams.memory(now), now);
+                    gateway
+                        .streams
+                        .record_asked(query.stream, &asked, has_silent_peers);
                     for peer in asked {
                         due.entry(peer).or_default().origin_queries.push(query);
                     }
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -507,6 +507,9 @@
     /// Digest of the build; 0 if the sender doesn't know it.
     #[prost(fixed32, tag = "2")]
     pub build: BuildDigest,
+    /// `true` if the sender does not remember the stream, and only infers its build.
+    #[prost(bool, tag = "3")]
+    pub is_inferred: bool,
 }
 
 /// Query for the build that began a stream.
--- a/src/gossip/peers.rs
+++ b/src/gossip/peers.rs
@@ -294,6 +294,28 @@
             .filter(move |(_, peer)| peer.domain == *domain && is_recent(peer.last_received, now))
     }
 
+    /// Returns `true` if a peer has fallen silent within `window`: it may live on where this host cannot hear it.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use pistachiohall::gossip::{Datagram, PEER_TIMEOUT, Peers};
+    /// let (mut peers, now) = (Peers::default(), Instant::now());
+    /// let datagram = Datagram { host: "h2".into(), ..Datagram::default() };
+    /// peers.record(&datagram, "127.0.0.1:9".parse().unwrap(), now);
+    /// let window = Duration::from_secs(30);
+    /// assert!(!peers.has_silent(window, now));
+    /// assert!(peers.has_silent(window, now + PEER_TIMEOUT));
+    /// assert!(!peers.has_silent(window, now + window));
+    /// ```
+    pub fn has_silent(&self, window: Duration, now: Instant) -> bool {
+        let since = |peer: &Peer| {
+            peer.last_received
+                .map(|at| now.saturating_duration_since(at))
+        };
+        let mut silent = self.peers.values().filter_map(since);
+        silent.any(|silence| (PEER_TIMEOUT..window).contains(&silence))
+    }
+
     /// Returns the number of known peers, including those from which no datagram arrived.
     pub fn count_known(&self) -> usize {
         self.peers.len()
--- a/src/origin/history.rs
+++ b/src/origin/history.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use super::inference::Belief;
 use super::retention::Retention;
+use crate::id::BuildDigest;
 use crate::id::BuildId;
 use crate::id::ServiceId;
 
@@ -101,11 +103,16 @@
         let (compared_at, known_before) = self.compared?;
         let passed = |since: Instant| now.saturating_duration_since(since);
         let is_known = known_before.is_none_or(|known| passed(compared_at) + known >= memory);
-        let is_lately = |at: &Instant| passed(*at) < memory;
+        self.only_now(memory, now).filter(|_| is_known)
+    }
+
+    /// Returns the build that serves if only one does, whatever served before this host knew them; `None` if it
+    /// has seen another one within `memory`.
+    pub fn only_now(&self, memory: Duration, now: Instant) -> Option<&BuildId> {
+        let is_lately = |at: &Instant| now.saturating_duration_since(*at) < memory;
         let mut current = self.current.iter();
         let only = current.next().filter(|_| current.next().is_none())?;
-        let has_departed = self.departed.values().any(is_lately);
-        (is_known && !has_departed).then_some(only)
+        (!self.departed.values().any(is_lately)).then_some(only)
     }
 
     /// Returns what the store should have, if it may have something else; `memory` is the time for which
@@ -190,6 +197,25 @@
         }
     }
 
+    /// Returns what this host believes of the build of all streams of a service; `digest` returns that of a build.
+    pub fn belief<D>(&self, service: &ServiceId, digest: D, now: Instant) -> Belief
+    where
+        D: Fn(&BuildId) -> BuildDigest,
+    {
+        let memory = self.retention.longest(now);
+        let builds = self.services.get(service);
+        let only = builds.and_then(|builds| builds.only(memory, now));
+        let only_now = || builds.and_then(|builds| builds.only_now(memory, now));
+        let is_compared = builds.is_some_and(Builds::is_compared);
+        match (only, is_compared) {
+            (Some(build), _) => Belief::Only(digest(build)),
+            (None, true) => Belief::Several,
+            (None, false) => {
+                only_now().map_or(Belief::Several, |build| Belief::OnlyNow(digest(build)))
+            }
+        }
+    }
+
     /// Returns the build of all streams of a service that may be taken up; `None` if there may be several.
     pub fn only(&self, service: &ServiceId, now: Instant) -> Option<&BuildId> {
         let memory = self.retention.longest(now);
--- a/src/origin/mod.rs
+++ b/src/origin/mod.rs
@@ -1,14 +1,20 @@
 //! Which build of a service began a stream, so that the stream goes on only there; pure.
 //!
-//! While one build serves, each stream is its. A host remembers the streams that it began, and where
-//! several builds serve, some of its peers remember them too.
+//! A host remembers the streams that it began, and where several builds serve, some of its peers remember them
+//! too. The build of a stream that nobody remembers is inferred only where that is sound, see [`infer`].
 
 mod history;
+mod inference;
 mod retention;
 
 pub use self::history::Builds;
 pub use self::history::History;
 pub use self::history::Stored;
+pub use self::inference::Belief;
+pub use self::inference::Inference;
+pub use self::inference::Poll;
+pub use self::inference::Reading;
+pub use self::inference::infer;
 pub use self::retention::Retention;
 
 use std::collections::HashMap;
--- a/tests/decisions/origin.rs
+++ b/tests/decisions/origin.rs
@@ -1,6 +1,7 @@
 //! Which build of a service began a stream.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -8,11 +9,16 @@
 use pistachiohall::gossip::Peers;
 use pistachiohall::id::BuildId;
 use pistachiohall::id::ServiceId;
+use pistachiohall::origin::Belief;
 use pistachiohall::origin::Builds;
 use pistachiohall::origin::History;
+use pistachiohall::origin::Inference;
 use pistachiohall::origin::Origins;
+use pistachiohall::origin::Poll;
+use pistachiohall::origin::Reading;
 use pistachiohall::origin::Retention;
 use pistachiohall::origin::Stored;
+use pistachiohall::origin::infer;
 use rstest::rstest;
 
 /// Twice the longest timeout of a stream on the users' sites.
@@ -204,3 +210,60 @@
     let text = format!("{retention:?}");
     assert!(text.len() < 64 * 100, "{} bytes", text.len());
 }
+
+const V1: u32 = 1;
+const V2: u32 = 2;
+
+/// Guards against a build that is inferred where that is not sound: from an old registry, against a peer, without
+/// those that are missing, or before all have answered; and against streams that are refused where it is.
+#[rstest]
+#[case::read_since(Belief::Only(V1), Reading::Current, &[], false, Inference::Build(V1))]
+#[case::read_since_against_peers(Belief::Only(V1), Reading::Current, &[Some(None)], false, Inference::Build(V1))]
+#[case::nobody_to_ask(Belief::Only(V1), Reading::Old, &[], false, Inference::Unknown)]
+#[case::nobody_to_ask_yet(Belief::Only(V1), Reading::Due, &[], false, Inference::Pending)]
+#[case::all_agree(Belief::Only(V1), Reading::Old, &[Some(Some(V1)); 3], false, Inference::Build(V1))]
+#[case::started_lately(Belief::OnlyNow(V1), Reading::Old, &[Some(Some(V1)); 3], false, Inference::Build(V1))]
+#[case::started_lately_alone(Belief::OnlyNow(V1), Reading::Current, &[], false, Inference::Unknown)]
+#[case::a_host_is_silent(Belief::Only(V1), Reading::Old, &[Some(Some(V1)); 3], true, Inference::Unknown)]
+#[case::one_knows_of_several(Belief::Only(V1), Reading::Old, &[Some(Some(V1)), Some(None)], false, Inference::Unknown)]
+#[case::two_disagree(Belief::Only(V1), Reading::Old, &[Some(Some(V1)), Some(Some(V2))], false, Inference::Unknown)]
+#[case::all_disagree_with_it(Belief::Only(V1), Reading::Old, &[Some(Some(V2)); 3], false, Inference::Unknown)]
+#[case::it_knows_of_several(Belief::Several, Reading::Current, &[Some(Some(V1)); 3], false, Inference::Unknown)]
+#[case::one_has_not_answered(Belief::Only(V1), Reading::Old, &[Some(Some(V1)), None], false, Inference::Pending)]
+fn a_build_is_inferred_only_where_that_is_sound(
+    #[case] belief: Belief,
+    #[case] reading: Reading,
+    #[case] answers: &[Option<Option<u32>>],
+    #[case] has_silent_peers: bool,
+    #[case] expected: Inference,
+) {
+    let mut poll = Poll::default();
+    let peers = (1..).map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let peers: Vec<SocketAddr> = peers.take(answers.len()).collect();
+    poll.record_asked(peers.iter().copied(), has_silent_peers);
+    for (peer, answer) in peers.iter().zip(answers) {
+        if let Some(build) = answer {
+            poll.record_answer(*peer, *build);
+        }
+    }
+    assert_eq!(infer(belief, reading, &poll, false), expected);
+    // Without more answers it is never decided otherwise than that nobody knows.
+    let over = infer(belief, reading, &poll, true);
+    match expected {
+        Inference::Pending => assert!(!matches!(over, Inference::Build(_))),
+        decided => assert_eq!(over, decided),
+    }
+}
+
+/// Guards against a peer whose answer comes twice, as queries are repeated, and counts for another one that has
+/// not answered.
+#[test]
+fn an_answer_that_comes_twice_counts_once() {
+    let mut poll = Poll::default();
+    let peers = [1, 2].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    poll.record_asked(peers, false);
+    poll.record_answer(peers[0], Some(V1));
+    poll.record_answer(peers[0], Some(V1));
+    let decided = infer(Belief::Only(V1), Reading::Old, &poll, false);
+    assert_eq!(decided, Inference::Pending);
+}
--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -14,6 +14,8 @@
 use pistachiohall::standin::fleet;
 use pistachiohall::standin::fleet::client::Answer;
 use pistachiohall::standin::fleet::client::Client;
+use pistachiohall::standin::fleet::proxy::Link;
+use pistachiohall::standin::fleet::proxy::Proxy;
 use pistachiohall::standin::fleet::replica::Behavior;
 use pistachiohall::standin::fleet::replica::Replica;
 use pistachiohall::standin::fleet::store::Fault;
@@ -29,6 +31,8 @@
 
 /// Number of streams in a test, enough that a choice without regard to builds is noticed.
 const STREAMS: usize = 8;
+/// Number of hosts of which only some remember a stream.
+const HOSTS: usize = 6;
 /// Next identifier of a prompt block.
 static BLOCKS: AtomicU64 = AtomicU64::new(1);
 /// Time within which a refusal counts as immediate, on a busy machine.
@@ -39,6 +43,8 @@
     store: Store,
     engines: BTreeMap<String, Replica>,
     hosts: Vec<Gateway>,
+    /// Links of the hosts to the store.
+    links: Vec<Proxy>,
 }
 
 /// Returns a configuration whose streams may take long.
@@ -60,10 +66,14 @@
         let store = Store::start().unwrap();
         store.put_config(&config());
         let domains = ["derby", "leicester"].into_iter().cycle();
-        let hosts: Vec<Gateway> = (1..=hosts)
+        let links: Vec<Proxy> = (0..hosts)
+            .map(|_| Proxy::start(store.address()).unwrap())
+            .collect();
+        let hosts: Vec<Gateway> = (1..)
             .zip(domains)
-            .map(|(number, domain)| {
-                Gateway::start_in(domain, &format!("h{number}"), store.address(), NO_ORDERS)
+            .zip(&links)
+            .map(|((number, domain), link)| {
+                Gateway::start_in(domain, &format!("h{number}"), link.address(), NO_ORDERS)
             })
             .collect();
         let peers = format!("peers={}", hosts.len() - 1);
@@ -71,6 +81,7 @@
             store,
             engines: BTreeMap::new(),
             hosts,
+            links,
         };
         for host in fleet.hosts.iter().filter(|_| fleet.hosts.len() > 1) {
             host.wait_line(&[&peers]);
@@ -83,15 +94,57 @@
 
     /// Starts an engine that all hosts know on return.
     fn add(&mut self, name: &str, build: &str) {
+        self.add_unseen(name, build, self.hosts.len());
+    }
+
+    /// Starts an engine that the first `hosts` hosts know on return.
+    fn add_unseen(&mut self, name: &str, build: &str, hosts: usize) {
         let engine = Replica::start(name, "lm", "derby", Some("decode")).unwrap();
         engine.set_build(build);
         engine.register(&self.store, "ready");
         self.engines.insert(name.into(), engine);
-        for host in &self.hosts {
+        for host in &self.hosts[..hosts] {
             host.wait_line(&[&format!("upstream={name}"), "outcome=added"]);
         }
     }
 
+    /// Returns, of the streams that began at the engine `name`, the attempts of the caller.
+    fn begun_at(&self, name: &str, began: &[String]) -> Vec<String> {
+        let received = self.engines[name].received();
+        let ran: Vec<&str> = received
+            .iter()
+            .map(|seen| seen.field("pistachiohall-request-id"))
+            .collect();
+        let is_there = |id: &&String| ran.contains(&id.as_str());
+        began.iter().filter(is_there).cloned().collect()
+    }
+
+    /// Begins streams at the first host and any engine, that break off after two events; returns the attempts
+    /// of those that began at the engine `name`.
+    fn begin_many(&self, name: &str) -> Vec<String> {
+        for engine in self.engines.values() {
+            engine.set_behavior(Behavior::Break(3));
+        }
+        let ids: Vec<String> = (0..4 * STREAMS)
+            .map(|number| format!("m{number}"))
+            .collect();
+        for id in &ids {
+            // The host resumes at an engine of the same build, which breaks off within the same event.
+            let answer = ask(&self.hosts[0], id, &[]);
+            assert_eq!(answer.body, events(1, 2));
+        }
+        for engine in self.engines.values() {
+            engine.set_behavior(Behavior::Sound);
+        }
+        let begun = self.begun_at(name, &ids);
+        assert!(
+            begun.len() >= STREAMS / 2,
+            "{} streams at {name}",
+            begun.len()
+        );
+        begun
+    }
+
     /// Removes the entry of an engine, as of one that has left.
     fn remove(&self, name: &str) {
         self.store.remove(store::UPSTREAM_TOPIC, name);
@@ -466,3 +519,33 @@
     fleet.shorten_timeouts();
     assert_go_on(&fleet, host, &began, "e1");
 }
+
+/// Guards against a host that takes the only build in an old registry for that of a stream which began at a build
+/// that it has not heard of; whether or not the host that began it can be asked.
+#[rstest]
+#[case::reset(Link::Reset, false)]
+#[case::reset_and_its_host_is_killed(Link::Reset, true)]
+#[case::silent(Link::Silent, false)]
+#[case::silent_and_its_host_is_killed(Link::Silent, true)]
+fn a_host_without_the_store_does_not_guess_a_build(#[case] link: Link, #[case] is_killed: bool) {
+    let mut fleet = Fleet::start(HOSTS, &[("e1", "v1")]);
+    fleet.wait_stored(&["v1"]);
+    // No host of its failure domain can read the store, so that none tells it either.
+    for link_of_domain in fleet.links.iter().skip(1).step_by(2) {
+        link_of_domain.set(link);
+    }
+    // What was on its way has arrived.
+    thread::sleep(Duration::from_secs(1));
+    fleet.add_unseen("a2", "v2", 1);
+    let began = fleet.begin_many("a2");
+    if is_killed {
+        fleet.hosts[0].signal("-KILL");
+        fleet.hosts[0].wait();
+    }
+    let resumed = fleet.resumed("e1");
+    for id in &began {
+        let answer = fleet.take_up(1, &format!("next-{id}"), id);
+        assert_eq!(answer.status, 503);
+    }
+    assert_eq!(fleet.resumed("e1"), resumed);
+}
