Have two peers keep the running streams of a host while one build serves

Cause: while one build serves, a host told nobody of its streams; it tells when it sees a second build, which a killed host never does.

The next host of the failure domain and one of another domain are told in the regular datagrams of streams that have run for 250 ms, and announce them as soon as several builds serve. What is known stays positive: nothing is inferred from silence.

--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -251,8 +251,10 @@
 fn deliver(gateway: &Rc<Gateway>, mut stream: OpenStream, mut progress: Progress) -> Reply {
     progress.trace.record_first();
     let now = Instant::now();
-    progress.build = Some(stream.target.build());
+    let build = stream.target.build();
+    progress.build = Some(build);
     gateway.confirm_stream(&progress.call, &stream.target);
+    let run = gateway.run_stream(&progress.call, build, now);
     gateway.record_served(&progress.call, now);
     let head = stream.head.clone();
     progress.continuation = Some(Continuation::of(&head));
@@ -265,6 +267,7 @@
         sender,
         unread,
         has_waited: false,
+        run,
     };
     task::spawn_local(flow.run(stream));
     reply::deliver_stream(&head, reply::Stream::new(first, receiver))
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -27,17 +27,20 @@
 use crate::gossip;
 use crate::gossip::Datagram;
 use crate::gossip::OriginQuery;
+use crate::gossip::RunningStreams;
 use crate::gossip::StreamOrigin;
 use crate::id::BuildDigest;
 use crate::id::BuildId;
 use crate::id::ServiceId;
 use crate::id::StreamDigest;
 use crate::origin;
+use crate::origin::Backup;
 use crate::origin::History;
 use crate::origin::Inference;
 use crate::origin::Origins;
 use crate::origin::Poll;
 use crate::origin::Reading;
+use crate::origin::Running;
 use crate::origin::Stored;
 
 /// Reason for refusing to resume a stream whose build is not known.
@@ -90,6 +93,22 @@
     pub source: Source,
 }
 
+/// Guard of a stream that runs at this host.
+#[derive(Debug)]
+pub struct Run {
+    gateway: Rc<Gateway>,
+    streams: Vec<StreamDigest>,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let mut running = self.gateway.streams.running.borrow_mut();
+        for stream in &self.streams {
+            running.end(*stream);
+        }
+    }
+}
+
 /// Builds of streams and services, as this host knows them.
 #[derive(Debug, Default)]
 pub struct Streams {
@@ -98,6 +117,7 @@
     /// Builds in the store, once they were read.
     stored: RefCell<Option<BTreeMap<ServiceId, Stored>>>,
     polls: RefCell<HashMap<StreamDigest, Poll>>,
+    running: RefCell<Running>,
     outbox: RefCell<Vec<Notice>>,
     /// Whether streams may be of several builds, so that peers have to remember them too.
     is_shared: Cell<bool>,
@@ -144,6 +164,14 @@
         self.learned.notify_waiters();
     }
 
+    /// Returns up to `max` running streams that the peers `backups` have to be told of now.
+    pub fn due_running(&self, backups: &[Backup], max: usize, now: Instant) -> Vec<RunningStreams> {
+        let due = self.running.borrow_mut().due(backups, max, now);
+        due.into_iter()
+            .map(|(build, streams)| RunningStreams { build, streams })
+            .collect()
+    }
+
     /// Returns the time for which a stream may be taken up.
     pub fn memory(&self, now: Instant) -> Duration {
         self.history.borrow().retention.longest(now)
@@ -250,6 +278,36 @@
         }
     }
 
+    /// Records that a stream runs until the guard is dropped, so that peers keep it for this host.
+    pub fn run_stream(self: &Rc<Self>, call: &Call, build: BuildDigest, now: Instant) -> Run {
+        let streams = match call.route.is_resumable {
+            true => streams(call).collect(),
+            false => Vec::new(),
+        };
+        let is_told = self.streams.is_shared.get();
+        let mut running = self.streams.running.borrow_mut();
+        for stream in &streams {
+            running.begin(*stream, build, is_told, now);
+        }
+        Run {
+            gateway: Rc::clone(self),
+            streams,
+        }
+    }
+
+    /// Keeps the streams of a peer in case it ends.
+    fn keep_running(&self, datagram: &Datagram, now: Instant) {
+        for RunningStreams { build, streams } in &datagram.running {
+            for stream in streams {
+                let mut origins = self.streams.origins.borrow_mut();
+                let is_new = origins.record(*stream, *build, true, now);
+                if is_new && self.streams.is_shared.get() {
+                    self.streams.announce(own_origin(*stream, *build));
+                }
+            }
+        }
+    }
+
     /// Returns the build that began the stream which a call resumes; `None` if nobody knows it.
     pub async fn find_build(&self, call: &Call) -> Option<Known> {
         let attempt = call.request.resumes.as_ref();
@@ -347,6 +405,7 @@
 
     /// Takes in what a peer tells and asks about streams.
     pub fn receive_origins(&self, datagram: &Datagram, from: SocketAddr, now: Instant) {
+        self.keep_running(datagram, now);
         for told in &datagram.origins {
             match told.build {
                 build if build == UNKNOWN || told.is_inferred => {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -39,6 +39,7 @@
 use crate::gossip::StreamOrigin;
 use crate::id::HostId;
 use crate::log::keyed::Record;
+use crate::origin::Backup;
 use crate::placement::board::Load;
 use crate::reassign::Constraints;
 use crate::reassign::duty::PendingChanges;
@@ -60,6 +61,8 @@
 const STREAM_KEEPERS: usize = 3;
 /// Maximum number of streams in one datagram, about 15 bytes each.
 const MAX_STREAMS: usize = 256;
+/// Maximum number of running streams in one datagram, 8 bytes each.
+const MAX_RUNNING_STREAMS: usize = 1024;
 /// Interval at which the hosts that share limits are determined.
 const SHARING_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum interval between two datagrams that are sent outside the regular interval.
@@ -440,7 +443,24 @@
         let bytes = datagram.encode_to_vec();
         let due = peers.due(now);
         self.interval = gossip::interval(bytes.len(), due.len());
-        send(socket, &bytes, &due);
+        let own = (&gateway.settings.name, &gateway.settings.domain);
+        let backups: Vec<Backup> = peers.backups(own, now).collect();
+        let running = gateway
+            .streams
+            .due_running(&backups, MAX_RUNNING_STREAMS, now);
+        if running.is_empty() {
+            send(socket, &bytes, &due);
+        } else {
+            let is_backup =
+                |address: &SocketAddr| backups.iter().any(|(backup, _)| backup == address);
+            let (keepers, others): (Vec<_>, Vec<_>) = due.into_iter().partition(is_backup);
+            let datagram = Datagram {
+                running,
+                ..datagram
+            };
+            send(socket, &bytes, &others);
+            send(socket, &datagram.encode_to_vec(), &keepers);
+        }
         let live_peers = peers.count_recent(now);
         if live_peers != self.live_peers {
             info!(
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,6 +19,7 @@
 use super::open::OpenStream;
 use super::open::Progress;
 use super::open::Start;
+use super::origin;
 use super::record::Outcome;
 use super::reply::Chunk;
 use super::suspect;
@@ -37,6 +38,8 @@
     pub unread: held::Unread,
     /// Whether the stream had to wait until some events were read.
     pub has_waited: bool,
+    /// Has peers keep the stream in case this host ends.
+    pub run: origin::Run,
 }
 
 /// Outcome of forwarding a stream.
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -523,6 +523,17 @@
     pub service: u32,
 }
 
+/// Streams of the sender that one build generates, for peers that keep them in case the sender ends.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct RunningStreams {
+    /// Digest of the build.
+    #[prost(fixed32, tag = "1")]
+    pub build: BuildDigest,
+    /// Digests of the attempts of the callers that began the streams, or resumed them.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub streams: Vec<StreamDigest>,
+}
+
 /// One datagram.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Datagram {
@@ -587,6 +598,9 @@
     /// Streams whose builds the sender asks for.
     #[prost(message, repeated, tag = "21")]
     pub origin_queries: Vec<OriginQuery>,
+    /// Streams that the receiver keeps for the sender.
+    #[prost(message, repeated, tag = "22")]
+    pub running: Vec<RunningStreams>,
 }
 
 /// Proof that the sender's configuration was the newest at some time, for hosts that get none from the
--- a/src/gossip/peers.rs
+++ b/src/gossip/peers.rs
@@ -185,6 +185,40 @@
         keepers.filter_map(|(_, _, _, address)| address).collect()
     }
 
+    /// Returns the peers that keep the running streams of `own` in case it ends: the next host of its failure domain
+    /// by name, to which its callers turn, and one of another domain. Each is named by its address and its start.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use pistachiohall::gossip::{Datagram, Peers};
+    /// let now = Instant::now();
+    /// let mut peers = Peers::default();
+    /// let hosts = [("h1", "derby"), ("h2", "leicester"), ("h3", "derby")];
+    /// for (port, (host, domain)) in (1..).zip(hosts) {
+    ///     let datagram = Datagram { host: host.into(), domain: domain.into(), ..Datagram::default() };
+    ///     peers.record(&datagram, ([127, 0, 0, 1], port).into(), now);
+    /// }
+    /// let backups = peers.backups((&"h2a".into(), &"derby".into()), now);
+    /// let addresses = backups.map(|(address, _)| address.port()).collect::<Vec<_>>();
+    /// assert_eq!(addresses, [3, 2]);
+    /// ```
+    pub fn backups(
+        &self,
+        own: (&HostId, &DomainId),
+        now: Instant,
+    ) -> impl Iterator<Item = (SocketAddr, u64)> {
+        let (host, domain) = own;
+        let near = self
+            .domain_peers(domain, now)
+            .min_by_key(|(peer, _)| (*peer < host, *peer));
+        let far = self
+            .recent_peers(now)
+            .filter(|(_, peer)| peer.domain != *domain)
+            .max_by_key(|(peer, _)| (rendezvous(peer, rendezvous(host, 0)), *peer));
+        let backups = near.into_iter().chain(far);
+        backups.map(|(_, peer)| (peer.address, peer.started_at))
+    }
+
     /// Returns the address of the host of `domain` with the lowest rank, unless that is `own`.
     pub fn first_in_domain(
         &self,
--- a/src/origin/mod.rs
+++ b/src/origin/mod.rs
@@ -1,11 +1,12 @@
 //! Which build of a service began a stream, so that the stream goes on only there; pure.
 //!
-//! A host remembers the streams that it began, and where several builds serve, some of its peers remember them
-//! too. The build of a stream that nobody remembers is inferred only where that is sound, see [`infer`].
+//! A host remembers the streams that it began. While one build serves, two peers keep those that run, in case the
+//! host ends; where several builds serve, some peers chosen for each stream remember it. The build of a stream that nobody remembers is inferred only where that is sound, see [`infer`].
 
 mod history;
 mod inference;
 mod retention;
+mod running;
 
 pub use self::history::Builds;
 pub use self::history::History;
@@ -16,6 +17,8 @@
 pub use self::inference::Reading;
 pub use self::inference::infer;
 pub use self::retention::Retention;
+pub use self::running::Backup;
+pub use self::running::Running;
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -46,7 +49,7 @@
 struct Origin {
     /// Build; `None` if different ones were recorded.
     build: Option<BuildDigest>,
-    /// Whether this host sent the attempt to an upstream.
+    /// Whether this host sent the attempt to an upstream, or keeps the stream for the host that did.
     is_own: bool,
     /// Time of the last attempt.
     at: Instant,
@@ -121,7 +124,7 @@
         self.streams.get(&stream)?.build
     }
 
-    /// Returns the streams of this host with their builds.
+    /// Returns the streams of this host, and those that it keeps for others, with their builds.
     pub fn own(&self) -> impl Iterator<Item = (StreamDigest, BuildDigest)> {
         let own = self.streams.iter().filter(|(_, origin)| origin.is_own);
         own.filter_map(|(stream, origin)| Some((*stream, origin.build?)))
--- a/tests/decisions/origin.rs
+++ b/tests/decisions/origin.rs
@@ -7,8 +7,10 @@
 
 use pistachiohall::gossip::Datagram;
 use pistachiohall::gossip::Peers;
+use pistachiohall::gossip::RunningStreams;
 use pistachiohall::id::BuildId;
 use pistachiohall::id::ServiceId;
+use pistachiohall::origin::Backup;
 use pistachiohall::origin::Belief;
 use pistachiohall::origin::Builds;
 use pistachiohall::origin::History;
@@ -17,8 +19,10 @@
 use pistachiohall::origin::Poll;
 use pistachiohall::origin::Reading;
 use pistachiohall::origin::Retention;
+use pistachiohall::origin::Running;
 use pistachiohall::origin::Stored;
 use pistachiohall::origin::infer;
+use prost::Message;
 use rstest::rstest;
 
 /// Twice the longest timeout of a stream on the users' sites.
@@ -267,3 +271,55 @@
     let decided = infer(Belief::Only(V1), Reading::Old, &poll, false);
     assert_eq!(decided, Inference::Pending);
 }
+
+/// Guards against hosts that keep the streams of many others, and against bytes beyond what a host may spend on control:
+/// 410 hosts in 31 failure domains, 25,000 streams a second, 4 KB a second.
+#[test]
+fn running_streams_are_kept_by_peers_within_the_bytes_for_control() {
+    const HOSTS: usize = 410;
+    const STREAMS_PER_S: usize = 25_000;
+    const MAX_BYTES_PER_S: usize = 4_000;
+    let now = Instant::now();
+    let names = |number: usize| (format!("h{number}"), format!("d{}", number % 31));
+    let address = |number: usize| SocketAddr::from(([127, 0, 0, 1], 1 + number as u16));
+    let mut kept = vec![0; HOSTS + 1];
+    for own in 0..HOSTS {
+        let mut peers = Peers::default();
+        for number in (0..HOSTS).filter(|number| *number != own) {
+            let (host, domain) = names(number);
+            let datagram = Datagram {
+                host,
+                domain,
+                ..Datagram::default()
+            };
+            peers.record(&datagram, address(number), now);
+        }
+        let (host, domain) = names(own);
+        let own_names = (&host.as_str().into(), &domain.as_str().into());
+        let backups: Vec<Backup> = peers.backups(own_names, now).collect();
+        assert_eq!(backups.len(), 2);
+        let domains = backups.iter().map(|(at, _)| (at.port() as usize - 1) % 31);
+        let in_own_domain = domains.filter(|number| *number == own % 31);
+        assert_eq!(in_own_domain.count(), 1);
+        for (backup, _) in backups {
+            kept[backup.port() as usize] += 1;
+        }
+    }
+    assert!(kept.iter().max() <= Some(&10), "{:?}", kept.iter().max());
+    let mut running = Running::default();
+    let streams = (STREAMS_PER_S / HOSTS) as u64;
+    for stream in 0..streams {
+        running.begin(u64::MAX - stream, u32::MAX, false, now);
+    }
+    let backups = [(address(1), 1), (address(2), 1)];
+    let due = running.due(&backups, 1024, now + Duration::from_secs(1));
+    let datagram = Datagram {
+        running: due
+            .into_iter()
+            .map(|(build, streams)| RunningStreams { build, streams })
+            .collect(),
+        ..Datagram::default()
+    };
+    let bytes = datagram.encoded_len() * backups.len();
+    assert!(bytes < MAX_BYTES_PER_S, "{bytes} bytes a second");
+}
--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::UdpSocket;
+use std::ops::Range;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -94,16 +95,16 @@
 
     /// Starts an engine that all hosts know on return.
     fn add(&mut self, name: &str, build: &str) {
-        self.add_unseen(name, build, self.hosts.len());
+        self.add_seen_by(name, build, 0..self.hosts.len());
     }
 
-    /// Starts an engine that the first `hosts` hosts know on return.
-    fn add_unseen(&mut self, name: &str, build: &str, hosts: usize) {
+    /// Starts an engine that `hosts` know on return.
+    fn add_seen_by(&mut self, name: &str, build: &str, hosts: Range<usize>) {
         let engine = Replica::start(name, "lm", "derby", Some("decode")).unwrap();
         engine.set_build(build);
         engine.register(&self.store, "ready");
         self.engines.insert(name.into(), engine);
-        for host in &self.hosts[..hosts] {
+        for host in &self.hosts[hosts] {
             host.wait_line(&[&format!("upstream={name}"), "outcome=added"]);
         }
     }
@@ -536,7 +537,7 @@
     }
     // What was on its way has arrived.
     thread::sleep(Duration::from_secs(1));
-    fleet.add_unseen("a2", "v2", 1);
+    fleet.add_seen_by("a2", "v2", 0..1);
     let began = fleet.begin_many("a2");
     if is_killed {
         fleet.hosts[0].signal("-KILL");
@@ -549,3 +550,37 @@
     }
     assert_eq!(fleet.resumed("e1"), resumed);
 }
+
+/// Guards against the loss of all streams of a host that is killed before it could tell that a second build serves:
+/// others have to know them while there is one. Where callers go, in its failure domain or another one.
+#[rstest]
+#[case::same_domain(2)]
+#[case::other_domain(1)]
+fn a_stream_goes_on_after_its_host_was_killed_as_a_release_begins(#[case] host: usize) {
+    let mut fleet = Fleet::start(HOSTS, &[("e1", "v1")]);
+    fleet.wait_stored(&["v1"]);
+    fleet.engines["e1"].set_pause(Duration::from_millis(700));
+    let ids: Vec<String> = (0..STREAMS).map(|number| format!("r{number}")).collect();
+    let mut begun: Vec<Client> = ids.iter().map(|_| fleet.hosts[0].client()).collect();
+    for (client, id) in begun.iter_mut().zip(&ids) {
+        send(client, id, &[]);
+    }
+    // They run for longer than it takes to tell others.
+    thread::sleep(Duration::from_millis(1800));
+    fleet.hosts[0].signal("-KILL");
+    fleet.hosts[0].wait();
+    for name in ["a2", "m3", "z4"] {
+        fleet.add_seen_by(name, "v2", 1..HOSTS);
+    }
+    let mut gone_on = 0;
+    for (client, id) in begun.iter_mut().zip(&ids) {
+        let first = client.receive().unwrap();
+        assert!(!first.is_complete && first.body.starts_with(&events(1, 1)));
+        let last = first.body.matches("id: ").count().to_string();
+        let fields = [("Resumes", id.as_str()), ("Last-Event-Id", last.as_str())];
+        let next = ask(&fleet.hosts[host], &format!("next-{id}"), &fields);
+        gone_on += usize::from(next.status == 200 && next.is_complete);
+    }
+    assert_eq!(gone_on, STREAMS);
+    assert_eq!(fleet.resumed("e1"), STREAMS);
+}
