Do not hold an announced exit of an engine against its streams

Cause: the end of an exchange counted as a crash also where the engine had announced that it leaves; the missing entry then settled its fate as ended.

An end is planned if it was announced and the output had come for longer than a request that crashes engines allows; only then it does not count. An engine that says it leaves and is crashed by a request counts as before.

--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -428,7 +428,7 @@
         let target = Rc::clone(&target);
         let mut guard = guard.take().expect("an exchange starts one stream");
         if !first.is_empty() {
-            guard.record_output();
+            guard.record_output(Instant::now());
         }
         Ok(Start::Stream(Box::new(OpenStream {
             head,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -188,7 +188,7 @@
         match response.provenance {
             Provenance::Signed => {
                 if response.head.status.is_success() {
-                    guard.record_output();
+                    guard.record_output(Instant::now());
                 }
                 Ok(response)
             }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -141,6 +141,7 @@
                 continue;
             };
             let now = Instant::now();
+            stream.guard.record_output(now);
             demand::record_step(&self.gateway, &self.progress.call.service, now);
             self.record_gap(stream, now.saturating_duration_since(last_event_at), now);
             if let Some(end) = self.send(events).await {
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -32,6 +32,7 @@
 use crate::logging::sample;
 use crate::logging::sample::Sampler;
 use crate::platform::egress;
+use crate::suspicion;
 use crate::suspicion::Evidence;
 use crate::suspicion::LostExchange;
 use crate::suspicion::Report;
@@ -116,6 +117,8 @@
     started_at: Instant,
     /// Time of the first event of the response.
     responding_since: Option<Instant>,
+    /// Time of its last event.
+    last_output_at: Option<Instant>,
     /// `true` if the stage completes the request, which a prefill does not.
     completes_request: bool,
     is_finished: bool,
@@ -139,14 +142,24 @@
             stage: stage.name(),
             started_at,
             responding_since: None,
+            last_output_at: None,
             completes_request: !matches!(stage, Stage::Prefill),
             is_finished: false,
         }
     }
 
-    /// Records that the upstream has begun to send its output.
-    pub fn record_output(&mut self) {
-        self.responding_since = Some(Instant::now());
+    /// Records that the upstream has sent output.
+    pub fn record_output(&mut self, now: Instant) {
+        self.responding_since.get_or_insert(now);
+        self.last_output_at = Some(now);
+    }
+
+    /// Returns the time from the first output of the upstream to the last.
+    fn responded_for(&self) -> Duration {
+        let span = self.responding_since.zip(self.last_output_at);
+        span.map_or(Duration::ZERO, |(first, last)| {
+            last.saturating_duration_since(first)
+        })
     }
 
     /// Records the outcome of the exchange.
@@ -200,20 +213,12 @@
         let gateway = &self.gateway;
         gateway.metrics.add("exchanges_lost");
         let incarnation = self.target.incarnation_digest();
-        let mut suspicion = gateway.suspicion.borrow_mut();
-        let mut incarnations = suspicion.record_loss(self.fingerprint, incarnation, now);
-        // A prefill engine does not generate, so what it loses says nothing about blocks.
-        if self.completes_request {
-            let lost = LostExchange {
-                request: self.fingerprint,
-                incarnation,
-                earliest_end,
-                responding_since: self.responding_since,
-            };
-            let of_blocks = suspicion.record_block_losses(&self.blocks, &lost, now);
-            incarnations = incarnations.max(of_blocks);
-        }
-        drop(suspicion);
+        let is_leaving = self.target.unavailability(now) == Some(Unavailability::Leaving);
+        let is_planned = suspicion::is_planned_end(is_leaving, self.responded_for());
+        let incarnations = match is_planned {
+            true => 0,
+            false => self.suspect_loss(incarnation, earliest_end, now),
+        };
         if incarnations >= MIN_PROBED_INCARNATIONS {
             gateway.urgent_suspects.notify_one();
         }
@@ -225,7 +230,8 @@
                 born = self.target.entry.started_at,
                 life:% = format_args!("{incarnation:08x}"),
                 work = self.stage,
-                leaving = self.target.unavailability(now) == Some(Unavailability::Leaving),
+                leaving = is_leaving,
+                planned = is_planned,
                 blocks:% = BlockList(&self.block_ids),
                 age_ms = now.saturating_duration_since(self.started_at).as_millis() as u64,
                 upstreams = incarnations,
@@ -237,6 +243,29 @@
         }
         incarnations
     }
+
+    /// Records a loss against the request and the blocks of its prompt; returns as `record_loss` does.
+    fn suspect_loss(
+        &self,
+        incarnation: IncarnationDigest,
+        earliest_end: Instant,
+        now: Instant,
+    ) -> usize {
+        let mut suspicion = self.gateway.suspicion.borrow_mut();
+        let incarnations = suspicion.record_loss(self.fingerprint, incarnation, now);
+        // A prefill engine does not generate, so what it loses says nothing about blocks.
+        if !self.completes_request {
+            return incarnations;
+        }
+        let lost = LostExchange {
+            request: self.fingerprint,
+            incarnation,
+            earliest_end,
+            responding_since: self.responding_since,
+        };
+        let of_blocks = suspicion.record_block_losses(&self.blocks, &lost, now);
+        incarnations.max(of_blocks)
+    }
 }
 
 /// Returns the prompt blocks of a request that other requests may share.
--- a/src/suspicion/blocks.rs
+++ b/src/suspicion/blocks.rs
@@ -1,9 +1,9 @@
 //! Prompt blocks as suspects.
 
-use std::time::Duration;
 use std::time::Instant;
 
 use super::LostExchange;
+use super::MAX_CRASH_DELAY;
 use super::MAX_INCARNATIONS;
 use super::Tracker;
 use super::blame;
@@ -19,9 +19,6 @@
 
 /// Maximum blocks of one request that become suspects, so that long prompts do not fill the table.
 const MAX_BLOCKS_PER_LOSS: usize = 32;
-/// Maximum time from the first event of a response to a crash that its request may have caused. An
-/// upstream crashes as it begins to generate.
-const MAX_CRASH_DELAY: Duration = Duration::from_secs(1);
 
 impl Tracker {
     /// Returns the verdict on whether a request whose prompt holds a block may be sent. From time to
--- a/src/suspicion/mod.rs
+++ b/src/suspicion/mod.rs
@@ -53,6 +53,9 @@
 const ENTRY_EXPIRY_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time for which a loss at an incarnation that ended, or may have, counts against a request.
 const LOSS_RETENTION: Duration = Duration::from_secs(600);
+/// Maximum time from the first event of a response to a crash that its request may have caused. An
+/// upstream crashes as it begins to generate.
+const MAX_CRASH_DELAY: Duration = Duration::from_secs(1);
 /// Time for which a cleared suspect is kept, to report to peers that it is cleared.
 const CLEARED_RETENTION: Duration = Duration::from_secs(10);
 /// Maximum suspects held at once.
@@ -71,6 +74,19 @@
     pub responding_since: Option<Instant>,
 }
 
+/// Returns `true` if the end of an exchange says nothing about its request: the upstream had announced that it
+/// leaves, and had sent output for `responded_for`, longer than a request that crashes upstreams lets it.
+///
+/// ```
+/// use std::time::Duration;
+/// use pistachiohall::suspicion;
+/// assert!(suspicion::is_planned_end(true, Duration::from_secs(3)));
+/// assert!(!suspicion::is_planned_end(true, Duration::ZERO));
+/// ```
+pub fn is_planned_end(is_leaving: bool, responded_for: Duration) -> bool {
+    is_leaving && responded_for > MAX_CRASH_DELAY
+}
+
 /// A loss whose fate was resolved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Resolution {
--- a/tests/decisions/suspicion.rs
+++ b/tests/decisions/suspicion.rs
@@ -342,3 +342,22 @@
     let max = bytes.into_iter().max().unwrap();
     assert!(max / 60 < 200, "one host received {max} bytes in a minute");
 }
+
+/// Guards against planned exits that count as crashes, and against crashes that an announcement excuses: a request
+/// that crashes upstreams does so as it begins to run.
+#[rstest]
+#[case::planned(true, 3_000, true)]
+#[case::crash_without_an_announcement(false, 3_000, false)]
+#[case::crash_at_the_first_event(true, 0, false)]
+#[case::crash_within_a_second(true, 1_000, false)]
+fn only_an_end_that_was_announced_and_is_late_is_planned(
+    #[case] is_leaving: bool,
+    #[case] responded_for_ms: u64,
+    #[case] is_planned: bool,
+) {
+    let responded_for = Duration::from_millis(responded_for_ms);
+    assert_eq!(
+        pistachiohall::suspicion::is_planned_end(is_leaving, responded_for),
+        is_planned
+    );
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod innocent;
 mod input;
 mod large_config;
+mod leaving;
 mod lifecycle;
 mod limit;
 mod memory;
