Take no status beyond 599 from an upstream

Cause: the HTTP library takes any three digits from 100 on, and only interim statuses were refused. A response fails now unless its status is 200 to 599, and so do the host's own calls; the caller gets 502, or another upstream's answer.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -258,12 +258,7 @@
         Ok(Ok(response)) => response,
     };
     let (head, body) = response.into_parts();
-    if head.status.is_informational() {
-        return Err(Failure::broken(format_args!(
-            "status {} is no answer",
-            head.status
-        )));
-    }
+    check_status(head.status)?;
     gateway.apply_notice(target, &head, &call.request.id);
     let response = match egress::provenance(&head, &call.request.id) {
         Provenance::Foreign => {
@@ -302,6 +297,17 @@
     Err(Failure::NotRun(status))
 }
 
+/// Fails unless a status is that of a final response; the HTTP library takes any number of three digits from
+/// 100 on.
+fn check_status(status: StatusCode) -> Result<(), Failure> {
+    match status.as_u16() {
+        200..600 => Ok(()),
+        _ => Err(Failure::broken(format_args!(
+            "status {status} is no answer, expected 200 to 599"
+        ))),
+    }
+}
+
 /// Returns `true` if the end of a response's body is marked, or it has no body.
 ///
 /// Otherwise it ends with its connection, which an upstream that fails closes too; without any content,
@@ -377,6 +383,7 @@
         .insert(http::header::HOST, target.authority());
     let exchange = async {
         let (head, body) = connection.send(request).await?.into_parts();
+        check_status(head.status)?;
         gateway.apply_notice(target, &head, path);
         let response = Response {
             head,
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod capacity_site;
 mod deadly;
 mod deadly_blocks;
+mod early;
 mod endless;
 mod explain;
 mod field_reports;
