--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -584,3 +584,48 @@
     assert_eq!(gone_on, STREAMS);
     assert_eq!(fleet.resumed("e1"), STREAMS);
 }
+/// Guards against a host that stood still while engines of another build joined, and that acts on its registry
+/// from before in the first moments after.
+#[test]
+fn a_host_that_stood_still_does_not_guess_a_build() {
+    let mut fleet = Fleet::start(HOSTS, &[("e1", "v1")]);
+    fleet.wait_stored(&["v1"]);
+    let mut clients: Vec<Client> = (0..STREAMS).map(|_| fleet.hosts[1].client()).collect();
+    fleet.hosts[1].signal("-STOP");
+    fleet.add_seen_by("a2", "v2", 0..1);
+    let began = fleet.begin_many("a2");
+    let resumed = fleet.resumed("e1");
+    for (client, id) in clients.iter_mut().zip(&began) {
+        let fields = [("Resumes", id.as_str()), ("Last-Event-Id", "2")];
+        send(client, &format!("next-{id}"), &fields);
+    }
+    fleet.hosts[1].signal("-CONT");
+    for client in clients.iter_mut().take(began.len()) {
+        let _answer = client.receive().unwrap();
+    }
+    assert_eq!(fleet.resumed("e1"), resumed);
+}
+
+/// Guards against a host that is cut off from all others and the store while engines of another build join.
+#[test]
+fn a_host_that_is_cut_off_does_not_guess_a_build() {
+    let mut fleet = Fleet::start(HOSTS, &[("e1", "v1")]);
+    fleet.wait_stored(&["v1"]);
+    fleet.links[1].set(Link::Silent);
+    fleet.add_seen_by("a2", "v2", 0..1);
+    let began = fleet.begin_many("a2");
+    // Its peers stand still, so that nothing of them arrives either.
+    let peers: Vec<usize> = (0..HOSTS).filter(|host| *host != 1).collect();
+    for peer in &peers {
+        fleet.hosts[*peer].signal("-STOP");
+    }
+    let resumed = fleet.resumed("e1");
+    for id in &began {
+        let answer = fleet.take_up(1, &format!("next-{id}"), id);
+        assert_eq!(answer.status, 503);
+    }
+    for peer in &peers {
+        fleet.hosts[*peer].signal("-CONT");
+    }
+    assert_eq!(fleet.resumed("e1"), resumed);
+}
