Ask an engine for its start before a stream counts as of its build

Cause: an engine was taken for the build of its entry, however old.

A host asks the engine for its start, in its report, before the rest of a stream goes there on a new connection or after an exchange broke off, and before a new stream that may be resumed while its registry is over two seconds old. Another incarnation than that of the entry gets neither.

Before, both cases of a_stream_does_not_go_on_at_an_engine_that_started_again failed (200 in place of 503).

--- a/src/gateway/generate.rs
+++ b/src/gateway/generate.rs
@@ -142,6 +142,9 @@
 pub fn plan(gateway: &Rc<Gateway>, progress: &Progress, now: Instant) -> Plan {
     let call = &progress.call;
     let mut targets = gateway.targets(&call.service, now);
+    if call.route.is_resumable {
+        targets.retain(|target| !target.is_replaced());
+    }
     if progress.build.is_some() {
         targets.retain(|target| is_permitted(progress, target));
         let can_generate = |target: &Rc<Target>| target.entry.role != Role::Prefill;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod plain;
 pub mod pool;
 pub mod process;
+pub mod proof;
 pub mod record;
 pub mod reply;
 pub mod serve;
--- a/src/gateway/open.rs
+++ b/src/gateway/open.rs
@@ -26,6 +26,7 @@
 use super::place::Slot;
 use super::plain;
 use super::pool::Connection;
+use super::proof;
 use super::record::Trace;
 use super::suspect;
 use super::suspect::Guard;
@@ -203,8 +204,14 @@
 ) -> Result<Start, Failure> {
     progress.attempt_budget.record_send();
     let urgency = options.urgency.unwrap_or(LOWEST_URGENCY);
-    let started = match gateway.target(engine) {
+    let target = gateway.target(engine);
+    let is_proved = match &target {
+        Some(target) => proof::prove(gateway, progress, target).await,
+        None => true,
+    };
+    let started = match target {
         None => Err(Failure::NotSent("the engine is gone".into())),
+        Some(_) if !is_proved => Err(Failure::Withheld(proof::UNPROVED)),
         // An engine that has started again under its name may be of another build.
         Some(target) if !progress.permits(&target) => Err(Failure::Withheld(origin::NO_ENGINE)),
         Some(target) => {
--- /dev/null
+++ b/src/gateway/proof.rs
@@ -0,0 +1,69 @@
+//! Proof that an engine is still the incarnation that its entry describes, before a stream counts as of its build.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Method;
+use log::info;
+
+use super::Gateway;
+use super::exchange;
+use super::open::Progress;
+use super::target::Target;
+use crate::platform::egress;
+use crate::upstream::Role;
+
+/// Reason for not sending a stream to an engine that may be of another build.
+pub const UNPROVED: &str = "the engine has not shown that it is the one of its entry";
+/// Maximum wait for an engine's report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum age of the last reading of the upstreams at which an engine that starts again is noticed by its entry.
+const MAX_UPSTREAMS_AGE: Duration = Duration::from_secs(2);
+
+/// Returns `true` if a stream may count as of the build in a target's entry. The engine is asked for its start if it
+/// may have started again without this host's knowledge.
+pub async fn prove(gateway: &Gateway, progress: &Progress, target: &Rc<Target>) -> bool {
+    if !is_proof_needed(gateway, progress, target) {
+        return true;
+    }
+    let sent_at = Instant::now();
+    let until = progress.call.deadline.min(sent_at + REPORT_TIMEOUT);
+    let path = egress::REPORT_PATH;
+    let report = exchange::call_own(gateway, target, Method::GET, path, until).await;
+    let started_at = report
+        .ok()
+        .and_then(|report| egress::started_at(&report.body));
+    gateway.metrics.add("incarnation_probes");
+    let is_proved = started_at == Some(target.entry.started_at);
+    if is_proved {
+        target.trust(sent_at);
+    } else {
+        // Without an answer, it may be asked again.
+        target.replace(started_at.is_some());
+        info!(
+            request:% = progress.call.request.id,
+            upstream:% = target.entry.id,
+            born = target.entry.started_at,
+            born_now:? = started_at,
+            outcome = "withheld";
+            "engine is not shown to be the one of its entry"
+        );
+    }
+    is_proved
+}
+
+fn is_proof_needed(gateway: &Gateway, progress: &Progress, target: &Target) -> bool {
+    if !progress.call.route.is_resumable || target.entry.role == Role::Mixed {
+        return false;
+    }
+    let now = Instant::now();
+    // A connection that has lasted shows that the engine has, too.
+    if !target.is_doubted() && target.has_idle_connection(now) {
+        return false;
+    }
+    // The rest of a stream is joined to what the engine wrote before; a new one is of its build in any case, which an
+    // old entry may not name.
+    let age = gateway.age_observer.upstreams_age(now);
+    progress.build.is_some() || age.is_some_and(|age| age > MAX_UPSTREAMS_AGE)
+}
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -173,6 +173,9 @@
     /// Records that the exchange failed.
     pub fn fail(&mut self, failure: &Failure) {
         self.is_finished = true;
+        if !failure.is_not_run() {
+            self.target.doubt(Instant::now());
+        }
         let earliest_end = match failure {
             Failure::Broken(_) => Instant::now()
                 .checked_sub(MAX_RESET_DELAY)
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -47,6 +47,10 @@
     in_flight: Cell<usize>,
     /// Shared with the targets of earlier entries, which requests may still hold.
     is_leaving: Cell<bool>,
+    /// Time of the last exchange that broke off; the engine may have started again since.
+    doubted_at: Cell<Option<Instant>>,
+    /// Whether another incarnation has taken its place, which its entry does not say yet.
+    is_replaced: Cell<bool>,
     /// Notices received from it.
     incarnation: Arc<Incarnation>,
 }
@@ -68,6 +72,8 @@
                 health: RefCell::default(),
                 in_flight: Cell::default(),
                 is_leaving: Cell::default(),
+                doubted_at: Cell::default(),
+                is_replaced: Cell::default(),
                 incarnation: incarnations.get(&entry),
             }),
         };
@@ -187,6 +193,34 @@
         self.shared.pool.close_idle();
     }
 
+    /// Records that an exchange broke off: the engine may have started again.
+    pub fn doubt(&self, now: Instant) {
+        self.shared.doubted_at.set(Some(now));
+    }
+
+    /// Records that the engine was the one of its entry after `sent_at`.
+    pub fn trust(&self, sent_at: Instant) {
+        let doubted_at = self.shared.doubted_at.get();
+        self.shared
+            .doubted_at
+            .set(doubted_at.filter(|at| *at > sent_at));
+    }
+
+    /// Returns `true` if the engine may have started again since it was last known not to have.
+    pub fn is_doubted(&self) -> bool {
+        self.shared.doubted_at.get().is_some()
+    }
+
+    /// Records whether another incarnation has taken the place of the one in the entry.
+    pub fn replace(&self, is_replaced: bool) {
+        self.shared.is_replaced.set(is_replaced);
+    }
+
+    /// Returns `true` if another incarnation has taken the place of the one in the entry.
+    pub fn is_replaced(&self) -> bool {
+        self.shared.is_replaced.get()
+    }
+
     /// Returns a connection on which one request may be sent.
     ///
     /// # Errors
--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -629,3 +629,53 @@
     }
     assert_eq!(fleet.resumed("e1"), resumed);
 }
+
+/// Ends an engine while the store is away, and starts it again under its name and at its address as another build.
+fn start_again(fleet: &mut Fleet, name: &str, build: &str) {
+    fleet.store.set_fault(Fault::Silent);
+    let before = fleet.engines.remove(name).unwrap();
+    let address = before.address();
+    before.end();
+    before.cut_connections();
+    drop(before);
+    let engine = Replica::start_at(address, name, "lm", "derby", Some("decode")).unwrap();
+    engine.set_started_at(2);
+    engine.set_build(build);
+    fleet.engines.insert(name.into(), engine);
+}
+
+/// Guards against the rest of a stream from an engine that has started again as another build, which its entry does
+/// not say yet.
+#[rstest]
+#[case::host_that_began_them(0)]
+#[case::other_host(1)]
+fn a_stream_does_not_go_on_at_an_engine_that_started_again(#[case] host: usize) {
+    let mut fleet = Fleet::start(2, &[("e1", "v1")]);
+    let began = fleet.begin("e1");
+    fleet.add("a2", "v2");
+    start_again(&mut fleet, "e1", "v2");
+    for id in &began {
+        let answer = fleet.take_up(host, &format!("next-{id}"), id);
+        assert_eq!(answer.status, 503);
+    }
+    assert_eq!(fleet.resumed("e1") + fleet.resumed("a2"), 0);
+}
+
+/// Guards against a stream that counts as of the build in an old entry: it would be joined from two builds later.
+#[test]
+fn a_stream_does_not_begin_at_an_engine_whose_build_is_not_known() {
+    let mut fleet = Fleet::start(2, &[("e1", "v1")]);
+    let began = fleet.begin("e1");
+    fleet.add("m3", "v1");
+    fleet.add("a2", "v2");
+    start_again(&mut fleet, "e1", "v2");
+    // The hosts' readings are old from then on.
+    thread::sleep(Duration::from_secs(3));
+    for number in 0..STREAMS {
+        let answer = ask(&fleet.hosts[1], &format!("new-{number}"), &[]);
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+    }
+    assert_eq!(fleet.engines["e1"].runs(), 0);
+    // Those of the first incarnation go on at its build.
+    assert_go_on(&fleet, 1, &began[..1], "m3");
+}
