--- a/src/gossip/peers.rs
+++ b/src/gossip/peers.rs
@@ -198,9 +198,10 @@
     ///     let datagram = Datagram { host: host.into(), domain: domain.into(), ..Datagram::default() };
     ///     peers.record(&datagram, ([127, 0, 0, 1], port).into(), now);
     /// }
-    /// let backups = peers.backups((&"h2a".into(), &"derby".into()), now);
-    /// let addresses = backups.map(|(address, _)| address.port()).collect::<Vec<_>>();
-    /// assert_eq!(addresses, [3, 2]);
+    /// let (host, domain) = ("h2a".into(), "derby".into());
+    /// let backups = peers.backups((&host, &domain), now);
+    /// let ports: Vec<u16> = backups.map(|(address, _)| address.port()).collect();
+    /// assert_eq!(ports, [3, 2]);
     /// ```
     pub fn backups(
         &self,
