--- /dev/null
+++ b/review/standin-3/crowd.rs
@@ -0,0 +1,156 @@
+//! Many callers at once, each with one request of ordinary size, on machines with little memory; three times.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::path::Path;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::Verdict;
+use crate::beat;
+use crate::gateway;
+use crate::gateway::Gateway;
+use crate::replica::Kind;
+use crate::replica::Log;
+use crate::replica::Replica;
+use crate::store::Store;
+
+/// Memory of the machine, and its descriptors without those that are kept for files.
+const MEMORY_MB: u64 = 120;
+const SOCKETS: usize = 2875;
+/// Number of crowds, and of machines: the rule counts three ends at two machines at least.
+const CROWDS: usize = 3;
+const MACHINES: usize = 2;
+/// Time from the end of a process to its next start.
+const RESTART: Duration = Duration::from_millis(500);
+/// Callers with the burst and without; upstream connections take the other sockets.
+const CALLERS: usize = 2600;
+const FEW_CALLERS: usize = 260;
+/// Size of a request's body: that of the site's long kind of request.
+const BODY_BYTES: usize = 9200;
+/// Time between the two halves of a request, as on a link that the burst fills.
+const HALVES: Duration = Duration::from_secs(1);
+
+/// The platform's watch over one process, which kills it once it exceeds its machine's memory; returns the most memory
+/// that it saw, in kilobytes.
+fn watch(gateway: &Gateway, is_over: &AtomicBool) -> u64 {
+    let mut most = 0;
+    while !is_over.load(Ordering::SeqCst) {
+        let memory = gateway.memory_kb("VmRSS");
+        most = most.max(memory);
+        if memory > MEMORY_MB * 1024 {
+            gateway.signal("-KILL");
+            return most;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    most
+}
+
+/// Sends one request each of `count` callers, in two halves; returns the answers by status.
+fn send(callers: SocketAddr, count: usize, number: &AtomicU64) -> BTreeMap<String, usize> {
+    let body = vec![b'x'; BODY_BYTES];
+    let mut open = Vec::new();
+    for _ in 0..count {
+        let id = format!("c{:06x}", number.fetch_add(1, Ordering::SeqCst));
+        let fields = [("Pistachiohall-Request-Id", id.as_str()), ("Pistachiohall-Deadline-Ms", "15000")];
+        let request = gateway::request("POST", "/advance/a", &fields, &body);
+        let Ok(mut stream) = TcpStream::connect(callers) else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let _ = stream.write_all(&request[..request.len() / 2]);
+        open.push((stream, request));
+    }
+    thread::sleep(HALVES);
+    for (stream, request) in &mut open {
+        let _ = stream.write_all(&request[request.len() / 2..]);
+    }
+    let mut answers: BTreeMap<String, usize> = BTreeMap::new();
+    for (stream, _) in &mut open {
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(16)));
+        let mut start = [0; 12];
+        let text = match stream.read_exact(&mut start) {
+            Ok(()) => String::from_utf8_lossy(&start[9..]).into_owned(),
+            Err(_) => "none".into(),
+        };
+        *answers.entry(text).or_default() += 1;
+    }
+    answers
+}
+
+pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
+    let started = Instant::now();
+    let store = Store::new();
+    store.put("keyed.op", "config", beat::config(15_000).as_bytes());
+    let log = Log::default();
+    let _replicas: Vec<Replica> = (1..=3)
+        .map(|number| {
+            let kind = Kind {
+                id: format!("i-c{number}"),
+                service: "desk".into(),
+                zone: "nottingham".into(),
+                version: "v1".into(),
+                stage: None,
+                slots: 6,
+                work: Duration::from_millis(15),
+            };
+            Replica::start(kind, None, &store, &log)
+        })
+        .collect();
+    let sections = format!("[host]\nmemory = {MEMORY_MB}MiB\n");
+    let mut gateways: Vec<Gateway> = (1..=MACHINES)
+        .map(|number| {
+            let port = store.open(number);
+            let name = format!("front-nottingham-{number}");
+            Gateway::start(&name, "nottingham", port.address, &sections, folder)
+        })
+        .collect();
+    gateways.iter().for_each(Gateway::wait_ready);
+    thread::sleep(Duration::from_secs(2));
+    let mut record = Vec::new();
+    let count = if has_trouble { CALLERS } else { FEW_CALLERS };
+    assert!(count < SOCKETS);
+    let number = AtomicU64::new(0);
+    let mut ends = vec![0; MACHINES];
+    for _ in 0..CROWDS {
+        for (machine, gateway) in gateways.iter_mut().enumerate() {
+            let at_rest = gateway.memory_kb("VmRSS");
+            let is_over = AtomicBool::new(false);
+            let (answers, most) = thread::scope(|scope| {
+                let watch = scope.spawn(|| watch(gateway, &is_over));
+                let answers = send(gateway.callers, count, &number);
+                is_over.store(true, Ordering::SeqCst);
+                (answers, watch.join().unwrap())
+            });
+            let is_killed = most > MEMORY_MB * 1024;
+            record.push(format!(
+                "{:8.3} {}: {count} callers, answers by status {answers:?}; memory {at_rest} kB at rest, {most} kB at most, \
+                 {} kB allowed; killed {is_killed}",
+                started.elapsed().as_secs_f64(),
+                gateway.name,
+                MEMORY_MB * 1024
+            ));
+            if is_killed {
+                ends[machine] += 1;
+                thread::sleep(RESTART);
+                gateway.restart();
+                gateway.wait_ready();
+            }
+        }
+    }
+    let ran = log.lock().unwrap().iter().filter(|seen| seen.ran).count();
+    record.push(format!("{ran} of {} requests ran", number.load(Ordering::SeqCst)));
+    let ended_often = ends.iter().filter(|ends| **ends >= 3).count();
+    record.push(format!(
+        "machines whose process ended three times for want of memory: {ended_often} of {MACHINES}; the rule allows 1"
+    ));
+    Verdict { record, is_broken: Some(ended_often >= 2) }
+}
