--- a/review/standin-3/beat.rs
+++ b/review/standin-3/beat.rs
@@ -65,10 +65,10 @@
             Replica::start(kind, None, &store, &log)
         })
         .collect();
-    let gateways: Vec<Gateway> = (1..)
-        .zip(ZONES)
-        .map(|(number, zone)| {
-            let port = store.open(number);
+    let gateways: Vec<Gateway> = ZONES
+        .iter()
+        .map(|zone| {
+            let port = store.open();
             Gateway::start(&format!("front-{zone}-1"), zone, port.address, "", folder)
         })
         .collect();
--- a/review/standin-3/builds.rs
+++ b/review/standin-3/builds.rs
@@ -29,19 +29,26 @@
 const STREAMS: usize = 48;
 const SPACING: Duration = Duration::from_millis(3);
 
+/// Returns a configuration with streams that may be resumed under `/draft/`, and others under `/confirm/`.
 pub fn config() -> String {
-    let route = "{\"name\":\"draft\",\"host\":\"ficu95.example\",\"path_prefix\":\"/draft/\",\"type\":\"stream\",\
-        \"timeout_ms\":15000,\"target_latency_ms\":250,\"target_gap_ms\":200,\"priority\":1,\"service\":\"lm\",\
-        \"max_attempts\":2,\"sticky\":true,\"resumable\":true}";
+    let route = |name: &str, attempts: u32, resumable: bool| {
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"ficu95.example\",\"path_prefix\":\"/{name}/\",\"type\":\"stream\",\
+             \"timeout_ms\":15000,\"target_latency_ms\":250,\"target_gap_ms\":200,\"priority\":1,\"service\":\"lm\",\
+             \"max_attempts\":{attempts},\"sticky\":true,\"resumable\":{resumable}}}"
+        )
+    };
     format!(
-        "{{\"version\":3,\"routes\":[{route}],\"services\":[{{\"name\":\"lm\",\"health_path\":\"/healthz\",\
+        "{{\"version\":3,\"routes\":[{},{}],\"services\":[{{\"name\":\"lm\",\"health_path\":\"/healthz\",\
          \"max_connections\":370,\"engine\":{{\"slots\":64,\"kv_capacity_tokens\":685000,\"handle_ttl_s\":5.0,\
          \"switch_s\":3.0,\"kv_token_bytes\":327680}}}}],\"limits\":{{\"max_header_bytes\":16384,\
-         \"max_body_bytes\":4194304,\"header_timeout_ms\":5000,\"idle_timeout_ms\":15000}}}}"
+         \"max_body_bytes\":4194304,\"header_timeout_ms\":5000,\"idle_timeout_ms\":15000}}}}",
+        route("draft", 2, true),
+        route("confirm", 1, false)
     )
 }
 
-fn kind(id: &str, zone: &str, version: &str, stage: &'static str) -> Kind {
+pub fn kind(id: &str, zone: &str, version: &str, stage: &'static str) -> Kind {
     Kind {
         id: id.into(),
         service: "lm".into(),
@@ -54,7 +61,7 @@
 }
 
 /// Reads a stream; returns its text as far as it came, and whether it ended as complete.
-fn stream(to: SocketAddr, id: &str, events: usize) -> (u16, String, bool) {
+pub fn stream(to: SocketAddr, path: &str, id: &str, events: usize) -> (u16, String, bool) {
     let Ok(connection) = TcpStream::connect(to) else {
         return (0, String::new(), false);
     };
@@ -67,7 +74,7 @@
         ("Pistachiohall-Prompt-Prefix", &prefix),
         ("Pistachiohall-Deadline-Ms", "15000"),
     ];
-    let request = gateway::request("POST", "/draft/a", &fields, b"words");
+    let request = gateway::request("POST", path, &fields, b"words");
     if (&connection).write_all(&request).is_err() {
         return (0, String::new(), false);
     }
@@ -86,7 +93,7 @@
 }
 
 /// Returns the software versions whose replicas made the events of a stream.
-fn versions(text: &str) -> BTreeSet<String> {
+pub fn versions(text: &str) -> BTreeSet<String> {
     let data = text.lines().filter_map(|line| line.strip_prefix("data: "));
     data.filter_map(|data| data.split(' ').next()).map(String::from).collect()
 }
@@ -103,10 +110,10 @@
             replicas.push(Replica::start(kind, None, &store, &log));
         }
     }
-    let gateways: Vec<Gateway> = (1..)
-        .zip(ZONES)
-        .map(|(number, zone)| {
-            let port = store.open(number);
+    let gateways: Vec<Gateway> = ZONES
+        .iter()
+        .map(|zone| {
+            let port = store.open();
             // Machines start within 0.3 s of each other, so that they read the registry at different times.
             thread::sleep(STAGGER);
             Gateway::start(&format!("front-{zone}-1"), zone, port.address, "", folder)
@@ -122,7 +129,7 @@
     // Ordinary work first, which ends before anything happens.
     for number in 0..12 {
         let to = gateways[number % gateways.len()].callers;
-        let (status, text, is_whole) = stream(to, &format!("a{number:04x}"), 4);
+        let (status, text, is_whole) = stream(to, "/draft/a", &format!("a{number:04x}"), 4);
         note(format!("before a{number:04x}: {status} versions {:?} complete {is_whole}", versions(&text)));
         if status != 200 || !is_whole {
             return Verdict { record: record.lock().unwrap().clone(), is_broken: None };
@@ -142,7 +149,7 @@
         .map(|number| {
             let to = gateways[number % gateways.len()].callers;
             let id = format!("b{number:04x}");
-            let handle = thread::spawn(move || (id.clone(), stream(to, &id, 80)));
+            let handle = thread::spawn(move || (id.clone(), stream(to, "/draft/a", &id, 80)));
             thread::sleep(SPACING);
             handle
         })
--- a/review/standin-3/crowd.rs
+++ b/review/standin-3/crowd.rs
@@ -108,7 +108,7 @@
     let sections = format!("[host]\nmemory = {MEMORY_MB}MiB\n");
     let mut gateways: Vec<Gateway> = (1..=MACHINES)
         .map(|number| {
-            let port = store.open(number);
+            let port = store.open();
             let name = format!("front-nottingham-{number}");
             Gateway::start(&name, "nottingham", port.address, &sections, folder)
         })
--- a/review/standin-3/gateway.rs
+++ b/review/standin-3/gateway.rs
@@ -107,11 +107,6 @@
         let line = text.lines().find(|line| line.starts_with(name)).unwrap_or("");
         line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
     }
-
-    /// Returns the log, which holds all that the process has written.
-    pub fn lines(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Gateway {
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -23,10 +23,6 @@
         found.next().map_or("", |(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.start.split(' ').next().unwrap_or("")
-    }
-
     /// Returns the path with its query.
     pub fn target(&self) -> &str {
         self.start.split(' ').nth(1).unwrap_or("")
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -5,6 +5,7 @@
 mod crowd;
 mod gateway;
 mod http;
+mod pooled;
 mod replica;
 mod store;
 
@@ -31,6 +32,7 @@
         "beat" => beat::run,
         "builds" => builds::run,
         "crowd" => crowd::run,
+        "pooled" => pooled::run,
         _ => {
             eprintln!("no case {case:?}");
             exit(2);
--- a/review/standin-3/replica.rs
+++ b/review/standin-3/replica.rs
@@ -60,7 +60,6 @@
     kind: Kind,
     born: u64,
     is_over: AtomicBool,
-    is_draining: AtomicBool,
     is_leaving: AtomicBool,
     sequence: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
@@ -95,7 +94,6 @@
             kind,
             born: now_ms(),
             is_over: AtomicBool::new(false),
-            is_draining: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
             connections: Mutex::default(),
@@ -135,12 +133,6 @@
         write(&self.life, self.address, &self.store);
     }
 
-    /// Reports that the replica drains.
-    pub fn drain(&self) {
-        self.life.is_draining.store(true, Ordering::SeqCst);
-        self.write();
-    }
-
     /// Returns the text of the entry as the replica would write it now.
     pub fn entry(&self) -> String {
         text(&self.life, self.address)
@@ -172,22 +164,18 @@
         return;
     }
     let entry = text(life, address);
-    store.put("keyed.servers", &life.kind.id, entry.as_bytes());
+    store.put_entry(&life.kind.id, entry.as_bytes());
 }
 
 fn text(life: &Life, address: SocketAddr) -> String {
     let sequence = life.sequence.fetch_add(1, Ordering::SeqCst);
     let kind = &life.kind;
-    let state = match life.is_draining.load(Ordering::SeqCst) {
-        true => "draining",
-        false => "ready",
-    };
     let stage = kind.stage.map_or(String::new(), |stage| {
         format!("\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],")
     });
     format!(
         "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\
-         \"state\":\"{state}\",{stage}\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+         \"state\":\"ready\",{stage}\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
         kind.service, kind.zone, kind.version, kind.slots, life.born
     )
 }
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -5,13 +5,14 @@
 use std::collections::HashMap;
 use std::io;
 use std::io::BufReader;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,16 +20,15 @@
 use crate::http;
 use crate::http::Message;
 
+/// Time for which a connection stays open that gets no answer.
+const SILENCE: Duration = Duration::from_secs(20);
+
 /// How the store treats the calls at one of its addresses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Manner {
     Sound,
-    /// It does what it is asked at once, and answers this much later: first the head, then the body.
-    Slow(Duration, Duration),
     /// It takes calls and neither does nor answers them.
     Silent,
-    /// It answers 503 and does nothing.
-    Busy,
 }
 
 #[derive(Default)]
@@ -45,7 +45,8 @@
 #[derive(Clone)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
-    pub calls: Arc<Mutex<Vec<(Instant, usize, String)>>>,
+    /// Whether it takes no writes of replicas either.
+    is_away: Arc<AtomicBool>,
 }
 
 /// One address of the store.
@@ -64,12 +65,12 @@
     pub fn new() -> Self {
         Store {
             state: Arc::default(),
-            calls: Arc::default(),
+            is_away: Arc::default(),
         }
     }
 
     /// Opens another address.
-    pub fn open(&self, number: usize) -> Port {
+    pub fn open(&self) -> Port {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let manner = Arc::new(Mutex::new(Manner::Sound));
@@ -77,7 +78,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (store, manner) = (store.clone(), Arc::clone(&shared));
-                thread::spawn(move || store.serve(stream, number, &manner));
+                thread::spawn(move || store.serve(stream, &manner));
             }
         });
         Port { address, manner }
@@ -94,33 +95,34 @@
         changed.notify_all();
     }
 
-    fn serve(&self, stream: TcpStream, number: usize, manner: &Mutex<Manner>) -> Option<()> {
+    /// Writes a replica's entry, unless the store is away.
+    pub fn put_entry(&self, id: &str, entry: &[u8]) {
+        if !self.is_away.load(Ordering::SeqCst) {
+            self.put("keyed.servers", id, entry);
+        }
+    }
+
+    /// Sets whether replicas reach the store; machines reach it by their own addresses.
+    pub fn set_away(&self, is_away: bool) {
+        self.is_away.store(is_away, Ordering::SeqCst);
+    }
+
+    fn serve(&self, stream: TcpStream, manner: &Mutex<Manner>) -> Option<()> {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let mut stream = stream;
         while let Ok(Some(call)) = http::read(&mut reader, false) {
-            self.calls
-                .lock()
-                .unwrap()
-                .push((Instant::now(), number, call.start.clone()));
-            let now = *manner.lock().unwrap();
-            let (status, body) = match now {
-                Manner::Silent => {
-                    thread::sleep(Duration::from_secs(60));
-                    return None;
-                }
-                Manner::Busy => (503, Vec::new()),
-                Manner::Sound | Manner::Slow(..) => self.call(&call),
-            };
-            // A call that waited may be answered in another manner than it came in.
-            let now = match (now, *manner.lock().unwrap()) {
-                (_, Manner::Silent) => {
-                    thread::sleep(Duration::from_secs(60));
-                    return None;
-                }
-                (now, _) => now,
-            };
-            write(&mut stream, status, &body, now).ok()?;
+            if *manner.lock().unwrap() == Manner::Silent {
+                thread::sleep(SILENCE);
+                return None;
+            }
+            let (status, body) = self.call(&call);
+            // A call that waited is not answered either.
+            if *manner.lock().unwrap() == Manner::Silent {
+                thread::sleep(SILENCE);
+                return None;
+            }
+            write(&mut stream, status, &body).ok()?;
         }
         None
     }
@@ -196,20 +198,9 @@
     }
 }
 
-fn write(stream: &mut TcpStream, status: u16, body: &[u8], manner: Manner) -> io::Result<()> {
-    let head = format!(
-        "HTTP/1.1 {status} x\r\nStore-Era: 1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    if let Manner::Slow(before_head, before_body) = manner {
-        thread::sleep(before_head);
-        stream.write_all(head.as_bytes())?;
-        thread::sleep(before_body);
-        return stream.write_all(body);
-    }
-    let mut bytes = head.into_bytes();
-    bytes.extend_from_slice(body);
-    stream.write_all(&bytes)
+fn write(stream: &mut TcpStream, status: u16, body: &[u8]) -> io::Result<()> {
+    let fields = [("Store-Era", "1"), ("Content-Type", "application/json")];
+    http::answer(stream, status, &fields, body)
 }
 
 fn append(topic: &mut Topic, content: Vec<u8>) {
