--- a/review/standin-3/beat.rs
+++ b/review/standin-3/beat.rs
@@ -38,7 +38,7 @@
     };
     format!(
         "{{\"version\":3,\"routes\":[{},{}],\"services\":[{{\"name\":\"desk\",\"health_path\":\"/healthz\",\
-         \"max_connections\":110}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
+         \"max_connections\":500}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":5000,\"idle_timeout_ms\":1000}}}}",
         route("advance", "unsafe"),
         route("read", "safe")
@@ -61,6 +61,7 @@
                 stage: None,
                 slots: 6,
                 work: WORK,
+                answer_bytes: 0,
             };
             Replica::start(kind, None, &store, &log)
         })
--- a/review/standin-3/builds.rs
+++ b/review/standin-3/builds.rs
@@ -57,6 +57,7 @@
         stage: Some(stage),
         slots: 64,
         work: Duration::from_millis(50),
+        answer_bytes: 0,
     }
 }
 
--- a/review/standin-3/crowd.rs
+++ b/review/standin-3/crowd.rs
@@ -1,4 +1,4 @@
-//! Many callers at once, each with one request of ordinary size, on machines with little memory; three times.
+//! Callers that send slowly, and others whose answers come slowly, on machines with little memory; three times.
 
 use std::collections::BTreeMap;
 use std::io::Read;
@@ -30,13 +30,13 @@
 const MACHINES: usize = 2;
 /// Time from the end of a process to its next start.
 const RESTART: Duration = Duration::from_millis(500);
-/// Callers with the burst and without; upstream connections take the other sockets.
-const CALLERS: usize = 2600;
-const FEW_CALLERS: usize = 260;
-/// Size of a request's body: that of the site's long kind of request.
-const BODY_BYTES: usize = 9200;
-/// Time between the two halves of a request, as on a link that the burst fills.
-const HALVES: Duration = Duration::from_secs(1);
+/// Callers that send slowly, and as many that get slow answers; without the burst, a tenth of each.
+const CALLERS: usize = 380;
+const FEW_CALLERS: usize = 38;
+/// Size of a request's body, and of an answer.
+const BODY_BYTES: usize = 64_000;
+/// Time between the last byte of a slow body and those before.
+const SLOWNESS: Duration = Duration::from_secs(3);
 
 /// The platform's watch over one process, which kills it once it exceeds its machine's memory; returns the most memory
 /// that it saw, in kilobytes.
@@ -54,24 +54,31 @@
     most
 }
 
-/// Sends one request each of `count` callers, in two halves; returns the answers by status.
-fn send(callers: SocketAddr, count: usize, number: &AtomicU64) -> BTreeMap<String, usize> {
+/// Opens a connection and sends all of a request but the last `left` bytes; returns these with it.
+fn begin(to: SocketAddr, request: &[u8], left: usize) -> Option<(TcpStream, Vec<u8>)> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    let _ = stream.set_nodelay(true);
+    let (first, rest) = request.split_at(request.len() - left);
+    stream.write_all(first).ok()?;
+    Some((stream, rest.to_vec()))
+}
+
+/// Sends the requests of `count` callers whose bodies come slowly, and of as many whose answers do; returns the answers
+/// by status.
+fn send(to: SocketAddr, count: usize, number: &AtomicU64) -> BTreeMap<String, usize> {
     let body = vec![b'x'; BODY_BYTES];
     let mut open = Vec::new();
-    for _ in 0..count {
-        let id = format!("c{:06x}", number.fetch_add(1, Ordering::SeqCst));
-        let fields = [("Pistachiohall-Request-Id", id.as_str()), ("Pistachiohall-Deadline-Ms", "15000")];
-        let request = gateway::request("POST", "/advance/a", &fields, &body);
-        let Ok(mut stream) = TcpStream::connect(callers) else {
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let _ = stream.write_all(&request[..request.len() / 2]);
-        open.push((stream, request));
+    for (method, path, body, left) in [("POST", "/advance/a", &body[..], 1), ("POST", "/advance/a", &[][..], 0)] {
+        for _ in 0..count {
+            let id = format!("c{:06x}", number.fetch_add(1, Ordering::SeqCst));
+            let fields = [("Pistachiohall-Request-Id", id.as_str()), ("Pistachiohall-Deadline-Ms", "15000")];
+            let request = gateway::request(method, path, &fields, body);
+            open.extend(begin(to, &request, left));
+        }
     }
-    thread::sleep(HALVES);
-    for (stream, request) in &mut open {
-        let _ = stream.write_all(&request[request.len() / 2..]);
+    thread::sleep(SLOWNESS);
+    for (stream, rest) in &mut open {
+        let _ = stream.write_all(rest);
     }
     let mut answers: BTreeMap<String, usize> = BTreeMap::new();
     for (stream, _) in &mut open {
@@ -99,8 +106,9 @@
                 zone: "nottingham".into(),
                 version: "v1".into(),
                 stage: None,
-                slots: 6,
-                work: Duration::from_millis(15),
+                slots: 600,
+                work: SLOWNESS,
+                answer_bytes: BODY_BYTES,
             };
             Replica::start(kind, None, &store, &log)
         })
@@ -117,7 +125,7 @@
     thread::sleep(Duration::from_secs(2));
     let mut record = Vec::new();
     let count = if has_trouble { CALLERS } else { FEW_CALLERS };
-    assert!(count < SOCKETS);
+    assert!(4 * count < SOCKETS);
     let number = AtomicU64::new(0);
     let mut ends = vec![0; MACHINES];
     for _ in 0..CROWDS {
@@ -132,7 +140,7 @@
             });
             let is_killed = most > MEMORY_MB * 1024;
             record.push(format!(
-                "{:8.3} {}: {count} callers, answers by status {answers:?}; memory {at_rest} kB at rest, {most} kB at most, \
+                "{:8.3} {}: {count} callers that send slowly and {count} whose answers come slowly; answers by status {answers:?}; memory {at_rest} kB at rest, {most} kB at most, \
                  {} kB allowed; killed {is_killed}",
                 started.elapsed().as_secs_f64(),
                 gateway.name,
