--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 # could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/cases ] && [ -x target/release/pistachiohall ] || exit 2
-exec target/review-3/cases crowd "review/14/record.txt"
+exec target/review-3/cases roles "review/14/record.txt"
--- a/review/standin-3/builds.rs
+++ b/review/standin-3/builds.rs
@@ -75,7 +75,7 @@
         ("Pistachiohall-Prompt-Prefix", &prefix),
         ("Pistachiohall-Deadline-Ms", "15000"),
     ];
-    let request = gateway::request("POST", path, &fields, b"words");
+    let request = gateway::request("POST", path, &fields, id.as_bytes());
     if (&connection).write_all(&request).is_err() {
         return (0, String::new(), false);
     }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod pooled;
 mod replica;
+mod roles;
 mod store;
 
 use std::env;
@@ -33,6 +34,7 @@
         "builds" => builds::run,
         "crowd" => crowd::run,
         "pooled" => pooled::run,
+        "roles" => roles::run,
         _ => {
             eprintln!("no case {case:?}");
             exit(2);
--- a/review/standin-3/replica.rs
+++ b/review/standin-3/replica.rs
@@ -157,6 +157,11 @@
         }
         // Wakes the accept call, so that the port is closed on return.
         let _ = TcpStream::connect(self.address);
+        let (store, life) = (self.store.clone(), Arc::clone(&self.life));
+        thread::spawn(move || {
+            thread::sleep(3 * HEARTBEAT);
+            store.remove_entry(&life.kind.id, life.born);
+        });
         thread::sleep(Duration::from_millis(20));
         (self.life.kind.clone(), self.address)
     }
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -102,6 +102,19 @@
         }
     }
 
+    /// Removes a replica's entry if it is still the one of the incarnation that started at `born`.
+    pub fn remove_entry(&self, id: &str, born: u64) {
+        let is_own = {
+            let state = self.state.0.lock().unwrap();
+            let entry = state.topics.get("keyed.servers").and_then(|topic| topic.newest.get(id));
+            let text = entry.map(|(_, value)| String::from_utf8_lossy(value).into_owned());
+            text.is_some_and(|text| text.contains(&format!("\"born\":{born}")))
+        };
+        if is_own {
+            self.put("keyed.servers", id, b"");
+        }
+    }
+
     /// Sets whether replicas reach the store; machines reach it by their own addresses.
     pub fn set_away(&self, is_away: bool) {
         self.is_away.store(is_away, Ordering::SeqCst);
