--- a/review/standin-3/replica.rs
+++ b/review/standin-3/replica.rs
@@ -27,6 +27,9 @@
 /// Time between two writes of a replica's entry.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 
+/// Time that an engine takes to change its stage.
+const SWITCH: Duration = Duration::from_secs(3);
+
 /// What a replica is.
 #[derive(Debug, Clone)]
 pub struct Kind {
@@ -61,6 +64,10 @@
 
 struct Life {
     kind: Kind,
+    stage: Mutex<Option<&'static str>>,
+    /// Number of orders accepted, and whether one is being carried out.
+    orders: AtomicU64,
+    is_busy: AtomicBool,
     born: u64,
     is_over: AtomicBool,
     is_leaving: AtomicBool,
@@ -94,7 +101,10 @@
         };
         let address = listener.local_addr().unwrap();
         let life = Arc::new(Life {
+            stage: Mutex::new(kind.stage),
             kind,
+            orders: AtomicU64::new(0),
+            is_busy: AtomicBool::new(false),
             born: now_ms(),
             is_over: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
@@ -108,7 +118,7 @@
             store: store.clone(),
         };
         replica.write();
-        let (own, store) = (Arc::clone(&life), store.clone());
+        let (own, own_store, store) = (Arc::clone(&life), store.clone(), store.clone());
         thread::spawn(move || {
             loop {
                 thread::sleep(HEARTBEAT);
@@ -125,8 +135,8 @@
                 }
                 let _ = stream.set_nodelay(true);
                 life.connections.lock().unwrap().push(stream.try_clone().unwrap());
-                let life = Arc::clone(&life);
-                thread::spawn(move || serve(&life, stream));
+                let (life, store) = (Arc::clone(&life), own_store.clone());
+                thread::spawn(move || serve(&life, stream, address, &store));
             }
         });
         replica
@@ -136,6 +146,11 @@
         write(&self.life, self.address, &self.store);
     }
 
+    /// Returns the stage of an engine.
+    pub fn stage(&self) -> Option<&'static str> {
+        *self.life.stage.lock().unwrap()
+    }
+
     /// Returns the text of the entry as the replica would write it now.
     pub fn entry(&self) -> String {
         text(&self.life, self.address)
@@ -178,7 +193,7 @@
 fn text(life: &Life, address: SocketAddr) -> String {
     let sequence = life.sequence.fetch_add(1, Ordering::SeqCst);
     let kind = &life.kind;
-    let stage = kind.stage.map_or(String::new(), |stage| {
+    let stage = life.stage.lock().unwrap().map_or(String::new(), |stage| {
         format!("\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],")
     });
     format!(
@@ -188,26 +203,67 @@
     )
 }
 
-fn serve(life: &Life, mut stream: TcpStream) -> Option<()> {
+fn serve(life: &Arc<Life>, mut stream: TcpStream, address: SocketAddr, store: &Store) -> Option<()> {
     let mut reader = BufReader::new(stream.try_clone().ok()?);
     while let Ok(Some(request)) = http::read(&mut reader, false) {
         if life.is_over.load(Ordering::SeqCst) {
             return None;
         }
+        if request.path() == "/v1/order" {
+            let status = take_order(life, &request, address, store);
+            http::answer(&mut stream, status, &[("Content-Type", "application/json")], b"{}").ok()?;
+            continue;
+        }
         answer(life, &request, &mut stream).ok()?;
     }
     None
 }
 
+/// Takes an order to change the stage, which is carried out a while later.
+fn take_order(life: &Arc<Life>, request: &Message, address: SocketAddr, store: &Store) -> u16 {
+    let body = String::from_utf8_lossy(&request.body).into_owned();
+    let field = |name: &str| {
+        let rest = body.split_once(&format!("\"{name}\":"))?.1;
+        let end = rest.find([',', '}'])?;
+        Some(rest[..end].trim_matches('"').to_string())
+    };
+    if request.field("pistachiohall-expect-instance") != life.kind.id {
+        return 421;
+    }
+    let stage = match field("stage").as_deref() {
+        Some("prefill") => "prefill",
+        Some("decode") => "decode",
+        _ => return 400,
+    };
+    if *life.stage.lock().unwrap() == Some(stage) {
+        return 200;
+    }
+    let orders = life.orders.load(Ordering::SeqCst);
+    let is_expected = field("expect").is_none_or(|expected| expected == orders.to_string());
+    if !is_expected || life.is_busy.swap(true, Ordering::SeqCst) {
+        return 409;
+    }
+    life.orders.fetch_add(1, Ordering::SeqCst);
+    let (life, store) = (Arc::clone(life), store.clone());
+    thread::spawn(move || {
+        thread::sleep(SWITCH);
+        *life.stage.lock().unwrap() = Some(stage);
+        life.is_busy.store(false, Ordering::SeqCst);
+        write(&life, address, &store);
+    });
+    202
+}
+
 fn answer(life: &Life, request: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
-    let kind = &life.kind;
+    let (kind, stage) = (&life.kind, *life.stage.lock().unwrap());
     let id = request.field("pistachiohall-request-id").to_string();
     let expected = request.field("pistachiohall-expect-instance");
     let is_other = !expected.is_empty() && expected != kind.id;
     let is_own = ["/v1/", "/healthz"].iter().any(|path| request.path().starts_with(path));
     let reads = request.field("pistachiohall-stage") == "prefill";
-    let is_wrong_stage = kind.stage.is_some() && !is_own && reads != (kind.stage == Some("prefill"));
-    let ran = !is_other && !is_own && !is_wrong_stage && !reads;
+    let is_wrong_stage = stage.is_some() && !is_own && reads != (stage == Some("prefill"));
+    let is_busy = !is_own && life.is_busy.load(Ordering::SeqCst);
+    let ran = !is_other && !is_own && !is_wrong_stage && !is_busy && !reads;
     life.log.lock().unwrap().push(Seen {
         at: Instant::now(),
         replica: kind.id.clone(),
@@ -221,12 +277,18 @@
         let fields = [("Pistachiohall-Request-Id", id.as_str()), ("Pistachiohall-Not-Executed", "1")];
         return http::answer(stream, 421, &fields, b"");
     }
+    if is_busy {
+        let fields = [("Pistachiohall-Request-Id", id.as_str()), ("Pistachiohall-Not-Executed", "1")];
+        return http::answer(stream, 503, &fields, b"");
+    }
     match request.path() {
         "/v1/report" => {
             let body = format!(
-                "{{\"stage\":\"{}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":false,\
-                 \"sequence\":0,\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_total\":90000,\"kv_handles\":0,\"born\":{}}}",
-                kind.stage.unwrap_or("decode"),
+                "{{\"stage\":\"{}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"busy\":{},\
+                 \"sequence\":{},\"queued\":0,\"active\":0,\"kv_used\":0,\"kv_total\":90000,\"kv_handles\":0,\"born\":{}}}",
+                stage.unwrap_or("decode"),
+                life.is_busy.load(Ordering::SeqCst),
+                life.orders.load(Ordering::SeqCst),
                 life.born
             );
             return http::answer(stream, 200, &[("Content-Type", "application/json")], body.as_bytes());
--- a/review/standin-3/roles.rs
+++ b/review/standin-3/roles.rs
@@ -19,15 +19,12 @@
 use crate::store::Store;
 
 const ZONES: [&str; 3] = ["nottingham", "leicester", "derby"];
-/// Engines by name, zone, version and stage; two of each zone, so that no stage has to change.
-const ENGINES: [(&str, usize, &str, &str); 6] = [
-    ("i-d1", 0, "v1", "decode"),
-    ("i-p1", 1, "v1", "prefill"),
-    ("i-p2", 2, "v1", "prefill"),
-    ("i-d2", 1, "v2", "decode"),
-    ("i-d3", 2, "v2", "decode"),
-    ("i-p3", 0, "v2", "prefill"),
-];
+/// Engines by name, zone and version, in the order in which they start; all generate at first. The machines turn one of
+/// each zone to prefill, and choose those that started last.
+const ENGINES: [(&str, usize, &str); 6] =
+    [("i-1", 0, "v1"), ("i-2", 1, "v2"), ("i-3", 2, "v2"), ("i-4", 1, "v1"), ("i-5", 2, "v1"), ("i-6", 0, "v2")];
+/// Longest time that the machines may take for it.
+const ORDERING: Duration = Duration::from_secs(40);
 /// Streams before the loss and after it, and their events: seven seconds.
 const STREAMS: usize = 60;
 const NEW_STREAMS: usize = 30;
@@ -159,8 +156,9 @@
     let log = Log::default();
     let mut replicas: Vec<Replica> = ENGINES
         .iter()
-        .map(|(id, zone, version, stage)| {
-            Replica::start(builds::kind(id, ZONES[*zone], version, stage), None, &store, &log)
+        .map(|(id, zone, version)| {
+            thread::sleep(Duration::from_millis(20));
+            Replica::start(builds::kind(id, ZONES[*zone], version, "decode"), None, &store, &log)
         })
         .collect();
     let gateways: Vec<Gateway> = ZONES
@@ -168,6 +166,10 @@
         .map(|zone| Gateway::start(&format!("front-{zone}-1"), zone, store.open().address, "", folder))
         .collect();
     gateways.iter().for_each(Gateway::wait_ready);
+    let generates = |replica: &&Replica| replica.stage() == Some("decode");
+    while replicas.iter().filter(generates).count() > ZONES.len() && started.elapsed() < ORDERING {
+        thread::sleep(Duration::from_millis(100));
+    }
     thread::sleep(Duration::from_secs(4));
     let machines: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.callers).collect();
     let begin = |letter: &str, count: usize| {
@@ -182,10 +184,17 @@
         clients
     };
     let mut record = Vec::new();
+    for ((id, zone, version), replica) in ENGINES.iter().zip(&replicas) {
+        record.push(format!("{id} of {} is of version {version} and has the stage {:?}", ZONES[*zone], replica.stage()));
+    }
     let mut clients = begin("a", STREAMS);
     thread::sleep(Duration::from_millis(600));
     if has_trouble {
-        let (kind, _) = replicas.remove(0).end();
+        let lost = replicas.remove(0);
+        if lost.stage() != Some("decode") {
+            return Verdict { record, is_broken: None };
+        }
+        let (kind, _) = lost.end();
         record.push(format!("{:8.3} {} is lost for good", started.elapsed().as_secs_f64(), kind.id));
     }
     thread::sleep(Duration::from_millis(200));
