--- a/review/standin-3/beat.rs
+++ b/review/standin-3/beat.rs
@@ -86,9 +86,18 @@
             for gateway in &gateways {
                 sent += 1;
                 let id = format!("r{sent:06x}");
-                let fields = [("Pistachiohall-Request-Id", id.as_str()), ("Pistachiohall-Deadline-Ms", "1000")];
-                let answer =
-                    gateway::call(gateway.callers, "POST", "/advance/a", &fields, b"", Duration::from_secs(2));
+                let fields = [
+                    ("Pistachiohall-Request-Id", id.as_str()),
+                    ("Pistachiohall-Deadline-Ms", "1000"),
+                ];
+                let answer = gateway::call(
+                    gateway.callers,
+                    "POST",
+                    "/advance/a",
+                    &fields,
+                    b"",
+                    Duration::from_secs(2),
+                );
                 let status = answer.map_or(0, |answer| answer.status());
                 answers.push((id, status));
             }
@@ -100,19 +109,27 @@
     let beat = leaving.entry();
     let beaten = Instant::now();
     let at = |moment: Instant| moment.saturating_duration_since(started).as_secs_f64();
-    record.push(format!("{:8.3} a write of i-c1's entry gets no answer: {beat}", at(beaten)));
+    record.push(format!(
+        "{:8.3} a write of i-c1's entry gets no answer: {beat}",
+        at(beaten)
+    ));
     work(beaten + LEAVES_AFTER);
     leaving.leave();
     let left = Instant::now();
-    record.push(format!("{:8.3} i-c1 leaves: the store has removed its entry; it serves on", at(left)));
+    record.push(format!(
+        "{:8.3} i-c1 leaves: the store has removed its entry; it serves on",
+        at(left)
+    ));
     work(beaten + LATE);
     if has_trouble {
         store.put("keyed.servers", "i-c1", beat.as_bytes());
-        record.push(format!("{:8.3} the store carries out the write from before", at(Instant::now())));
+        record.push(format!(
+            "{:8.3} the store carries out the write from before",
+            at(Instant::now())
+        ));
     }
-    let is_late = |seen: &Seen| {
-        seen.replica == "i-c1" && seen.at > left + DRAIN && !seen.id.is_empty()
-    };
+    let is_late =
+        |seen: &Seen| seen.replica == "i-c1" && seen.at > left + DRAIN && !seen.id.is_empty();
     let ended = thread::scope(|scope| {
         // The replica's time is up while it runs something, if it does.
         let end = scope.spawn(|| {
@@ -149,7 +166,12 @@
         *statuses.entry(*status).or_default() += 1;
     }
     record.push(format!("{sent} requests, answers by status {statuses:?}"));
-    record.push(format!("requests that reached i-c1 later than 2 s after it was gone: {late}; the rule allows 0"));
+    record.push(format!(
+        "requests that reached i-c1 later than 2 s after it was gone: {late}; the rule allows 0"
+    ));
     let is_served = statuses.get(&200).copied().unwrap_or(0) > sent / 2;
-    Verdict { record, is_broken: is_served.then_some(late > 0) }
+    Verdict {
+        record,
+        is_broken: is_served.then_some(late > 0),
+    }
 }
--- a/review/standin-3/builds.rs
+++ b/review/standin-3/builds.rs
@@ -96,7 +96,9 @@
 /// Returns the software versions whose replicas made the events of a stream.
 pub fn versions(text: &str) -> BTreeSet<String> {
     let data = text.lines().filter_map(|line| line.strip_prefix("data: "));
-    data.filter_map(|data| data.split(' ').next()).map(String::from).collect()
+    data.filter_map(|data| data.split(' ').next())
+        .map(String::from)
+        .collect()
 }
 
 pub fn run(folder: &Path, has_trouble: bool) -> Verdict {
@@ -131,9 +133,15 @@
     for number in 0..12 {
         let to = gateways[number % gateways.len()].callers;
         let (status, text, is_whole) = stream(to, "/draft/a", &format!("a{number:04x}"), 4);
-        note(format!("before a{number:04x}: {status} versions {:?} complete {is_whole}", versions(&text)));
+        note(format!(
+            "before a{number:04x}: {status} versions {:?} complete {is_whole}",
+            versions(&text)
+        ));
         if status != 200 || !is_whole {
-            return Verdict { record: record.lock().unwrap().clone(), is_broken: None };
+            return Verdict {
+                record: record.lock().unwrap().clone(),
+                is_broken: None,
+            };
         }
     }
     thread::sleep(Duration::from_secs(1));
@@ -142,7 +150,10 @@
         let (kind, address) = replicas.remove(0).end();
         note(format!("{} ends; no request runs there", kind.id));
         thread::sleep(Duration::from_millis(700));
-        let kind = Kind { version: "v2".into(), ..kind };
+        let kind = Kind {
+            version: "v2".into(),
+            ..kind
+        };
         restarted = Some(Replica::start(kind, Some(address), &store, &log));
         note("i-d1 is back under its name and at its address as version v2, and has written its entry".into());
     }
@@ -167,15 +178,25 @@
         let versions = versions(&text);
         joined += usize::from(versions.len() > 1);
         let events = text.matches("data: ").count();
-        note(format!("{id}: {status} events {events} versions {versions:?} complete {is_whole}"));
+        note(format!(
+            "{id}: {status} events {events} versions {versions:?} complete {is_whole}"
+        ));
     }
     for seen in log.lock().unwrap().iter().filter(|seen| seen.ran) {
         let at = seen.at.saturating_duration_since(started).as_secs_f64();
         let last = seen.fields.iter().find(|(name, _)| name == "last-event-id");
         let last = last.map_or("", |(_, value)| value.as_str());
-        note(format!("ran at {at:.3}: {} at {} {} after {last:?}", seen.id, seen.replica, seen.version));
+        note(format!(
+            "ran at {at:.3}: {} at {} {} after {last:?}",
+            seen.id, seen.replica, seen.version
+        ));
     }
-    note(format!("streams with events of two versions: {joined}; the rule allows 2"));
+    note(format!(
+        "streams with events of two versions: {joined}; the rule allows 2"
+    ));
     let record = record.lock().unwrap().clone();
-    Verdict { record, is_broken: Some(joined > 2) }
+    Verdict {
+        record,
+        is_broken: Some(joined > 2),
+    }
 }
--- a/review/standin-3/crowd.rs
+++ b/review/standin-3/crowd.rs
@@ -68,10 +68,16 @@
 fn send(to: SocketAddr, count: usize, number: &AtomicU64) -> BTreeMap<String, usize> {
     let body = vec![b'x'; BODY_BYTES];
     let mut open = Vec::new();
-    for (method, path, body, left) in [("POST", "/advance/a", &body[..], 1), ("POST", "/advance/a", &[][..], 0)] {
+    for (method, path, body, left) in [
+        ("POST", "/advance/a", &body[..], 1),
+        ("POST", "/advance/a", &[][..], 0),
+    ] {
         for _ in 0..count {
             let id = format!("c{:06x}", number.fetch_add(1, Ordering::SeqCst));
-            let fields = [("Pistachiohall-Request-Id", id.as_str()), ("Pistachiohall-Deadline-Ms", "15000")];
+            let fields = [
+                ("Pistachiohall-Request-Id", id.as_str()),
+                ("Pistachiohall-Deadline-Ms", "15000"),
+            ];
             let request = gateway::request(method, path, &fields, body);
             open.extend(begin(to, &request, left));
         }
@@ -155,10 +161,16 @@
         }
     }
     let ran = log.lock().unwrap().iter().filter(|seen| seen.ran).count();
-    record.push(format!("{ran} of {} requests ran", number.load(Ordering::SeqCst)));
+    record.push(format!(
+        "{ran} of {} requests ran",
+        number.load(Ordering::SeqCst)
+    ));
     let ended_often = ends.iter().filter(|ends| **ends >= 3).count();
     record.push(format!(
         "machines whose process ended three times for want of memory: {ended_often} of {MACHINES}; the rule allows 1"
     ));
-    Verdict { record, is_broken: Some(ended_often >= 2) }
+    Verdict {
+        record,
+        is_broken: Some(ended_often >= 2),
+    }
 }
--- a/review/standin-3/gateway.rs
+++ b/review/standin-3/gateway.rs
@@ -40,8 +40,12 @@
 
 fn free_address() -> SocketAddr {
     loop {
-        let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_nanos() as u64;
-        let draw = (time ^ u64::from(std::process::id()) << 20).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+        let time = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .as_nanos() as u64;
+        let draw =
+            (time ^ u64::from(std::process::id()) << 20).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
         let address = SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + draw % PORTS) as u16));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
@@ -86,7 +90,14 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let answer = call(self.ready, "GET", "/v1/readyz", &[], b"", Duration::from_secs(1));
+        let answer = call(
+            self.ready,
+            "GET",
+            "/v1/readyz",
+            &[],
+            b"",
+            Duration::from_secs(1),
+        );
         answer.is_some_and(|answer| answer.status() == 200)
     }
 
@@ -100,12 +111,18 @@
         self.child = spawn(&self.settings, &self.log);
     }
 
-
     /// Returns a figure of the process in kilobytes, such as `VmRSS` or `VmHWM`.
     pub fn memory_kb(&self, name: &str) -> u64 {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = text.lines().find(|line| line.starts_with(name)).unwrap_or("");
-        line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+        let text =
+            fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = text
+            .lines()
+            .find(|line| line.starts_with(name))
+            .unwrap_or("");
+        line.split_whitespace()
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -141,7 +158,9 @@
     let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
     let _ = stream.set_nodelay(true);
-    (&stream).write_all(&request(method, path, fields, body)).ok()?;
+    (&stream)
+        .write_all(&request(method, path, fields, body))
+        .ok()?;
     let mut reader = BufReader::new(stream);
     http::read(&mut reader, true).ok()?
 }
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -35,7 +35,9 @@
     pub fn query(&self, name: &str) -> Option<&str> {
         let query = self.target().split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+        pairs
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| value)
     }
 
     pub fn status(&self) -> u16 {
--- a/review/standin-3/pooled.rs
+++ b/review/standin-3/pooled.rs
@@ -42,7 +42,9 @@
     let gateways: Vec<Gateway> = ZONES
         .iter()
         .zip(&ports)
-        .map(|(zone, port)| Gateway::start(&format!("front-{zone}-1"), zone, port.address, "", folder))
+        .map(|(zone, port)| {
+            Gateway::start(&format!("front-{zone}-1"), zone, port.address, "", folder)
+        })
         .collect();
     gateways.iter().for_each(Gateway::wait_ready);
     thread::sleep(Duration::from_secs(3));
@@ -53,7 +55,8 @@
             .map(|number| {
                 let to = gateways[number % gateways.len()].callers;
                 let id = format!("{letter}{number:04x}");
-                let caller = thread::spawn(move || (id.clone(), builds::stream(to, path, &id, events)));
+                let caller =
+                    thread::spawn(move || (id.clone(), builds::stream(to, path, &id, events)));
                 thread::sleep(SPACING);
                 caller
             })
@@ -62,9 +65,16 @@
     };
     for caller in send("/draft/a", "a", 12, 4) {
         let (id, (status, text, is_whole)) = caller.join().unwrap();
-        record.push(format!("{} {id}: {status} versions {:?} complete {is_whole}", at(), builds::versions(&text)));
+        record.push(format!(
+            "{} {id}: {status} versions {:?} complete {is_whole}",
+            at(),
+            builds::versions(&text)
+        ));
         if status != 200 || !is_whole {
-            return Verdict { record, is_broken: None };
+            return Verdict {
+                record,
+                is_broken: None,
+            };
         }
     }
     thread::sleep(Duration::from_secs(1));
@@ -77,13 +87,23 @@
         let (kind, address) = replicas.remove(0).end();
         record.push(format!("{} {} ends; no request runs there", at(), kind.id));
         thread::sleep(Duration::from_millis(700));
-        let kind = Kind { version: "v2".into(), ..kind };
+        let kind = Kind {
+            version: "v2".into(),
+            ..kind
+        };
         restarted = Some(Replica::start(kind, Some(address), &store, &log));
-        record.push(format!("{} i-d1 is back under its name and at its address as version v2", at()));
+        record.push(format!(
+            "{} i-d1 is back under its name and at its address as version v2",
+            at()
+        ));
     }
     for caller in send("/confirm/a", "c", SHORT_STREAMS, 2) {
         let (id, (status, text, is_whole)) = caller.join().unwrap();
-        record.push(format!("{} {id}: {status} versions {:?} complete {is_whole}", at(), builds::versions(&text)));
+        record.push(format!(
+            "{} {id}: {status} versions {:?} complete {is_whole}",
+            at(),
+            builds::versions(&text)
+        ));
     }
     thread::sleep(OLD.saturating_sub(away_since.elapsed()));
     let callers = send("/draft/a", "b", LONG_STREAMS, 60);
@@ -91,7 +111,12 @@
     thread::sleep(Duration::from_millis(500));
     if let Some(replica) = restarted {
         let (kind, _) = replica.end();
-        record.push(format!("{} {} of version {} ends", at(), kind.id, kind.version));
+        record.push(format!(
+            "{} {} of version {} ends",
+            at(),
+            kind.id,
+            kind.version
+        ));
     }
     thread::sleep(OUTAGE.saturating_sub(away_since.elapsed()));
     store.set_away(false);
@@ -103,14 +128,30 @@
         let versions = builds::versions(&text);
         joined += usize::from(versions.len() > 1);
         let events = text.matches("data: ").count();
-        record.push(format!("{} {id}: {status} events {events} versions {versions:?} complete {is_whole}", at()));
+        record.push(format!(
+            "{} {id}: {status} events {events} versions {versions:?} complete {is_whole}",
+            at()
+        ));
     }
-    for seen in log.lock().unwrap().iter().filter(|seen| seen.ran || seen.start.contains("/v1/report")) {
+    for seen in log
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|seen| seen.ran || seen.start.contains("/v1/report"))
+    {
         let at = seen.at.saturating_duration_since(started).as_secs_f64();
         let last = seen.fields.iter().find(|(name, _)| name == "last-event-id");
         let last = last.map_or("", |(_, value)| value.as_str());
-        record.push(format!("{at:8.3} {} {} at {} {} after {last:?}", seen.start, seen.id, seen.replica, seen.version));
+        record.push(format!(
+            "{at:8.3} {} {} at {} {} after {last:?}",
+            seen.start, seen.id, seen.replica, seen.version
+        ));
+    }
+    record.push(format!(
+        "streams with events of two versions: {joined}; the rule allows 2"
+    ));
+    Verdict {
+        record,
+        is_broken: Some(joined > 2),
     }
-    record.push(format!("streams with events of two versions: {joined}; the rule allows 2"));
-    Verdict { record, is_broken: Some(joined > 2) }
 }
--- a/review/standin-3/replica.rs
+++ b/review/standin-3/replica.rs
@@ -84,7 +84,10 @@
 }
 
 pub fn now_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 impl Replica {
@@ -134,7 +137,10 @@
                     return;
                 }
                 let _ = stream.set_nodelay(true);
-                life.connections.lock().unwrap().push(stream.try_clone().unwrap());
+                life.connections
+                    .lock()
+                    .unwrap()
+                    .push(stream.try_clone().unwrap());
                 let (life, store) = (Arc::clone(&life), own_store.clone());
                 thread::spawn(move || serve(&life, stream, address, &store));
             }
@@ -194,7 +200,9 @@
     let sequence = life.sequence.fetch_add(1, Ordering::SeqCst);
     let kind = &life.kind;
     let stage = life.stage.lock().unwrap().map_or(String::new(), |stage| {
-        format!("\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],")
+        format!(
+            "\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],"
+        )
     });
     format!(
         "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\
@@ -203,7 +211,12 @@
     )
 }
 
-fn serve(life: &Arc<Life>, mut stream: TcpStream, address: SocketAddr, store: &Store) -> Option<()> {
+fn serve(
+    life: &Arc<Life>,
+    mut stream: TcpStream,
+    address: SocketAddr,
+    store: &Store,
+) -> Option<()> {
     let mut reader = BufReader::new(stream.try_clone().ok()?);
     while let Ok(Some(request)) = http::read(&mut reader, false) {
         if life.is_over.load(Ordering::SeqCst) {
@@ -211,7 +224,13 @@
         }
         if request.path() == "/v1/order" {
             let status = take_order(life, &request, address, store);
-            http::answer(&mut stream, status, &[("Content-Type", "application/json")], b"{}").ok()?;
+            http::answer(
+                &mut stream,
+                status,
+                &[("Content-Type", "application/json")],
+                b"{}",
+            )
+            .ok()?;
             continue;
         }
         answer(life, &request, &mut stream).ok()?;
@@ -259,7 +278,9 @@
     let id = request.field("pistachiohall-request-id").to_string();
     let expected = request.field("pistachiohall-expect-instance");
     let is_other = !expected.is_empty() && expected != kind.id;
-    let is_own = ["/v1/", "/healthz"].iter().any(|path| request.path().starts_with(path));
+    let is_own = ["/v1/", "/healthz"]
+        .iter()
+        .any(|path| request.path().starts_with(path));
     let reads = request.field("pistachiohall-stage") == "prefill";
     let is_wrong_stage = stage.is_some() && !is_own && reads != (stage == Some("prefill"));
     let is_busy = !is_own && life.is_busy.load(Ordering::SeqCst);
@@ -274,11 +295,17 @@
         ran,
     });
     if is_other || is_wrong_stage {
-        let fields = [("Pistachiohall-Request-Id", id.as_str()), ("Pistachiohall-Not-Executed", "1")];
+        let fields = [
+            ("Pistachiohall-Request-Id", id.as_str()),
+            ("Pistachiohall-Not-Executed", "1"),
+        ];
         return http::answer(stream, 421, &fields, b"");
     }
     if is_busy {
-        let fields = [("Pistachiohall-Request-Id", id.as_str()), ("Pistachiohall-Not-Executed", "1")];
+        let fields = [
+            ("Pistachiohall-Request-Id", id.as_str()),
+            ("Pistachiohall-Not-Executed", "1"),
+        ];
         return http::answer(stream, 503, &fields, b"");
     }
     match request.path() {
@@ -291,16 +318,29 @@
                 life.orders.load(Ordering::SeqCst),
                 life.born
             );
-            return http::answer(stream, 200, &[("Content-Type", "application/json")], body.as_bytes());
+            return http::answer(
+                stream,
+                200,
+                &[("Content-Type", "application/json")],
+                body.as_bytes(),
+            );
         }
         "/healthz" => {
             let body = format!("{{\"born\":{}}}", life.born);
-            return http::answer(stream, 200, &[("Pistachiohall-Replica-Id", &kind.id)], body.as_bytes());
+            return http::answer(
+                stream,
+                200,
+                &[("Pistachiohall-Replica-Id", &kind.id)],
+                body.as_bytes(),
+            );
         }
         path if path.starts_with("/v1/") => return http::answer(stream, 200, &[], b"{}"),
         _ => (),
     }
-    let mut fields = vec![("Pistachiohall-Request-Id", id.as_str()), ("Pistachiohall-Server-Stamp", STAMP)];
+    let mut fields = vec![
+        ("Pistachiohall-Request-Id", id.as_str()),
+        ("Pistachiohall-Server-Stamp", STAMP),
+    ];
     if life.is_leaving.load(Ordering::SeqCst) {
         fields.push(("Server-Leaving", "1"));
     }
@@ -317,7 +357,11 @@
         return http::answer(stream, 200, &fields, body.as_bytes());
     }
     let sizes = request.field("pistachiohall-token-count");
-    let last: u64 = sizes.split(',').nth(1).and_then(|text| text.trim().parse().ok()).unwrap_or(4);
+    let last: u64 = sizes
+        .split(',')
+        .nth(1)
+        .and_then(|text| text.trim().parse().ok())
+        .unwrap_or(4);
     let after: u64 = request.field("last-event-id").parse().unwrap_or(0);
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nPistachiohall-Request-Id: {id}\r\n\
--- a/review/standin-3/roles.rs
+++ b/review/standin-3/roles.rs
@@ -21,8 +21,14 @@
 const ZONES: [&str; 3] = ["nottingham", "leicester", "derby"];
 /// Engines by name, zone and version, in the order in which they start; all generate at first. The machines turn one of
 /// each zone to prefill, and choose those that started last.
-const ENGINES: [(&str, usize, &str); 6] =
-    [("i-1", 0, "v1"), ("i-2", 1, "v2"), ("i-3", 2, "v2"), ("i-4", 1, "v1"), ("i-5", 2, "v1"), ("i-6", 0, "v2")];
+const ENGINES: [(&str, usize, &str); 6] = [
+    ("i-1", 0, "v1"),
+    ("i-2", 1, "v2"),
+    ("i-3", 2, "v2"),
+    ("i-4", 1, "v1"),
+    ("i-5", 2, "v1"),
+    ("i-6", 0, "v2"),
+];
 /// Longest time that the machines may take for it.
 const ORDERING: Duration = Duration::from_secs(40);
 /// Streams before the loss and after it, and their events: seven seconds.
@@ -68,7 +74,15 @@
     if let Some((began, _)) = resumes {
         fields.extend([("Resumes", began), ("Last-Event-Id", event.as_str())]);
     }
-    if (&connection).write_all(&gateway::request("POST", "/draft/a", &fields, id.as_bytes())).is_err() {
+    if (&connection)
+        .write_all(&gateway::request(
+            "POST",
+            "/draft/a",
+            &fields,
+            id.as_bytes(),
+        ))
+        .is_err()
+    {
         return result;
     }
     let mut reader = BufReader::new(connection);
@@ -88,8 +102,12 @@
                     if let Some(number) = line.strip_prefix("id: ") {
                         result.last_event = number.parse().unwrap_or(result.last_event);
                     }
-                    let version = line.strip_prefix("data: ").and_then(|data| data.split(' ').next());
-                    if let Some(version) = version.filter(|version| !result.versions.iter().any(|known| known == version)) {
+                    let version = line
+                        .strip_prefix("data: ")
+                        .and_then(|data| data.split(' ').next());
+                    if let Some(version) = version
+                        .filter(|version| !result.versions.iter().any(|known| known == version))
+                    {
                         result.versions.push(version.into());
                     }
                 }
@@ -118,7 +136,10 @@
     let to = |number: usize| machines[(first + number) % machines.len()];
     let began = attempt(to(0), &id, None, DEADLINE);
     let mut outcome = Outcome {
-        lines: vec![format!("{id}: {} events {} {:?}", began.status, began.last_event, began.versions)],
+        lines: vec![format!(
+            "{id}: {} events {} {:?}",
+            began.status, began.last_event, began.versions
+        )],
         began: began.status == 200 && began.last_event > 0,
         was_taken_up: false,
         went_on: false,
@@ -158,12 +179,25 @@
         .iter()
         .map(|(id, zone, version)| {
             thread::sleep(Duration::from_millis(20));
-            Replica::start(builds::kind(id, ZONES[*zone], version, "decode"), None, &store, &log)
+            Replica::start(
+                builds::kind(id, ZONES[*zone], version, "decode"),
+                None,
+                &store,
+                &log,
+            )
         })
         .collect();
     let gateways: Vec<Gateway> = ZONES
         .iter()
-        .map(|zone| Gateway::start(&format!("front-{zone}-1"), zone, store.open().address, "", folder))
+        .map(|zone| {
+            Gateway::start(
+                &format!("front-{zone}-1"),
+                zone,
+                store.open().address,
+                "",
+                folder,
+            )
+        })
         .collect();
     gateways.iter().for_each(Gateway::wait_ready);
     let generates = |replica: &&Replica| replica.stage() == Some("decode");
@@ -185,17 +219,28 @@
     };
     let mut record = Vec::new();
     for ((id, zone, version), replica) in ENGINES.iter().zip(&replicas) {
-        record.push(format!("{id} of {} is of version {version} and has the stage {:?}", ZONES[*zone], replica.stage()));
+        record.push(format!(
+            "{id} of {} is of version {version} and has the stage {:?}",
+            ZONES[*zone],
+            replica.stage()
+        ));
     }
     let mut clients = begin("a", STREAMS);
     thread::sleep(Duration::from_millis(600));
     if has_trouble {
         let lost = replicas.remove(0);
         if lost.stage() != Some("decode") {
-            return Verdict { record, is_broken: None };
+            return Verdict {
+                record,
+                is_broken: None,
+            };
         }
         let (kind, _) = lost.end();
-        record.push(format!("{:8.3} {} is lost for good", started.elapsed().as_secs_f64(), kind.id));
+        record.push(format!(
+            "{:8.3} {} is lost for good",
+            started.elapsed().as_secs_f64(),
+            kind.id
+        ));
     }
     thread::sleep(Duration::from_millis(200));
     let new = begin("b", NEW_STREAMS);
@@ -216,5 +261,8 @@
         "of {taken_up} streams that were taken up {gone_on} went on; of {NEW_STREAMS} new ones {new_begun} began"
     ));
     let is_played = !has_trouble || taken_up >= MIN_TAKEN_UP;
-    Verdict { record, is_broken: is_played.then_some(is_broken) }
+    Verdict {
+        record,
+        is_broken: is_played.then_some(is_broken),
+    }
 }
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -106,7 +106,10 @@
     pub fn remove_entry(&self, id: &str, born: u64) {
         let is_own = {
             let state = self.state.0.lock().unwrap();
-            let entry = state.topics.get("keyed.servers").and_then(|topic| topic.newest.get(id));
+            let entry = state
+                .topics
+                .get("keyed.servers")
+                .and_then(|topic| topic.newest.get(id));
             let text = entry.map(|(_, value)| String::from_utf8_lossy(value).into_owned());
             text.is_some_and(|text| text.contains(&format!("\"born\":{born}")))
         };
@@ -219,7 +222,10 @@
 fn append(topic: &mut Topic, content: Vec<u8>) {
     let offset = topic.records.len() as u64;
     let length = content.first().map_or(0, |length| usize::from(*length));
-    if let Some((key, value)) = content.get(1..).and_then(|rest| rest.split_at_checked(length)) {
+    if let Some((key, value)) = content
+        .get(1..)
+        .and_then(|rest| rest.split_at_checked(length))
+    {
         let key = String::from_utf8_lossy(key).into_owned();
         match value.is_empty() {
             true => topic.newest.remove(&key),
