Keep the roles of engines in the test of limits

The case of a split had no split: with a share of 0, all four engines that prefill were ordered to decode three seconds after the start, before requests are counted.

The share is that of the deployment now, so that the limits of engines that prefill and of those that generate are both counted, as the case is named. The bounds are as before.

--- a/tests/gateway/deployment.rs
+++ b/tests/gateway/deployment.rs
@@ -66,10 +66,16 @@
     pub mortals: Vec<CrashingUpstream>,
     pub store: Store,
     pub sent: usize,
+    settings: &'static str,
 }
 
 impl Deployment {
     pub fn new(hosts: usize, behavior: CrashBehavior) -> Self {
+        Deployment::with_settings(hosts, behavior, NO_ORDERS)
+    }
+
+    /// Starts a deployment; `settings` is added to those of each host.
+    pub fn with_settings(hosts: usize, behavior: CrashBehavior, settings: &'static str) -> Self {
         let store = Store::start().unwrap();
         store.put_config(&fleet::config(3));
         let role = |name, service, stage| Role {
@@ -98,6 +104,7 @@
             mortals,
             store,
             sent: 0,
+            settings,
         };
         for _ in 0..hosts {
             deployment.add_host();
@@ -107,7 +114,7 @@
 
     pub fn add_host(&mut self) {
         let name = format!("h{}", self.gateways.len() + 1);
-        let gateway = Gateway::start(&name, self.store.address(), NO_ORDERS);
+        let gateway = Gateway::start(&name, self.store.address(), self.settings);
         self.gateways.push(gateway);
         self.wait_ready(self.gateways.len() - 1);
     }
--- a/tests/gateway/limit.rs
+++ b/tests/gateway/limit.rs
@@ -42,6 +42,9 @@
     ..LONG_ASK
 };
 
+/// Settings whose share of prefill engines the deployment has: without one, all of them are ordered to decode.
+const ROLES_KEPT: &str = "[orders]\nread_share = 0.5\n[repeats]\nratio = 1000\n";
+
 /// Returns the maximum requests in one window.
 fn max_in_window(limit: f64) -> usize {
     (1.5 * limit * WINDOW.as_secs_f64()) as usize + 5
@@ -117,7 +120,7 @@
     #[case] callers: &[usize],
     #[case] kind: Kind,
 ) {
-    let deployment = Deployment::new(callers.len(), RESET);
+    let deployment = Deployment::with_settings(callers.len(), RESET, ROLES_KEPT);
     // Two of four upstreams of each kind: c1 and c2, p1 and p2, d1 and d2.
     let limited: Vec<&CrashingUpstream> = [0, 1, 4, 5, 8, 9]
         .map(|index| &deployment.mortals[index])
