Ignore entries that are written after their upstream left

Cause: the store carries out a write that got no answer up to six seconds late, after the removal of the entry. A full list was compared with the last entry of an upstream that departed; changes that are read one by one were taken for news, and made the host forget the departure.

Evidence: the case's log has 'upstream added' with the start time and a lower count than that which had just been removed.

An entry is now compared with the departure however it was read. A host that does not know the upstream, because it has started since, waits for one more write of an entry that appears with a count above 2: an upstream that lives writes again within 1.2 s, a late write comes alone. An entry that comes back with a higher count, after an outage or after a restore is used at once. Departures are pruned with each read, which bounds them.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -75,6 +75,10 @@
 /// Number of times an upstream has written its entry within one incarnation.
 pub type WriteCount = u64;
 
+/// Maximum count of the first entry that is read of an upstream which has just started, of whose writes
+/// one or two may have failed.
+const MAX_FIRST_WRITE_COUNT: WriteCount = 2;
+
 /// One change in the registry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -111,11 +115,27 @@
     }
 }
 
+/// Reason for not using an upstream by the entry that was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// The entry was written before the upstream departed.
+    Departed,
+    /// The entry is not the first of its upstream, which this host has not known: its write may have been
+    /// carried out late. The next one shows that the upstream lives.
+    Unconfirmed,
+}
+
 /// Last known upstreams, including those that stay in use after their entries expired.
 #[derive(Debug, Default)]
 pub struct Fleet {
     upstreams: BTreeMap<UpstreamId, Upstream>,
     departures: BTreeMap<UpstreamId, Departure>,
+    /// Start times and write counts of the entries that are unconfirmed.
+    unconfirmed: BTreeMap<UpstreamId, (StartTime, WriteCount)>,
+    /// Entries that were not used since they were last taken.
+    doubted: Vec<(UpstreamId, Doubt)>,
+    /// Whether a full list was read, so that an entry that appears later was not there before.
+    has_full_list: bool,
     rewrite_until: Option<Instant>,
 }
 
@@ -147,12 +167,19 @@
     /// Applies the changes of one read, in order; returns the upstreams that stay in use for a
     /// while although their entries were removed.
     pub fn apply(&mut self, changes: Vec<Change>, now: Instant) -> Vec<UpstreamId> {
+        self.departures.retain(|_, departure| {
+            now.saturating_duration_since(departure.removed_at) < DEPARTURE_MEMORY
+        });
         let use_until = self.rewrite_until.filter(|until| now < *until);
         let mut kept = Vec::new();
         for change in changes {
             match change {
-                Change::Written(entry, write_count) => self.write(entry, write_count),
+                Change::Written(entry, write_count) => {
+                    let has_just_appeared = self.has_full_list && use_until.is_none();
+                    self.write(entry, write_count, has_just_appeared);
+                }
                 Change::Removed(id) => {
+                    self.unconfirmed.remove(&id);
                     if self.remove(&id, use_until, now) {
                         kept.push(id);
                     }
@@ -162,57 +189,89 @@
         kept
     }
 
-    /// Applies a full list: entries that are not in it were removed, and those of upstreams that
-    /// departed after they were written are ignored. Returns the upstreams that stay in use for a
-    /// while although their entries were removed.
+    /// Applies a full list: entries that are not in it were removed. Returns the upstreams that stay in
+    /// use for a while although their entries were removed.
     pub fn replace(&mut self, entries: Vec<(Entry, WriteCount)>, now: Instant) -> Vec<UpstreamId> {
-        self.departures.retain(|_, departure| {
-            now.saturating_duration_since(departure.removed_at) < DEPARTURE_MEMORY
-        });
-        let listed: HashSet<&UpstreamId> = entries.iter().map(|(entry, _)| &entry.id).collect();
-        let removed = self.upstreams.keys().filter(|id| !listed.contains(id));
-        let mut changes: Vec<Change> = removed.cloned().map(Change::Removed).collect();
-        for (mut entry, write_count) in entries {
-            if let Some(departure) = self.departures.get(&entry.id) {
-                if departure.includes(&entry, write_count) {
-                    continue;
-                }
-                if entry.started_at == departure.started_at {
-                    entry.state = departure.state.max(entry.state);
-                }
-            }
-            changes.push(Change::Written(entry, write_count));
+        let listed: HashSet<UpstreamId> =
+            entries.iter().map(|(entry, _)| entry.id.clone()).collect();
+        let known = self.upstreams.keys().chain(self.unconfirmed.keys());
+        let removed = known.filter(|id| !listed.contains(*id));
+        let removed: Vec<Change> = removed.cloned().map(Change::Removed).collect();
+        let kept = self.apply(removed, now);
+        for (entry, write_count) in entries {
+            self.write(entry, write_count, false);
         }
-        self.apply(changes, now)
+        self.has_full_list = true;
+        kept
     }
 
-    fn write(&mut self, entry: Entry, write_count: WriteCount) {
-        self.departures.remove(&entry.id);
-        let Some(upstream) = self.upstreams.get_mut(&entry.id) else {
-            let id = entry.id.clone();
-            let upstream = Upstream {
-                entry,
-                write_count,
-                use_until: None,
-            };
-            self.upstreams.insert(id, upstream);
-            return;
-        };
-        let is_stale = entry.started_at < upstream.entry.started_at
-            || (entry.started_at == upstream.entry.started_at
-                && write_count < upstream.write_count);
-        if is_stale {
-            return;
-        }
-        let mut entry = entry;
-        if entry.started_at == upstream.entry.started_at {
-            entry.state = upstream.entry.state.max(entry.state);
+    /// Takes the upstreams that were not used by the entries that were read.
+    pub fn take_doubted(&mut self) -> Vec<(UpstreamId, Doubt)> {
+        std::mem::take(&mut self.doubted)
+    }
+
+    /// Applies an entry, which is not known to have been there before if it `has_just_appeared`.
+    fn write(&mut self, mut entry: Entry, write_count: WriteCount, has_just_appeared: bool) {
+        let mut state = entry.state;
+        match self.upstreams.get(&entry.id) {
+            Some(upstream) => {
+                let is_stale = entry.started_at < upstream.entry.started_at
+                    || (entry.started_at == upstream.entry.started_at
+                        && write_count < upstream.write_count);
+                if is_stale {
+                    return;
+                }
+                if entry.started_at == upstream.entry.started_at {
+                    state = upstream.entry.state.max(state);
+                }
+            }
+            None => {
+                if let Some(doubt) = self.doubt(&entry, write_count, has_just_appeared) {
+                    self.doubted.push((entry.id, doubt));
+                    return;
+                }
+                let departure = self.departures.remove(&entry.id);
+                let same = departure.filter(|before| before.started_at == entry.started_at);
+                state = same.map_or(state, |before| before.state.max(state));
+            }
         }
-        *upstream = Upstream {
+        entry.state = state;
+        let upstream = Upstream {
             entry,
             write_count,
             use_until: None,
         };
+        self.upstreams.insert(upstream.entry.id.clone(), upstream);
+    }
+
+    /// Returns the reason for not using an upstream that is not in use by its entry.
+    fn doubt(
+        &mut self,
+        entry: &Entry,
+        write_count: WriteCount,
+        has_just_appeared: bool,
+    ) -> Option<Doubt> {
+        let departure = self.departures.get(&entry.id);
+        if departure.is_some_and(|departure| departure.includes(entry, write_count)) {
+            return Some(Doubt::Departed);
+        }
+        let has_departed =
+            departure.is_some_and(|departure| departure.started_at == entry.started_at);
+        let written = (entry.started_at, write_count);
+        let is_unconfirmed = match self.unconfirmed.get(&entry.id) {
+            Some(before) => written <= *before,
+            None => has_just_appeared && !has_departed && write_count > MAX_FIRST_WRITE_COUNT,
+        };
+        match is_unconfirmed {
+            true => {
+                self.unconfirmed.entry(entry.id.clone()).or_insert(written);
+                Some(Doubt::Unconfirmed)
+            }
+            false => {
+                self.unconfirmed.remove(&entry.id);
+                None
+            }
+        }
     }
 
     /// Removes an entry; returns `true` if the upstream stays in use for a while.
--- a/src/follow/registry.rs
+++ b/src/follow/registry.rs
@@ -209,6 +209,15 @@
                 "upstream entry removed"
             );
         }
+        for (id, doubt) in self.fleet.take_doubted() {
+            info!(
+                upstream:% = id,
+                source = self.origin.source,
+                outcome = "ignored",
+                reason:? = doubt;
+                "upstream entry ignored"
+            );
+        }
         self.publisher
             .set_entries(self.fleet.entries(), self.origin);
         // Whoever finds this time finds at least the entries that were read then.
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -4,12 +4,14 @@
 use std::time::Instant;
 
 use pistachiohall::fleet::Change;
+use pistachiohall::fleet::Doubt;
 use pistachiohall::fleet::Entry;
 use pistachiohall::fleet::Fleet;
 use pistachiohall::fleet::MIN_EXPIRY_OUTAGE;
 use pistachiohall::fleet::REWRITE_WINDOW;
 use pistachiohall::fleet::State;
 use pistachiohall::upstream::Role;
+use proptest::prelude::*;
 use rstest::rstest;
 
 fn entry(id: &str, started_at: u64) -> Entry {
@@ -280,3 +282,141 @@
     fleet.apply(vec![Change::Written(entry("a", 1), 99)], now);
     assert_eq!(fleet.entries()[0].started_at, 2);
 }
+
+/// Guards against new work at an upstream that has left: the registry carries out a write of its entry late,
+/// after the entry was removed. One that lives is used as soon as it writes again.
+#[rstest]
+#[case::written_before_the_last_entry(1, 4, false)]
+#[case::the_last_entry(1, 5, false)]
+#[case::of_an_incarnation_before(0, 9, false)]
+#[case::written_since(1, 6, true)]
+#[case::of_the_next_incarnation(2, 0, true)]
+fn an_entry_that_is_written_late_is_ignored(
+    #[case] started_at: u64,
+    #[case] write_count: u64,
+    #[case] is_used: bool,
+) {
+    let now = Instant::now();
+    let mut fleet = fleet(&["a", "b"], now);
+    fleet.apply(vec![Change::Removed("a".into())], now);
+    let late = Change::Written(entry("a", started_at), write_count);
+    fleet.apply(vec![late], now + Duration::from_secs(6));
+    assert_eq!(ids(&fleet).contains(&"a".to_owned()), is_used);
+    let doubted = fleet.take_doubted();
+    let expected = [("a".into(), Doubt::Departed)];
+    assert_eq!(doubted, expected[usize::from(is_used)..]);
+}
+
+/// Guards against the same at a host that has started since the upstream left and knows nothing of it. An
+/// upstream that has just started, or one whose entry may have expired with the registry, is used at once.
+#[rstest]
+#[case::written_late(7, None, Duration::ZERO, false)]
+#[case::written_again(7, Some(8), Duration::ZERO, true)]
+#[case::read_twice(7, Some(7), Duration::ZERO, false)]
+#[case::just_started(0, None, Duration::ZERO, true)]
+#[case::after_an_outage(7, None, MIN_EXPIRY_OUTAGE, true)]
+fn an_entry_of_an_unknown_upstream_needs_another_write(
+    #[case] write_count: u64,
+    #[case] next: Option<u64>,
+    #[case] outage: Duration,
+    #[case] is_used: bool,
+) {
+    let now = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.replace(vec![(entry("b", 1), 5)], now);
+    fleet.record_return(outage, &[], now);
+    let writes = [Some(write_count), next].into_iter().flatten();
+    for count in writes {
+        fleet.apply(vec![Change::Written(entry("a", 1), count)], now);
+    }
+    assert_eq!(ids(&fleet).contains(&"a".to_owned()), is_used);
+    // A full list that still has the entry shows no more than the entry did.
+    let last = next.unwrap_or(write_count);
+    fleet.replace(vec![(entry("a", 1), last), (entry("b", 1), 6)], now);
+    assert_eq!(ids(&fleet).contains(&"a".to_owned()), is_used);
+}
+
+/// What happens to an upstream and its entry.
+#[derive(Debug, Clone)]
+enum Event {
+    /// It writes its entry.
+    Write,
+    /// The registry carries out one of its earlier writes, counted from the last, once more or late.
+    WriteLate(usize),
+    /// Its entry expires while it lives.
+    Expire,
+    /// It leaves, and its entry is removed.
+    Leave,
+    /// It starts again under its name.
+    Restart,
+    /// The host reads a full list.
+    Read,
+    /// The registry is restored from a copy with an earlier entry, counted from the last.
+    Restore(usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => Just(Event::Write),
+        3 => (0..6_usize).prop_map(Event::WriteLate),
+        1 => Just(Event::Expire),
+        1 => Just(Event::Leave),
+        1 => Just(Event::Restart),
+        1 => Just(Event::Read),
+        1 => (0..6_usize).prop_map(Event::Restore),
+    ]
+}
+
+proptest! {
+    /// An upstream that has left is never in use again before it starts again, whatever is written late, and
+    /// one that lives is in use once it writes.
+    #[test]
+    fn late_writes_bring_no_upstream_back(events in prop::collection::vec(event(), 1..60)) {
+        let mut now = Instant::now();
+        let mut fleet = Fleet::default();
+        fleet.replace(Vec::new(), now);
+        // A count of 0 stands for none.
+        let (mut started_at, mut write_count, mut is_alive) = (1, 1, true);
+        let mut written: Vec<(Entry, u64)> = Vec::new();
+        let mut stored: Option<(Entry, u64)> = None;
+        for event in events {
+            now += Duration::from_secs(3);
+            fleet.sweep(now);
+            let earlier = |back: usize| written.iter().rev().nth(back).cloned();
+            match event {
+                Event::Write if is_alive => {
+                    let write = (entry("a", started_at), write_count);
+                    fleet.apply(vec![Change::Written(write.0.clone(), write.1)], now);
+                    written.push(write.clone());
+                    stored = Some(write);
+                    write_count += 1;
+                    prop_assert_eq!(ids(&fleet), ["a"]);
+                }
+                Event::WriteLate(back) => if let Some(write) = earlier(back) {
+                    fleet.apply(vec![Change::Written(write.0.clone(), write.1)], now);
+                    stored = Some(write);
+                },
+                Event::Expire | Event::Leave => {
+                    is_alive &= matches!(event, Event::Expire);
+                    fleet.apply(vec![Change::Removed("a".into())], now);
+                    stored = None;
+                }
+                Event::Restart => {
+                    (started_at, write_count, is_alive) = (started_at + 1, 1, true);
+                }
+                Event::Restore(back) => {
+                    stored = earlier(back);
+                    fleet.record_restore(now);
+                    fleet.replace(stored.iter().cloned().collect(), now);
+                }
+                Event::Write => (),
+                Event::Read => {
+                    fleet.replace(stored.iter().cloned().collect(), now);
+                }
+            }
+            if !is_alive {
+                prop_assert!(fleet.entries().is_empty());
+            }
+        }
+    }
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod innocent;
 mod input;
 mod large_config;
+mod late_entries;
 mod leaving;
 mod lifecycle;
 mod limit;
