Take a connection for a proof only if it is older than the last reading

Cause: an idle connection counted as a proof that the engine had not started again, also one that was opened after the restart, by a stream for which nothing is asked. It proves that the incarnation at its other end lasts, not which one that is.

A connection counts if it was open at the last reading of the registry, or when the engine last answered with its start. Otherwise the engine is asked, where it was asked without a connection: for the rest of a stream, and for new streams on an old registry.

--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -83,6 +83,7 @@
 /// A connection in use; closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
+    opened_at: Instant,
     sender: Sender,
     driver: JoinHandle<()>,
     head_meter: HeadMeter,
@@ -197,6 +198,7 @@
                 "connect: {cause}"
             ))),
             Ok(Ok((sender, driver, head_meter))) => Ok(Connection {
+                opened_at: Instant::now(),
                 sender,
                 driver,
                 head_meter,
@@ -205,11 +207,12 @@
         }
     }
 
-    /// Returns `true` if a connection is kept that can be used again.
-    pub fn has_idle(&self, now: Instant) -> bool {
+    /// Returns when the connection was opened that would be used again at `now`, if there is one.
+    pub fn next_opened_at(&self, now: Instant) -> Option<Instant> {
         let idle = self.idle.borrow();
-        idle.last()
-            .is_some_and(|entry| entry.until > now && entry.connection.sender.is_ready())
+        let newest = idle.last()?;
+        let is_usable = newest.until > now && newest.connection.sender.is_ready();
+        is_usable.then_some(newest.connection.opened_at)
     }
 
     fn take(&self, now: Instant) -> Option<Connection> {
--- a/src/gateway/proof.rs
+++ b/src/gateway/proof.rs
@@ -43,7 +43,7 @@
         .and_then(|report| egress::started_at(&report.body));
     gateway.metrics.add("incarnation_probes");
     if started_at == Some(target.entry.started_at) {
-        target.trust(sent_at);
+        target.trust(sent_at, Instant::now());
         return true;
     }
     target.replace(started_at.is_some());
@@ -74,8 +74,8 @@
     if target.is_doubted() {
         return true;
     }
-    // A connection that has lasted shows that the engine has, too.
-    if target.has_idle_connection(Instant::now()) {
+    let read_at = gateway.age_observer.upstreams_known_at(&gateway.view());
+    if target.has_proved_connection(read_at, Instant::now()) {
         return false;
     }
     // What a new connection reaches may be another incarnation if the registry is old; the rest of a stream is asked
--- a/src/gateway/target.rs
+++ b/src/gateway/target.rs
@@ -49,6 +49,8 @@
     is_leaving: Cell<bool>,
     /// Time of the last exchange that broke off; the engine may have started again since.
     doubted_at: Cell<Option<Instant>>,
+    /// Time of the last answer that showed that the engine is the one of its entry.
+    proved_at: Cell<Option<Instant>>,
     /// Whether another incarnation has taken its place, which its entry does not say yet.
     is_replaced: Cell<bool>,
     /// Notices received from it.
@@ -73,6 +75,7 @@
                 in_flight: Cell::default(),
                 is_leaving: Cell::default(),
                 doubted_at: Cell::default(),
+                proved_at: Cell::default(),
                 is_replaced: Cell::default(),
                 incarnation: incarnations.get(&entry),
             }),
@@ -198,8 +201,9 @@
         self.shared.doubted_at.set(Some(now));
     }
 
-    /// Records that the engine was the one of its entry after `sent_at`.
-    pub fn trust(&self, sent_at: Instant) {
+    /// Records that the engine was the one of its entry after `sent_at`, by an answer received at `now`.
+    pub fn trust(&self, sent_at: Instant, now: Instant) {
+        self.shared.proved_at.set(Some(now));
         let doubted_at = self.shared.doubted_at.get();
         self.shared
             .doubted_at
@@ -246,7 +250,15 @@
 
     /// Returns `true` if a request may be sent on a connection that is already open.
     pub fn has_idle_connection(&self, now: Instant) -> bool {
-        self.shared.pool.has_idle(now)
+        self.shared.pool.next_opened_at(now).is_some()
+    }
+
+    /// Returns `true` if a request would be sent on a connection that was open when the engine was last known to
+    /// be the one of its entry, which was read at `read_at`: it has lasted as long as the engine.
+    pub fn has_proved_connection(&self, read_at: Option<Instant>, now: Instant) -> bool {
+        let known_at = read_at.max(self.shared.proved_at.get());
+        let opened_at = self.shared.pool.next_opened_at(now);
+        opened_at.is_some_and(|opened_at| Some(opened_at) <= known_at)
     }
 
     /// Returns a connection to the pool after a response that ended by its own framing.
--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -249,6 +249,11 @@
 
 /// Sends a request whose prompt no engine has cached, so that none is preferred.
 fn send(client: &mut Client, id: &str, fields: &[(&str, &str)]) {
+    send_to(client, "/ask/a", id, fields);
+}
+
+/// Sends such a request under a path.
+fn send_to(client: &mut Client, path: &str, id: &str, fields: &[(&str, &str)]) {
     let block = BLOCKS.fetch_add(2, Ordering::Relaxed);
     let prefix = format!("{block:x}:80,{:x}:120", block + 1);
     let prompt = [
@@ -256,7 +261,7 @@
         ("Pistachiohall-Prompt-Prefix", &prefix),
     ];
     let fields = [&prompt[..], fields].concat();
-    client.send("POST", "/ask/a", id, &fields, b"").unwrap();
+    client.send("POST", path, id, &fields, b"").unwrap();
 }
 
 fn events(from: u64, to: u64) -> String {
@@ -683,3 +688,41 @@
     // Those of the first incarnation go on at its build.
     assert_go_on(&fleet, 1, &began[..1], "m3");
 }
+
+/// Sends requests side by side, so that all engines get some, and waits for their answers.
+fn ask_together(host: &Gateway, path: &str, name: &str) {
+    let mut clients: Vec<Client> = (0..STREAMS).map(|_| host.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        send_to(client, path, &format!("{name}-{number}"), &[]);
+    }
+    for client in &mut clients {
+        let answer = client.receive().unwrap();
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+    }
+}
+
+/// Guards against a connection that is taken for a proof, though it was opened after the engine started again: by
+/// streams that may not be resumed, for which nothing is asked.
+#[test]
+fn a_connection_from_after_a_restart_proves_no_build() {
+    let mut fleet = Fleet::start(1, &[("e1", "v1"), ("m3", "v1")]);
+    fleet.add("a2", "v2");
+    start_again(&mut fleet, "e1", "v2");
+    for engine in fleet.engines.values() {
+        engine.set_pause(Duration::from_millis(100));
+    }
+    let (host, engine) = (&fleet.hosts[0], &fleet.engines["e1"]);
+    let started_at = Instant::now();
+    // Until the host's reading is old.
+    for number in 0.. {
+        ask_together(host, "/draft/a", &format!("short-{number}"));
+        if started_at.elapsed() > Duration::from_secs(3) {
+            break;
+        }
+    }
+    assert!(engine.runs() > 0, "no connection was opened to the engine");
+    ask_together(host, "/ask/a", "new");
+    let received = engine.received();
+    let resumable = received.iter().filter(|seen| seen.path == "/ask/a");
+    assert_eq!(resumable.count(), 0);
+}
