Ask an engine for its start on each connection from after the last reading

Cause: a reading of the registry younger than two seconds was taken for a proof that the engine had not started again since.

The bound of two seconds is gone: a stream that may be resumed needs a connection that was open at the last reading, or when the engine last answered with its start. On another one the engine is asked first.

--- a/src/gateway/proof.rs
+++ b/src/gateway/proof.rs
@@ -20,8 +20,6 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The same before a new stream, which goes there without an answer: a few round trips.
 const NEW_STREAM_TIMEOUT: Duration = Duration::from_millis(50);
-/// Maximum age of the last reading of the upstreams at which an engine that starts again is noticed by its entry.
-const MAX_UPSTREAMS_AGE: Duration = Duration::from_secs(2);
 
 /// Returns `true` if a stream may count as of the build in a target's entry. The engine is asked for its start if it
 /// may have started again without this host's knowledge.
@@ -62,11 +60,6 @@
     false
 }
 
-fn is_registry_old(gateway: &Gateway) -> bool {
-    let age = gateway.age_observer.upstreams_age(Instant::now());
-    age.is_some_and(|age| age > MAX_UPSTREAMS_AGE)
-}
-
 fn is_proof_needed(gateway: &Gateway, progress: &Progress, target: &Target) -> bool {
     if !progress.call.route.is_resumable || target.entry.role == Role::Mixed {
         return false;
@@ -75,10 +68,5 @@
         return true;
     }
     let read_at = gateway.age_observer.upstreams_known_at(&gateway.view());
-    if target.has_proved_connection(read_at, Instant::now()) {
-        return false;
-    }
-    // What a new connection reaches may be another incarnation if the registry is old; the rest of a stream is asked
-    // for so rarely that it is never sent on a guess.
-    progress.build.is_some() || is_registry_old(gateway)
+    !target.has_proved_connection(read_at, Instant::now())
 }
--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -639,9 +639,15 @@
     assert_eq!(fleet.resumed("e1"), resumed);
 }
 
-/// Ends an engine while the store is away, and starts it again under its name and at its address as another build.
+/// Ends an engine while the store is away, and starts it again as another build.
 fn start_again(fleet: &mut Fleet, name: &str, build: &str) {
     fleet.store.set_fault(Fault::Silent);
+    start_in_place(fleet, name, build);
+}
+
+/// Ends an engine, and starts it again under its name and at its address as another build that has not written its
+/// entry.
+fn start_in_place(fleet: &mut Fleet, name: &str, build: &str) {
     let before = fleet.engines.remove(name).unwrap();
     let address = before.address();
     before.end();
@@ -726,3 +732,20 @@
     let resumable = received.iter().filter(|seen| seen.path == "/ask/a");
     assert_eq!(resumable.count(), 0);
 }
+
+/// Guards against streams that begin at an engine which has just started again as another build, before a host reads
+/// its new entry: the host's reading is fresh, and it had nothing there when the engine ended.
+#[test]
+fn a_fresh_reading_from_before_a_restart_proves_no_build() {
+    let mut fleet = Fleet::start(1, &[("e1", "v1"), ("m3", "v1")]);
+    start_in_place(&mut fleet, "e1", "v2");
+    for engine in fleet.engines.values() {
+        engine.set_pause(Duration::from_millis(50));
+    }
+    ask_together(&fleet.hosts[0], "/ask/a", "new");
+    assert_eq!(fleet.engines["e1"].runs(), 0);
+    fleet.engines["e1"].register(&fleet.store, "ready");
+    fleet.hosts[0].wait_line(&["upstream=e1", "born=2"]);
+    ask_together(&fleet.hosts[0], "/ask/a", "next");
+    assert!(fleet.engines["e1"].runs() > 0);
+}
