Count an upstream as reached once a connection is established

An upstream that refused a request, or answered a call of the host's own, stayed out of reach until it completed a request, so that a build could count as without a generator and be given another one needlessly.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -374,8 +374,10 @@
     until: Instant,
 ) -> Result<FullResponse, Failure> {
     let connected = target.connect(true, until, Admission::Own).await;
-    if let Err(Failure::Unreachable(_)) = connected {
-        target.health().record_unreachable(Instant::now());
+    match connected {
+        Ok(_) => target.health().record_reached(),
+        Err(Failure::Unreachable(_)) => target.health().record_unreachable(Instant::now()),
+        Err(_) => (),
     }
     let mut connection = connected?;
     let mut request = Request::new(Full::new(Bytes::new()));
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -38,7 +38,7 @@
         self.refusals = 0;
         self.avoid_until = None;
         self.unreachable_until = None;
-        self.is_out_of_reach = false;
+        self.record_reached();
     }
 
     /// Records that a request failed or got no response.
@@ -72,6 +72,8 @@
     /// health.record_unreachable(now);
     /// assert!(health.is_unreachable(now));
     /// assert!(health.is_out_of_reach());
+    /// health.record_reached();
+    /// assert!(!health.is_out_of_reach());
     /// ```
     pub fn record_unreachable(&mut self, now: Instant) {
         self.record_failure(now);
@@ -84,6 +86,11 @@
         self.unreachable_until.is_some_and(|until| now < until)
     }
 
+    /// Records that a connection was established.
+    pub fn record_reached(&mut self) {
+        self.is_out_of_reach = false;
+    }
+
     /// Returns `true` if the last attempt to connect failed, however long ago that was.
     pub fn is_out_of_reach(&self) -> bool {
         self.is_out_of_reach
@@ -91,6 +98,7 @@
 
     /// Records that the upstream refused a request without running it.
     pub fn record_refusal(&mut self, now: Instant) {
+        self.record_reached();
         self.refusals = (self.refusals + 1).min(8);
         if self.refusals >= MIN_REFUSALS {
             let backoff = FIRST_REFUSAL_BACKOFF * 2_u32.pow(self.refusals - MIN_REFUSALS);
