--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod paces;
 mod plain;
 mod refusals;
+mod restarted;
 mod restored;
 mod shutdown;
 mod usage;
